--- /dev/null
+++ b/src/app/claim_keeper.cc
@@ -0,0 +1,70 @@
+#include "app/claim_keeper.h"
+
+#include <nlohmann/json.hpp>
+
+#include "platform/digest.h"
+
+namespace rosemarycove {
+namespace {
+
+using nlohmann::json;
+
+// Attempts to learn what became of a write whose answer was lost.
+constexpr int kReadBacks = 3;
+
+std::string StoreKey(const Claim& claim) {
+  return "claims/" + Sha256Hex(claim.customer + '\n' + claim.key);
+}
+
+}  // namespace
+
+ClaimResult LocalClaimKeeper::Claim(const struct Claim& claim) {
+  const std::lock_guard lock(this->mutex);
+  const auto [found, is_new] =
+      this->fingerprints.try_emplace(StoreKey(claim), claim.fingerprint);
+  if (is_new) {
+    return ClaimResult::kWon;
+  }
+  return found->second == claim.fingerprint ? ClaimResult::kRunElsewhere
+                                            : ClaimResult::kOtherRequest;
+}
+
+StoreClaimKeeper::StoreClaimKeeper(KeyValueStore& store) : store(store) {}
+
+ClaimResult StoreClaimKeeper::Claim(const struct Claim& claim) {
+  const std::string key = StoreKey(claim);
+  const json value = {{"owner", claim.owner},
+                      {"fingerprint", claim.fingerprint}};
+  const auto written = this->store.CompareAndSwap(key, 0, value.dump());
+  if (written) {
+    return ClaimResult::kWon;
+  }
+  if (written.error().kind == StoreErrorKind::kUnavailable) {
+    return ClaimResult::kUnavailable;
+  }
+  return this->ReadBack(key, claim);
+}
+
+ClaimResult StoreClaimKeeper::ReadBack(const std::string& store_key,
+                                       const struct Claim& claim) {
+  for (int i = 0; i < kReadBacks; ++i) {
+    const auto read = this->store.Get(store_key);
+    if (!read) {
+      continue;
+    }
+    const json value = json::parse(read->value, nullptr, false);
+    if (read->version == 0 || !value.is_object()) {
+      // The write may still arrive: whether it took effect is not known.
+      return ClaimResult::kUnavailable;
+    }
+    if (value.value("owner", "") == claim.owner) {
+      return ClaimResult::kWon;
+    }
+    return value.value("fingerprint", "") == claim.fingerprint
+               ? ClaimResult::kRunElsewhere
+               : ClaimResult::kOtherRequest;
+  }
+  return ClaimResult::kUnavailable;
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/command_line.cc
@@ -0,0 +1,305 @@
+#include "app/command_line.h"
+
+#include <httplib.h>
+#include <pthread.h>
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "app/instance.h"
+#include "app/settings.h"
+#include "app/version.h"
+
+namespace rosemarycove {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kUnprocessable = 422;
+constexpr int kConflictStatus = 409;
+constexpr int kAccepted = 202;
+constexpr int kFirstError = 300;
+
+// Where the commands for operators find an instance.
+struct OperatorTarget {
+  std::string address = "127.0.0.1:8081";
+  std::string token;
+};
+
+void PrintFaults(const SettingsErrors& faults) {
+  for (const SettingsError& fault : faults) {
+    std::cerr << fault.ToString() << "\n";
+  }
+}
+
+// Waits for SIGTERM or SIGINT, which are blocked in every thread.
+int AwaitSignal() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return signal;
+}
+
+// Whether another of the signals is pending.
+bool SignalPending() {
+  sigset_t pending;
+  sigpending(&pending);
+  return sigismember(&pending, SIGTERM) == 1 ||
+         sigismember(&pending, SIGINT) == 1;
+}
+
+void BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+ExitStatus Serve(const std::string& file) {
+  tl::expected<Settings, SettingsErrors> settings = LoadSettings(file);
+  if (!settings) {
+    PrintFaults(settings.error());
+    return ExitStatus::kInvalid;
+  }
+  BlockSignals();
+  Instance instance(std::move(*settings));
+  if (!instance.Start()) {
+    std::_Exit(static_cast<int>(ExitStatus::kFailed));
+  }
+  AwaitSignal();
+  if (!instance.Drain(SignalPending)) {
+    std::_Exit(static_cast<int>(ExitStatus::kCutOff));
+  }
+  return ExitStatus::kOk;
+}
+
+ExitStatus Check(const std::string& file) {
+  const tl::expected<std::string, SettingsErrors> text = ReadFile(file);
+  if (!text) {
+    PrintFaults(text.error());
+    return ExitStatus::kInvalid;
+  }
+  const bool is_settings = text->find("[instance]") != std::string::npos;
+  SettingsErrors faults;
+  if (is_settings) {
+    const auto settings = ParseSettings(*text, file);
+    faults = settings ? SettingsErrors() : settings.error();
+  } else {
+    const auto resources = ParseResources(*text, file);
+    faults = resources ? SettingsErrors() : resources.error();
+  }
+  if (!faults.empty()) {
+    PrintFaults(faults);
+    return ExitStatus::kInvalid;
+  }
+  std::cout << file << ": " << (is_settings ? "settings" : "resources")
+            << " are sound\n";
+  return ExitStatus::kOk;
+}
+
+// Speaks to the operators' interface of one instance.
+class OperatorClient {
+ public:
+  explicit OperatorClient(const OperatorTarget& target)
+      : client("http://" + target.address),
+        headers({{"Authorization", "Bearer " + target.token},
+                 {"Accept", "application/json"}}) {}
+
+  httplib::Result Get(const std::string& path) {
+    return this->client.Get(path, this->headers);
+  }
+
+  httplib::Result Put(const std::string& path, const std::string& body,
+                      const std::string& revision) {
+    httplib::Headers all = this->headers;
+    if (!revision.empty()) {
+      all.emplace("If-Match", revision);
+    }
+    return this->client.Put(path, all, body, "application/toml");
+  }
+
+ private:
+  httplib::Client client;
+  httplib::Headers headers;
+};
+
+// Prints an answer that is not a success and returns the exit status.
+ExitStatus Judge(const httplib::Result& result) {
+  if (!result) {
+    std::cerr << "the instance can't be reached: "
+              << httplib::to_string(result.error()) << "\n";
+    return ExitStatus::kUnreachable;
+  }
+  if (result->status == kAccepted) {
+    std::cerr << result->body;
+    return ExitStatus::kUnknown;
+  }
+  if (result->status >= kFirstError) {
+    std::cerr << result->body;
+  }
+  switch (result->status) {
+    case kUnprocessable:
+      return ExitStatus::kInvalid;
+    case kConflictStatus:
+      return ExitStatus::kConflict;
+    default:
+      return result->status < kFirstError ? ExitStatus::kOk
+                                          : ExitStatus::kFailed;
+  }
+}
+
+ExitStatus Apply(const OperatorTarget& target, const std::string& file,
+                 const std::string& revision) {
+  const tl::expected<std::string, SettingsErrors> text = ReadFile(file);
+  if (!text) {
+    PrintFaults(text.error());
+    return ExitStatus::kInvalid;
+  }
+  if (const auto resources = ParseResources(*text, file); !resources) {
+    PrintFaults(resources.error());
+    return ExitStatus::kInvalid;
+  }
+  const httplib::Result result =
+      OperatorClient(target).Put("/operator/v1/resources", *text, revision);
+  const ExitStatus status = Judge(result);
+  if (status == ExitStatus::kOk) {
+    std::cout << result->body;
+  }
+  return status;
+}
+
+ExitStatus Get(const OperatorTarget& target, const std::string& kind,
+               const std::string& name) {
+  std::string path = "/operator/v1/" + (kind.empty() ? "resources" : kind);
+  if (!name.empty()) {
+    path += "/" + name;
+  }
+  const httplib::Result result = OperatorClient(target).Get(path);
+  const ExitStatus status = Judge(result);
+  if (status == ExitStatus::kOk) {
+    std::cout << result->body;
+  }
+  return status;
+}
+
+void PrintStatus(const json& status) {
+  std::printf("instance %s  %s  revision %s  waiting %d  running %d\n\n",
+              status.value("instance", "?").c_str(),
+              status.value("ready", false) ? "ready" : "not ready",
+              status["revision"].dump().c_str(), status.value("waiting", 0),
+              status.value("running", 0));
+  std::printf("%-20s %4s %10s %10s %10s\n", "class", "tier", "1 min", "10 min",
+              "60 min");
+  for (const json& item : status["classes"]) {
+    const json& windows = item["attainment"];
+    std::printf("%-20s %4d %9.1f%% %9.1f%% %9.1f%%\n",
+                item.value("name", "?").c_str(), item.value("tier", 0),
+                100 * windows["1m"].value("attainment", 0.0),
+                100 * windows["10m"].value("attainment", 0.0),
+                100 * windows["60m"].value("attainment", 0.0));
+  }
+  std::printf("\n%-20s %10s %8s %8s %9s\n", "backend", "health", "own", "all",
+              "slowness");
+  for (const json& item : status["backends"]) {
+    std::printf("%-20s %10s %8d %8d %9.2f\n", item.value("name", "?").c_str(),
+                item.value("health", "?").c_str(), item.value("own_running", 0),
+                item.value("estimated_running", 0),
+                item.value("slowness", 0.0));
+  }
+}
+
+ExitStatus Status(const OperatorTarget& target, bool as_json) {
+  const httplib::Result result =
+      OperatorClient(target).Get("/operator/v1/status");
+  const ExitStatus status = Judge(result);
+  if (status != ExitStatus::kOk) {
+    return status;
+  }
+  if (as_json) {
+    std::cout << result->body;
+  } else {
+    PrintStatus(json::parse(result->body));
+  }
+  return status;
+}
+
+void AddTarget(CLI::App& command, OperatorTarget& target) {
+  command
+      .add_option("--operator", target.address,
+                  "Operators' address of an instance")
+      ->capture_default_str();
+  command.add_option("--token", target.token, "The operators' token")
+      ->envname("ROSEMARYCOVE_OPERATOR_TOKEN");
+}
+
+}  // namespace
+
+int RunCommandLine(int argc, char** argv) {
+  CLI::App app("rosemarycove routes language-model traffic by service level");
+  app.require_subcommand(1);
+  app.footer(
+      "Exit status: 0 done, 1 failed, 2 wrong usage, 3 invalid settings or\n"
+      "resources, 4 conflict, 5 instance not reached, 6 outcome not known,\n"
+      "7 stopped before all requests had ended.");
+  ExitStatus status = ExitStatus::kOk;
+  std::string file;
+  std::string kind;
+  std::string name;
+  std::string revision;
+  bool as_json = false;
+  OperatorTarget target;
+
+  CLI::App* serve = app.add_subcommand("serve", "Run one instance");
+  serve->add_option("--config", file, "Settings file (TOML)")->required();
+  serve->callback([&] { status = Serve(file); });
+
+  CLI::App* check =
+      app.add_subcommand("check", "Check a settings or resource file");
+  check->add_option("file", file, "The file (TOML)")->required();
+  check->callback([&] { status = Check(file); });
+
+  CLI::App* apply =
+      app.add_subcommand("apply", "Declare all resources from a file");
+  apply->add_option("file", file, "Resource file (TOML)")->required();
+  apply->add_option("--if-match", revision,
+                    "Only when this is the revision in the store");
+  AddTarget(*apply, target);
+  apply->callback([&] { status = Apply(target, file, revision); });
+
+  CLI::App* get = app.add_subcommand("get", "Read resources and their state");
+  get->add_option("kind", kind, "class, customer, service, backend or limits")
+      ->check(
+          CLI::IsMember({"class", "customer", "service", "backend", "limits"}));
+  get->add_option("name", name, "One resource's name");
+  AddTarget(*get, target);
+  get->callback([&] { status = Get(target, kind, name); });
+
+  CLI::App* show =
+      app.add_subcommand("status", "Show how an instance is doing");
+  show->add_flag("--json", as_json, "Print JSON");
+  AddTarget(*show, target);
+  show->callback([&] { status = Status(target, as_json); });
+
+  CLI::App* version = app.add_subcommand("version", "Print the version");
+  version->callback([] { std::cout << "rosemarycove " << kVersion << "\n"; });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : static_cast<int>(ExitStatus::kUsage);
+  }
+  return static_cast<int>(status);
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/configuration.cc
@@ -0,0 +1,234 @@
+#include "app/configuration.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+constexpr char kRootKey[] = "configuration/root";
+constexpr auto kWatchTime = std::chrono::seconds(5);
+constexpr auto kRetryPause = std::chrono::milliseconds(500);
+// Names of changes kept in the store, for settling writes without an answer.
+constexpr std::size_t kKeptChanges = 64;
+constexpr int kSettleReads = 3;
+
+std::int64_t SteadyNanoseconds() {
+  return std::chrono::steady_clock::now().time_since_epoch().count();
+}
+
+ChangeError ToChangeError(const StoreError& error) {
+  const bool unknown = error.kind == StoreErrorKind::kUnknown;
+  return {.kind = unknown ? ChangeErrorKind::kUnknown
+                          : ChangeErrorKind::kUnavailable,
+          .revision = 0,
+          .faults = {},
+          .message = "store: " + error.message};
+}
+
+}  // namespace
+
+std::string ToStoredText(const StoredConfiguration& stored) {
+  toml::table document = WriteResources(stored.resources);
+  toml::array changes;
+  for (const std::string& change : stored.changes) {
+    changes.push_back(change);
+  }
+  document.insert_or_assign("changes", std::move(changes));
+  return ToTomlText(document);
+}
+
+tl::expected<StoredConfiguration, SettingsErrors> ParseStoredText(
+    const std::string& text) {
+  static const std::string kSource = "store";
+  if (text.empty()) {
+    return StoredConfiguration{};
+  }
+  toml::table document;
+  try {
+    document = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    return tl::unexpected(
+        SettingsErrors{{.file = kSource,
+                        .line = static_cast<int>(error.source().begin.line),
+                        .key = "syntax",
+                        .message = std::string(error.description())}});
+  }
+  return ReadResources(document, kSource).map([&](ResourceSet&& resources) {
+    StoredConfiguration stored{.resources = std::move(resources),
+                               .changes = {}};
+    if (const toml::array* changes = document["changes"].as_array()) {
+      for (const toml::node& change : *changes) {
+        stored.changes.push_back(change.value_or(std::string()));
+      }
+    }
+    return stored;
+  });
+}
+
+Configuration::Configuration(KeyValueStore& store, EventLog& log,
+                             ResourcesListener listener)
+    : store(store), log(log), listener(std::move(listener)) {}
+
+Configuration::~Configuration() { this->Stop(); }
+
+void Configuration::Start() {
+  this->follower = std::thread([this] { this->Follow(); });
+}
+
+void Configuration::Stop() {
+  this->stopping = true;
+  if (this->follower.joinable()) {
+    this->follower.join();
+  }
+}
+
+Duration Configuration::StoreAge() const {
+  return Duration(SteadyNanoseconds() - this->last_answer);
+}
+
+void Configuration::NoteStore(bool is_available) {
+  if (is_available) {
+    this->last_answer = SteadyNanoseconds();
+  }
+  if (this->available.exchange(is_available) != is_available) {
+    this->log.Write(
+        is_available ? LogEvent::kStoreAvailable : LogEvent::kStoreUnavailable,
+        {{"revision", this->seen.load()}});
+  }
+}
+
+void Configuration::Follow() {
+  while (!this->stopping) {
+    const auto value = this->store.Watch(kRootKey, this->version, kWatchTime);
+    this->NoteStore(value.has_value());
+    if (!value) {
+      std::this_thread::sleep_for(kRetryPause);
+      continue;
+    }
+    if (value->version > this->version) {
+      this->version = value->version;
+      this->Adopt(*value);
+    }
+  }
+}
+
+void Configuration::Adopt(const StoreValue& value) {
+  tl::expected<StoredConfiguration, SettingsErrors> stored =
+      ParseStoredText(value.value);
+  if (!stored) {
+    this->log.Write(LogEvent::kConfigurationRefused,
+                    {{"version", value.version},
+                     {"fault", stored.error().front().ToString()}});
+    return;
+  }
+  const std::lock_guard lock(this->adopt_mutex);
+  const std::uint64_t revision = stored->resources.revision;
+  if (revision <= this->seen) {
+    return;
+  }
+  this->seen = revision;
+  this->listener(
+      std::make_shared<const ResourceSet>(std::move(stored->resources)));
+  this->log.Write(LogEvent::kConfigurationInForce, {{"revision", revision}});
+}
+
+tl::expected<std::uint64_t, ChangeError> Configuration::Change(
+    const std::string& change_id, std::uint64_t expected,
+    const ResourceEdit& edit) {
+  const auto current = this->store.Get(kRootKey);
+  this->NoteStore(current.has_value());
+  if (!current) {
+    // Nothing was written yet, so the failure is without effect.
+    ChangeError error = ToChangeError(current.error());
+    error.kind = ChangeErrorKind::kUnavailable;
+    return tl::unexpected(error);
+  }
+  auto stored = ParseStoredText(current->value);
+  if (!stored) {
+    return tl::unexpected(ChangeError{.kind = ChangeErrorKind::kInvalid,
+                                      .revision = 0,
+                                      .faults = stored.error(),
+                                      .message = "stored configuration"});
+  }
+  const auto& changes = stored->changes;
+  if (std::find(changes.begin(), changes.end(), change_id) != changes.end()) {
+    return stored->resources.revision;
+  }
+  if (expected > 0 && expected != stored->resources.revision) {
+    return tl::unexpected(
+        ChangeError{.kind = ChangeErrorKind::kConflict,
+                    .revision = stored->resources.revision,
+                    .faults = {},
+                    .message = "another revision is in the store"});
+  }
+  if (auto edited = edit(stored->resources); !edited) {
+    return tl::unexpected(ChangeError{.kind = ChangeErrorKind::kInvalid,
+                                      .revision = stored->resources.revision,
+                                      .faults = edited.error(),
+                                      .message = "change refused"});
+  }
+  stored->resources.revision += 1;
+  stored->changes.push_back(change_id);
+  if (stored->changes.size() > kKeptChanges) {
+    stored->changes.erase(stored->changes.begin());
+  }
+  const std::string text = ToStoredText(*stored);
+  const auto written =
+      this->store.CompareAndSwap(kRootKey, current->version, text);
+  if (written) {
+    this->log.Write(
+        LogEvent::kChangeAccepted,
+        {{"change", change_id}, {"revision", stored->resources.revision}});
+    this->Adopt({.value = text, .version = *written});
+    return stored->resources.revision;
+  }
+  if (written.error().kind == StoreErrorKind::kConflict) {
+    return tl::unexpected(ChangeError{.kind = ChangeErrorKind::kConflict,
+                                      .revision = stored->resources.revision,
+                                      .faults = {},
+                                      .message = "another change came first"});
+  }
+  if (written.error().kind == StoreErrorKind::kUnavailable) {
+    return tl::unexpected(ToChangeError(written.error()));
+  }
+  return this->Settle(change_id);
+}
+
+tl::expected<std::uint64_t, ChangeError> Configuration::Settle(
+    const std::string& change_id) {
+  for (int i = 0; i < kSettleReads; ++i) {
+    const auto value = this->store.Get(kRootKey);
+    if (!value) {
+      continue;
+    }
+    const auto stored = ParseStoredText(value->value);
+    if (stored && std::find(stored->changes.begin(), stored->changes.end(),
+                            change_id) != stored->changes.end()) {
+      this->Adopt(*value);
+      return stored->resources.revision;
+    }
+  }
+  // Not seen so far; the write may still be on its way.
+  return tl::unexpected(ChangeError{.kind = ChangeErrorKind::kUnknown,
+                                    .revision = 0,
+                                    .faults = {},
+                                    .message = "the store's answer was lost"});
+}
+
+tl::expected<bool, ChangeError> Configuration::WasAccepted(
+    const std::string& change_id) {
+  const auto value = this->store.Get(kRootKey);
+  if (!value) {
+    return tl::unexpected(ToChangeError(value.error()));
+  }
+  const auto stored = ParseStoredText(value->value);
+  if (!stored) {
+    return false;
+  }
+  return std::find(stored->changes.begin(), stored->changes.end(), change_id) !=
+         stored->changes.end();
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/event_log.cc
@@ -0,0 +1,128 @@
+#include "app/event_log.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+constexpr LogEventInfo kCatalogue[] = {
+    {LogEvent::kStarted, "started", LogLevel::kInfo},
+    {LogEvent::kReady, "ready", LogLevel::kInfo},
+    {LogEvent::kDrainStarted, "drain_started", LogLevel::kInfo},
+    {LogEvent::kStopped, "stopped", LogLevel::kInfo},
+    {LogEvent::kDrainCutOff, "drain_cut_off", LogLevel::kError},
+    {LogEvent::kListenFailed, "listen_failed", LogLevel::kError},
+    {LogEvent::kRequestEnded, "request_ended", LogLevel::kInfo},
+    {LogEvent::kRequestRejected, "request_rejected", LogLevel::kInfo},
+    {LogEvent::kPlaced, "placed", LogLevel::kInfo},
+    {LogEvent::kAttemptBroken, "attempt_broken", LogLevel::kWarning},
+    {LogEvent::kConfigurationInForce, "configuration_in_force",
+     LogLevel::kInfo},
+    {LogEvent::kConfigurationRefused, "configuration_refused",
+     LogLevel::kError},
+    {LogEvent::kStoreUnavailable, "store_unavailable", LogLevel::kWarning},
+    {LogEvent::kStoreAvailable, "store_available", LogLevel::kInfo},
+    {LogEvent::kChangeAccepted, "change_accepted", LogLevel::kInfo},
+    {LogEvent::kLoadReportMissing, "load_report_missing", LogLevel::kWarning},
+};
+
+constexpr std::size_t kQueuedLines = 8192;
+
+const LogEventInfo& InfoOf(LogEvent event) {
+  return *std::find_if(
+      std::begin(kCatalogue), std::end(kCatalogue),
+      [&](const LogEventInfo& info) { return info.event == event; });
+}
+
+spdlog::level::level_enum ToSpdlog(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return spdlog::level::debug;
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kWarning:
+      return spdlog::level::warn;
+    case LogLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+std::string AsText(const nlohmann::ordered_json& value) {
+  const std::string text =
+      value.is_string() ? value.get<std::string>() : value.dump();
+  const bool plain =
+      !text.empty() && text.find_first_of(" \"=\n") == std::string::npos;
+  return plain ? text : nlohmann::ordered_json(text).dump();
+}
+
+}  // namespace
+
+std::span<const LogEventInfo> LogCatalogue() { return kCatalogue; }
+
+std::string FormatEvent(LogEvent event, const LogFields& fields,
+                        LogFormat format) {
+  const LogEventInfo& info = InfoOf(event);
+  if (format == LogFormat::kJson) {
+    LogFields line;
+    line["event"] = static_cast<int>(event);
+    line["name"] = info.name;
+    line.update(fields);
+    return line.dump(-1, ' ', false,
+                     nlohmann::ordered_json::error_handler_t::replace);
+  }
+  std::string line = "event=" + std::to_string(static_cast<int>(event)) +
+                     " name=" + std::string(info.name);
+  for (const auto& [key, value] : fields.items()) {
+    line += " " + key + "=" + AsText(value);
+  }
+  return line;
+}
+
+EventLog::EventLog(std::string instance, LogFormat format,
+                   const std::string& level)
+    : instance(std::move(instance)), format(format) {
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  this->logger = std::make_shared<spdlog::async_logger>(
+      "rosemarycove", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+      spdlog::thread_pool(), spdlog::async_overflow_policy::block);
+  this->logger->set_level(spdlog::level::from_str(level));
+  this->logger->flush_on(spdlog::level::info);
+  if (format == LogFormat::kJson) {
+    this->logger->set_pattern(
+        R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)",
+        spdlog::pattern_time_type::utc);
+  } else {
+    this->logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v",
+                              spdlog::pattern_time_type::utc);
+  }
+}
+
+EventLog::~EventLog() {
+  this->logger->flush();
+  this->logger.reset();
+  spdlog::shutdown();
+}
+
+void EventLog::Write(LogEvent event, const LogFields& fields) {
+  const spdlog::level::level_enum level = ToSpdlog(InfoOf(event).level);
+  if (!this->logger->should_log(level)) {
+    return;
+  }
+  LogFields all;
+  all["instance"] = this->instance;
+  all.update(fields);
+  const std::string line = FormatEvent(event, all, this->format);
+  // The pattern opens the JSON object with the time.
+  this->logger->log(level, "{}",
+                    this->format == LogFormat::kJson ? line.substr(1) : line);
+}
+
+void EventLog::Flush() { this->logger->flush(); }
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/event_log.h
@@ -0,0 +1,78 @@
+// Structured, numbered log events.
+#pragma once
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "app/settings.h"
+
+namespace spdlog {
+class logger;
+}
+
+namespace rosemarycove {
+
+// Every event that an instance logs. docs/EVENTS.md explains each; a test
+// holds the two together. Numbers are never reused.
+enum class LogEvent : std::uint16_t {
+  kStarted = 1001,
+  kReady = 1002,
+  kDrainStarted = 1003,
+  kStopped = 1004,
+  kDrainCutOff = 1005,
+  kListenFailed = 1006,
+  kRequestEnded = 2001,
+  kRequestRejected = 2002,
+  kPlaced = 3001,
+  kAttemptBroken = 3002,
+  kConfigurationInForce = 4001,
+  kConfigurationRefused = 4002,
+  kStoreUnavailable = 4003,
+  kStoreAvailable = 4004,
+  kChangeAccepted = 4005,
+  kLoadReportMissing = 5001,
+};
+
+// How severe an event is.
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+// An entry of the catalogue.
+struct LogEventInfo {
+  LogEvent event;
+  std::string_view name;
+  LogLevel level;
+};
+
+// All events, by number.
+std::span<const LogEventInfo> LogCatalogue();
+
+// The fields of one line, in the order in which they are written.
+using LogFields = nlohmann::ordered_json;
+
+// Writes events to standard output, one line each, from any thread.
+class EventLog {
+ public:
+  EventLog(std::string instance, LogFormat format, const std::string& level);
+  ~EventLog();
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
+
+  // Writes one event. Field values must never hold a customer's key.
+  void Write(LogEvent event, const LogFields& fields);
+  // Writes out what is buffered.
+  void Flush();
+
+ private:
+  std::string instance;
+  LogFormat format;
+  std::shared_ptr<spdlog::logger> logger;
+};
+
+// One line of the log without its time, in the format given.
+std::string FormatEvent(LogEvent event, const LogFields& fields,
+                        LogFormat format);
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/instance.cc
@@ -0,0 +1,184 @@
+#include "app/instance.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <functional>
+#include <random>
+#include <utility>
+
+#include "app/claim_keeper.h"
+#include "app/configuration.h"
+#include "app/load_poller.h"
+#include "app/node_host.h"
+#include "app/operator_api.h"
+#include "http/caller_front.h"
+#include "http/http_server.h"
+#include "platform/http_key_value_store.h"
+
+namespace rosemarycove {
+namespace {
+
+constexpr auto kDrainStep = std::chrono::milliseconds(20);
+constexpr int kOperatorConnections = 32;
+constexpr std::size_t kHeaderRoom = 1U << 16U;
+constexpr std::size_t kOperatorMaxBody = 8U << 20U;
+constexpr std::size_t kDefaultMaxBody = 1U << 20U;
+constexpr auto kStoreTimeout = std::chrono::seconds(1);
+
+// The instance's name with a part that no other start of it has.
+std::string MakeProcessName(const std::string& instance) {
+  std::random_device source;
+  const std::uint64_t number =
+      (static_cast<std::uint64_t>(source()) << 32U) | source();
+  return fmt::format("{}-{:016x}", instance, number);
+}
+
+}  // namespace
+
+Instance::Instance(Settings settings)
+    : settings(std::move(settings)),
+      process(MakeProcessName(this->settings.name)),
+      log(this->settings.name, this->settings.log_format,
+          this->settings.log_level) {
+  if (this->settings.store) {
+    this->store = std::make_unique<HttpKeyValueStore>(
+        this->settings.store->host, this->settings.store->port, kStoreTimeout);
+    this->claims = std::make_unique<StoreClaimKeeper>(*this->store);
+  } else {
+    this->claims = std::make_unique<LocalClaimKeeper>();
+  }
+  this->host = std::make_unique<NodeHost>(
+      NodeHostOptions{
+          .process = this->process,
+          .data_centre = this->settings.data_centre,
+          .max_attempts =
+              static_cast<std::size_t>(this->settings.max_connections),
+          .clients = {.connect_timeout = this->settings.connect_timeout,
+                      .stall_timeout = this->settings.stall_timeout}},
+      this->log, this->metrics, *this->claims);
+  if (this->store) {
+    this->configuration = std::make_unique<Configuration>(
+        *this->store, this->log,
+        [this](std::shared_ptr<const ResourceSet> resources) {
+          this->host->Post(ResourcesChanged{.resources = std::move(resources)});
+        });
+  }
+  this->MakeServers();
+}
+
+Instance::~Instance() = default;
+
+void Instance::MakeServers() {
+  const std::size_t max_body =
+      this->settings.resources
+          ? static_cast<std::size_t>(this->settings.resources->limits.max_body)
+          : kDefaultMaxBody;
+  this->caller_server = std::make_unique<HttpServer>(
+      HttpServerOptions{.max_connections = this->settings.max_connections,
+                        .max_body = max_body,
+                        .max_request = max_body + kHeaderRoom,
+                        .read_timeout = this->settings.read_timeout,
+                        .write_timeout = this->settings.write_timeout});
+  this->caller_front = std::make_unique<CallerFront>(
+      CallerFrontOptions{.instance = this->settings.name,
+                         .process = this->process},
+      *this->caller_server, *this->host);
+  if (this->settings.operator_listen.host.empty()) {
+    return;
+  }
+  this->operator_server = std::make_unique<HttpServer>(
+      HttpServerOptions{.max_connections = kOperatorConnections,
+                        .max_body = kOperatorMaxBody,
+                        .max_request = kOperatorMaxBody + kHeaderRoom,
+                        .read_timeout = this->settings.read_timeout,
+                        .write_timeout = this->settings.write_timeout});
+  this->operator_api = std::make_unique<OperatorApi>(
+      OperatorApiOptions{.instance = this->settings.name,
+                         .token = this->settings.operator_token},
+      *this->operator_server, *this->host, this->metrics,
+      this->configuration.get());
+}
+
+bool Instance::StartServers() {
+  const auto bind = [this](HttpServer& server, const Endpoint& endpoint) {
+    const int port = server.Bind(endpoint.host, endpoint.port);
+    if (port <= 0) {
+      this->log.Write(LogEvent::kListenFailed,
+                      {{"host", endpoint.host}, {"port", endpoint.port}});
+    }
+    return port;
+  };
+  this->callers_at = bind(*this->caller_server, this->settings.listen);
+  if (this->callers_at <= 0) {
+    return false;
+  }
+  if (this->operator_server) {
+    this->operators_at =
+        bind(*this->operator_server, this->settings.operator_listen);
+    if (this->operators_at <= 0) {
+      return false;
+    }
+    this->operator_thread =
+        std::thread([this] { this->operator_server->listen_after_bind(); });
+  }
+  this->caller_thread =
+      std::thread([this] { this->caller_server->listen_after_bind(); });
+  return true;
+}
+
+bool Instance::Start() {
+  if (this->settings.resources) {
+    this->host->Post(ResourcesChanged{
+        .resources =
+            std::make_shared<const ResourceSet>(*this->settings.resources)});
+  }
+  if (this->configuration) {
+    this->configuration->Start();
+  }
+  if (!this->StartServers()) {
+    return false;
+  }
+  this->load_poller = std::make_unique<LoadPoller>(this->settings.load_period,
+                                                   *this->host, this->log);
+  this->log.Write(LogEvent::kStarted,
+                  {{"data_centre", this->settings.data_centre},
+                   {"callers_at", this->callers_at},
+                   {"operators_at", this->operators_at}});
+  return true;
+}
+
+bool Instance::Drain(const std::function<bool()>& cut_short) {
+  this->log.Write(LogEvent::kDrainStarted,
+                  {{"open", this->host->open_requests()}});
+  this->host->Post(DrainStarted{});
+  const auto deadline =
+      std::chrono::steady_clock::now() + this->settings.drain_timeout;
+  while (this->host->open_requests() > 0 && !cut_short() &&
+         std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  const std::size_t lost = this->host->open_requests();
+  if (lost > 0) {
+    this->log.Write(LogEvent::kDrainCutOff, {{"lost", lost}});
+    this->log.Flush();
+    return false;
+  }
+  this->caller_server->set_closing();
+  this->caller_server->stop();
+  this->caller_thread.join();
+  this->load_poller.reset();
+  if (this->configuration) {
+    this->configuration->Stop();
+  }
+  if (this->operator_server) {
+    this->operator_server->set_closing();
+    this->operator_server->stop();
+    this->operator_thread.join();
+  }
+  this->log.Write(LogEvent::kStopped, LogFields::object());
+  this->log.Flush();
+  return true;
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/load_poller.cc
@@ -0,0 +1,82 @@
+#include "app/load_poller.h"
+
+#include <httplib.h>
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace rosemarycove {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kThreads = 8;
+constexpr auto kTimeout = std::chrono::milliseconds(500);
+constexpr int kOk = 200;
+
+}  // namespace
+
+LoadPoller::LoadPoller(Duration period, NodeHost& host, EventLog& log)
+    : period(period), host(host), log(log), pool(kThreads), thread([this] {
+        this->Run();
+      }) {}
+
+LoadPoller::~LoadPoller() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->changed.notify_all();
+  this->thread.join();
+  this->pool.Shutdown();
+}
+
+void LoadPoller::Run() {
+  std::unique_lock lock(this->mutex);
+  while (!this->stopping) {
+    const std::shared_ptr<const ResourceSet> resources = this->host.resources();
+    if (resources) {
+      for (const Backend& backend : resources->backends) {
+        if (this->asking.insert(backend.name).second) {
+          this->pool.Run([this, backend] { this->Ask(backend); });
+        }
+      }
+    }
+    this->changed.wait_for(lock, this->period,
+                           [this] { return this->stopping; });
+  }
+}
+
+void LoadPoller::Ask(const Backend& backend) {
+  httplib::Client client("http://" + backend.address);
+  client.set_connection_timeout(kTimeout);
+  client.set_read_timeout(kTimeout);
+  const httplib::Result result = client.Get("/load");
+  const TimePoint now = std::chrono::steady_clock::now();
+  bool answered = false;
+  if (result && result->status == kOk) {
+    const json load = json::parse(result->body, nullptr, false);
+    answered = load.is_object() && load.contains("running") &&
+               load["running"].is_number_integer() && load.contains("age_ms") &&
+               load["age_ms"].is_number();
+    if (answered) {
+      const Duration age = FromSeconds(load["age_ms"].get<double>() / 1000);
+      this->host.Post(LoadReported{.backend = backend.name,
+                                   .taken_at = now - age,
+                                   .running = load["running"].get<int>()});
+    }
+  }
+  this->NoteAnswer(backend.name, answered);
+}
+
+void LoadPoller::NoteAnswer(const std::string& backend, bool answered) {
+  const std::lock_guard lock(this->mutex);
+  this->asking.erase(backend);
+  if (answered) {
+    this->silent.erase(backend);
+  } else if (this->silent.insert(backend).second) {
+    this->log.Write(LogEvent::kLoadReportMissing, {{"backend", backend}});
+  }
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/node_host.cc
@@ -0,0 +1,194 @@
+#include "app/node_host.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace rosemarycove {
+namespace {
+
+constexpr auto kTickPeriod = std::chrono::milliseconds(20);
+constexpr std::size_t kClaimThreads = 8;
+
+double ToMilliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
+
+}  // namespace
+
+NodeHost::NodeHost(NodeHostOptions options, EventLog& log, Metrics& metrics,
+                   ClaimKeeper& claims)
+    : options(std::move(options)),
+      log(log),
+      metrics(metrics),
+      claims(claims),
+      clients(this->options.clients),
+      runner(this->clients, *this, this->options.process),
+      node(NodeOptions{.data_centre = this->options.data_centre}),
+      attempts(this->options.max_attempts),
+      claim_threads(kClaimThreads),
+      ticker([this] { this->RunTicks(); }) {}
+
+NodeHost::~NodeHost() {
+  this->stopping = true;
+  this->ticker.join();
+  this->attempts.Shutdown();
+  this->claim_threads.Shutdown();
+}
+
+void NodeHost::RunTicks() {
+  while (!this->stopping) {
+    std::this_thread::sleep_for(kTickPeriod);
+    this->Post(Tick{});
+  }
+}
+
+void NodeHost::Post(const Event& event) {
+  const std::lock_guard lock(this->mutex);
+  this->HandleLocked(event);
+}
+
+void NodeHost::HandleLocked(const Event& event) {
+  if (const auto* changed = std::get_if<ResourcesChanged>(&event)) {
+    this->customer_by_key.clear();
+    for (const Customer& customer : changed->resources->customers) {
+      this->customer_by_key[customer.key_hash] = customer.name;
+    }
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  for (const Action& action : this->node.Handle(now, event)) {
+    std::visit([this](const auto& what) { this->Do(what); }, action);
+  }
+}
+
+void NodeHost::Submit(RequestArrived arrived,
+                      const std::shared_ptr<Exchange>& exchange) {
+  const std::lock_guard lock(this->mutex);
+  this->exchanges[arrived.id] = exchange;
+  this->HandleLocked(std::move(arrived));
+}
+
+void NodeHost::CallerGone(RequestId id) { this->Post(CallerLeft{.id = id}); }
+
+void NodeHost::OnProgress(const AttemptProgress& progress) {
+  this->Post(progress);
+}
+
+void NodeHost::OnEnded(const AttemptEnded& ended) {
+  if (ended.result != AttemptResult::kCompleted) {
+    this->log.Write(LogEvent::kAttemptBroken,
+                    {{"request", ended.id},
+                     {"attempt", ended.attempt},
+                     {"result", static_cast<int>(ended.result)},
+                     {"tokens", ended.tokens}});
+  }
+  this->Post(ended);
+}
+
+void NodeHost::Do(const SendAttempt& action) {
+  const auto found = this->exchanges.find(action.id);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  found->second->SetBackend(action.backend);
+  this->attempts.Run([this, exchange = found->second, action] {
+    this->runner.Run(*exchange, action);
+  });
+}
+
+void NodeHost::Do(const CancelAttempt& action) {
+  const auto found = this->exchanges.find(action.id);
+  if (found != this->exchanges.end()) {
+    found->second->CancelAttempt(action.attempt);
+  }
+}
+
+void NodeHost::Do(const ClaimKey& action) {
+  this->claim_threads.Run([this, action] {
+    const ClaimResult result = this->claims.Claim(
+        {.customer = action.customer,
+         .key = action.key,
+         .fingerprint = action.fingerprint,
+         .owner = UpstreamId(this->options.process, action.id)});
+    this->Post(ClaimAnswered{.id = action.id, .result = result});
+  });
+}
+
+void NodeHost::Do(const FinishRequest& action) {
+  this->metrics.Observe(action, std::chrono::steady_clock::now());
+  this->log.Write(LogEvent::kRequestEnded,
+                  {{"request", action.id},
+                   {"customer", action.customer},
+                   {"class", action.class_name},
+                   {"tier", action.tier},
+                   {"outcome", ToString(action.outcome)},
+                   {"cause", ToString(action.cause)},
+                   {"ran", ToString(action.ran)},
+                   {"on_target", action.on_target},
+                   {"waited_ms", ToMilliseconds(action.waited)},
+                   {"first_token_ms", ToMilliseconds(action.first_token)},
+                   {"whole_ms", ToMilliseconds(action.whole)},
+                   {"tokens", action.tokens},
+                   {"wasted_tokens", action.wasted_tokens},
+                   {"attempts", action.attempts}});
+  const auto found = this->exchanges.find(action.id);
+  if (found != this->exchanges.end()) {
+    found->second->Finish(action);
+    this->exchanges.erase(found);
+  }
+}
+
+void NodeHost::Do(const DecisionMade& action) {
+  const Placement& placement = action.placement;
+  this->log.Write(LogEvent::kPlaced,
+                  {{"request", placement.id},
+                   {"customer", action.customer},
+                   {"class", action.class_name},
+                   {"tier", placement.tier},
+                   {"attempt", action.attempt},
+                   {"backend", action.backend},
+                   {"why", ToString(placement.reason)},
+                   {"turn", ToString(placement.turn)},
+                   {"late", placement.late},
+                   {"waiting_above", placement.waiting_above},
+                   {"batch", placement.batch},
+                   {"token_time_ms", placement.token_time * 1000},
+                   {"expected_tokens", placement.cost},
+                   {"waited_ms", ToMilliseconds(action.waited)},
+                   {"passed_over", action.passed_over}});
+}
+
+std::shared_ptr<const ResourceSet> NodeHost::resources() const {
+  const std::lock_guard lock(this->mutex);
+  return this->node.resources();
+}
+
+std::optional<std::string> NodeHost::CustomerByKeyHash(
+    const std::string& hash) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->customer_by_key.find(hash);
+  if (found == this->customer_by_key.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void NodeHost::Inspect(const std::function<void(const Node&)>& look) const {
+  const std::lock_guard lock(this->mutex);
+  look(this->node);
+}
+
+bool NodeHost::ready() const {
+  const std::lock_guard lock(this->mutex);
+  return this->node.ready();
+}
+
+bool NodeHost::draining() const {
+  const std::lock_guard lock(this->mutex);
+  return this->node.draining();
+}
+
+std::size_t NodeHost::open_requests() const {
+  const std::lock_guard lock(this->mutex);
+  return this->exchanges.size();
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/operator_api.cc
@@ -0,0 +1,473 @@
+#include "app/operator_api.h"
+
+#include <openssl/crypto.h>
+
+#include <charconv>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kAccepted = 202;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
+constexpr int kUnavailable = 503;
+
+constexpr std::string_view kKinds[] = {"class", "customer", "service",
+                                       "backend"};
+
+void Answer(httplib::Response& response, int status, const json& body) {
+  response.status = status;
+  response.set_content(body.dump(2) + "\n", "application/json");
+}
+
+void Fail(httplib::Response& response, int status, std::string_view code,
+          std::string_view message) {
+  Answer(response, status, {{"error", {{"code", code}, {"message", message}}}});
+}
+
+bool IsKind(std::string_view kind) {
+  return std::find(std::begin(kKinds), std::end(kKinds), kind) !=
+         std::end(kKinds);
+}
+
+std::string MakeChangeId() {
+  std::random_device source;
+  std::string id = "change-";
+  for (int i = 0; i < 4; ++i) {
+    id += std::to_string(source()) + (i < 3 ? "-" : "");
+  }
+  return id;
+}
+
+toml::array ToTomlArray(const json& values);
+
+// Puts a JSON value into a table; nulls are left out.
+void Insert(toml::table& table, const std::string& key, const json& value);
+
+toml::table ToTomlTable(const json& object) {
+  toml::table table;
+  for (const auto& [key, value] : object.items()) {
+    Insert(table, key, value);
+  }
+  return table;
+}
+
+void Insert(toml::table& table, const std::string& key, const json& value) {
+  if (value.is_string()) {
+    table.insert_or_assign(key, value.get<std::string>());
+  } else if (value.is_boolean()) {
+    table.insert_or_assign(key, value.get<bool>());
+  } else if (value.is_number_integer()) {
+    table.insert_or_assign(key, value.get<std::int64_t>());
+  } else if (value.is_number()) {
+    table.insert_or_assign(key, value.get<double>());
+  } else if (value.is_array()) {
+    table.insert_or_assign(key, ToTomlArray(value));
+  } else if (value.is_object()) {
+    table.insert_or_assign(key, ToTomlTable(value));
+  }
+}
+
+toml::array ToTomlArray(const json& values) {
+  toml::array array;
+  for (const json& value : values) {
+    toml::table holder;
+    Insert(holder, "value", value);
+    if (const toml::node* node = holder.get("value")) {
+      array.push_back(*node);
+    }
+  }
+  return array;
+}
+
+json ToJson(const toml::node& node) {
+  toml::table holder;
+  holder.insert_or_assign("value", node);
+  return json::parse(ToJsonText(holder))["value"];
+}
+
+toml::table* FindOne(toml::table& document, const std::string& kind,
+                     const std::string& name) {
+  toml::array* array = document[kind].as_array();
+  for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+    toml::table* table = array->get_as<toml::table>(i);
+    if (table != nullptr && (*table)["name"].value_or(std::string()) == name) {
+      return table;
+    }
+  }
+  return nullptr;
+}
+
+// Takes an edited document over into the resources when it is sound.
+tl::expected<void, SettingsErrors> TakeOver(const toml::table& document,
+                                            ResourceSet& resources) {
+  tl::expected<ResourceSet, SettingsErrors> read =
+      ReadResources(document, "request");
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  read->revision = resources.revision;
+  resources = std::move(*read);
+  return {};
+}
+
+std::uint64_t ExpectedRevision(const httplib::Request& request) {
+  std::string text = request.get_header_value("If-Match");
+  std::erase(text, '"');
+  std::uint64_t revision = 0;
+  std::from_chars(text.data(), text.data() + text.size(), revision);
+  return revision;
+}
+
+std::string_view ToString(Health health) {
+  switch (health) {
+    case Health::kHealthy:
+      return "healthy";
+    case Health::kEjected:
+      return "ejected";
+    case Health::kTrial:
+      return "trial";
+  }
+  return "invalid";
+}
+
+json DescribeBackend(const Scheduler& scheduler, const std::string& name) {
+  for (std::size_t i = 0; i < scheduler.backend_count(); ++i) {
+    const auto& state = scheduler.backend(static_cast<BackendIndex>(i));
+    if (state.backend().name == name) {
+      return {{"health", ToString(state.health())},
+              {"own_running", state.own_running()},
+              {"estimated_running", state.EstimatedRunning()},
+              {"slowness", state.slowness()}};
+    }
+  }
+  return json::object();
+}
+
+json DescribeClass(const Metrics& metrics, const std::string& name) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  json state = json::object();
+  for (const int minutes : {1, 10, 60}) {
+    const AttainmentCount count =
+        metrics.AttainmentOf(name, std::chrono::minutes(minutes), now);
+    state[std::to_string(minutes) + "m"] = {{"ended", count.ended},
+                                            {"on_target", count.on_target},
+                                            {"attainment", count.Share()}};
+  }
+  return {{"attainment", state}};
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(OperatorApiOptions options, HttpServer& server,
+                         NodeHost& host, Metrics& metrics,
+                         Configuration* configuration)
+    : options(std::move(options)),
+      host(host),
+      metrics(metrics),
+      configuration(configuration) {
+  constexpr char kOne[] =
+      R"(/operator/v1/(class|customer|service|backend|limits)/([^/]+))";
+  constexpr char kAll[] =
+      R"(/operator/v1/(class|customer|service|backend|limits))";
+  server.Get("/operator/v1/resources",
+             this->Guarded(&OperatorApi::GetResources));
+  server.Put("/operator/v1/resources",
+             this->Guarded(&OperatorApi::PutResources));
+  server.Get(kAll, this->Guarded(&OperatorApi::GetKind));
+  server.Get(kOne, this->Guarded(&OperatorApi::GetOne));
+  server.Put(kOne, this->Guarded(&OperatorApi::PutOne));
+  server.Delete(kOne, this->Guarded(&OperatorApi::DeleteOne));
+  server.Get(R"(/operator/v1/changes/([^/]+))",
+             this->Guarded(&OperatorApi::GetChange));
+  server.Get("/operator/v1/status", this->Guarded(&OperatorApi::GetStatus));
+  server.Get("/metrics", [this](const httplib::Request& request,
+                                httplib::Response& response) {
+    this->GetMetrics(request, response);
+  });
+}
+
+httplib::Server::Handler OperatorApi::Guarded(Handler handler) {
+  return [this, handler](const httplib::Request& request,
+                         httplib::Response& response) {
+    const std::string given = request.get_header_value("Authorization");
+    const std::string wanted = "Bearer " + this->options.token;
+    if (given.size() != wanted.size() ||
+        CRYPTO_memcmp(given.data(), wanted.data(), wanted.size()) != 0) {
+      Fail(response, kUnauthorized, "wrong_token",
+           "the operators' token is required: Authorization: Bearer TOKEN");
+      return;
+    }
+    (this->*handler)(request, response);
+  };
+}
+
+void OperatorApi::GetResources(const httplib::Request& request,
+                               httplib::Response& response) {
+  const std::shared_ptr<const ResourceSet> resources = this->host.resources();
+  if (!resources) {
+    Fail(response, kUnavailable, "not_ready", "no configuration yet");
+    return;
+  }
+  response.set_header("ETag",
+                      "\"" + std::to_string(resources->revision) + "\"");
+  const toml::table document = WriteResources(*resources);
+  if (request.get_header_value("Accept") == "application/json") {
+    response.set_content(ToJsonText(document) + "\n", "application/json");
+  } else {
+    response.set_content(ToTomlText(document) + "\n", "application/toml");
+  }
+}
+
+void OperatorApi::PutResources(const httplib::Request& request,
+                               httplib::Response& response) {
+  this->Change(
+      request, response,
+      [&](ResourceSet& resources) -> tl::expected<void, SettingsErrors> {
+        auto read = ParseResources(request.body, "request");
+        if (!read) {
+          return tl::unexpected(read.error());
+        }
+        read->revision = resources.revision;
+        resources = std::move(*read);
+        return {};
+      });
+}
+
+void OperatorApi::GetKind(const httplib::Request& request,
+                          httplib::Response& response) {
+  const std::shared_ptr<const ResourceSet> resources = this->host.resources();
+  if (!resources) {
+    Fail(response, kUnavailable, "not_ready", "no configuration yet");
+    return;
+  }
+  const std::string kind = request.matches[1];
+  const toml::table document = WriteResources(*resources);
+  Answer(
+      response, 200,
+      {{"revision", resources->revision}, {kind, ToJson(*document.get(kind))}});
+}
+
+void OperatorApi::GetOne(const httplib::Request& request,
+                         httplib::Response& response) {
+  const std::shared_ptr<const ResourceSet> resources = this->host.resources();
+  if (!resources) {
+    Fail(response, kUnavailable, "not_ready", "no configuration yet");
+    return;
+  }
+  const std::string kind = request.matches[1];
+  const std::string name = request.matches[2];
+  toml::table document = WriteResources(*resources);
+  const toml::table* found = FindOne(document, kind, name);
+  if (found == nullptr) {
+    Fail(response, kNotFound, "not_found",
+         kind + " " + name + " is not declared");
+    return;
+  }
+  json state = json::object();
+  if (kind == "class") {
+    state = DescribeClass(this->metrics, name);
+  } else if (kind == "backend") {
+    this->host.Inspect([&](const Node& node) {
+      state = DescribeBackend(node.scheduler(), name);
+    });
+  }
+  response.set_header("ETag",
+                      "\"" + std::to_string(resources->revision) + "\"");
+  Answer(response, 200,
+         {{"revision", resources->revision},
+          {kind, ToJson(*found)},
+          {"state", state}});
+}
+
+void OperatorApi::PutOne(const httplib::Request& request,
+                         httplib::Response& response) {
+  const std::string kind = request.matches[1];
+  const std::string name = request.matches[2];
+  json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    Fail(response, kBadRequest, "bad_request", "the body is not a JSON object");
+    return;
+  }
+  if (IsKind(kind) && body.value("name", name) != name) {
+    Fail(response, kBadRequest, "bad_request",
+         "the body names another resource than the path");
+    return;
+  }
+  this->Change(
+      request, response,
+      [&](ResourceSet& resources) -> tl::expected<void, SettingsErrors> {
+        toml::table document = WriteResources(resources);
+        if (!IsKind(kind)) {
+          document.insert_or_assign(kind, ToTomlTable(body));
+          return TakeOver(document, resources);
+        }
+        body["name"] = name;
+        toml::table table = ToTomlTable(body);
+        if (toml::table* known = FindOne(document, kind, name)) {
+          *known = std::move(table);
+        } else {
+          document[kind].as_array()->push_back(std::move(table));
+        }
+        return TakeOver(document, resources);
+      });
+}
+
+void OperatorApi::DeleteOne(const httplib::Request& request,
+                            httplib::Response& response) {
+  const std::string kind = request.matches[1];
+  const std::string name = request.matches[2];
+  this->Change(
+      request, response,
+      [&](ResourceSet& resources) -> tl::expected<void, SettingsErrors> {
+        toml::table document = WriteResources(resources);
+        toml::array* array = document[kind].as_array();
+        for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+          const toml::table& table = *array->get_as<toml::table>(i);
+          if (table["name"].value_or(std::string()) == name) {
+            array->erase(array->cbegin() + static_cast<std::ptrdiff_t>(i));
+            return TakeOver(document, resources);
+          }
+        }
+        return tl::unexpected(SettingsErrors{{.file = "request",
+                                              .line = 0,
+                                              .key = kind + "." + name,
+                                              .message = "is not declared"}});
+      });
+}
+
+void OperatorApi::Change(const httplib::Request& request,
+                         httplib::Response& response,
+                         const ResourceEdit& edit) {
+  if (this->configuration == nullptr) {
+    Fail(response, kConflict, "runs_alone",
+         "this instance runs alone from its settings file; change that file");
+    return;
+  }
+  std::string change_id = request.get_header_value("X-Change-Id");
+  if (change_id.empty()) {
+    change_id = MakeChangeId();
+  }
+  const std::string url = "/operator/v1/changes/" + change_id;
+  const tl::expected<std::uint64_t, ChangeError> changed =
+      this->configuration->Change(change_id, ExpectedRevision(request), edit);
+  if (changed) {
+    Answer(response, 200,
+           {{"change", change_id},
+            {"url", url},
+            {"state", "accepted"},
+            {"revision", *changed}});
+    return;
+  }
+  const ChangeError& error = changed.error();
+  json faults = json::array();
+  for (const SettingsError& fault : error.faults) {
+    faults.push_back(
+        {{"line", fault.line}, {"key", fault.key}, {"message", fault.message}});
+  }
+  switch (error.kind) {
+    case ChangeErrorKind::kInvalid:
+      Answer(response, kUnprocessable,
+             {{"error", {{"code", "invalid"}, {"message", error.message}}},
+              {"faults", faults}});
+      return;
+    case ChangeErrorKind::kConflict:
+      Answer(response, kConflict,
+             {{"error", {{"code", "conflict"}, {"message", error.message}}},
+              {"revision", error.revision}});
+      return;
+    case ChangeErrorKind::kUnavailable:
+      response.set_header("Retry-After", "2");
+      Fail(response, kUnavailable, "store_unavailable",
+           error.message + "; nothing was changed");
+      return;
+    case ChangeErrorKind::kUnknown:
+      Answer(response, kAccepted,
+             {{"change", change_id},
+              {"url", url},
+              {"state", "unknown"},
+              {"message", error.message}});
+      return;
+  }
+}
+
+void OperatorApi::GetChange(const httplib::Request& request,
+                            httplib::Response& response) {
+  if (this->configuration == nullptr) {
+    Fail(response, kNotFound, "runs_alone", "this instance takes no changes");
+    return;
+  }
+  const std::string change_id = request.matches[1];
+  const tl::expected<bool, ChangeError> accepted =
+      this->configuration->WasAccepted(change_id);
+  const std::string_view state =
+      !accepted ? "unknown" : (*accepted ? "accepted" : "not_seen");
+  Answer(response, 200,
+         {{"change", change_id},
+          {"state", state},
+          {"revision_here", this->configuration->revision()}});
+}
+
+void OperatorApi::GetStatus(const httplib::Request& /*request*/,
+                            httplib::Response& response) {
+  json status = {{"instance", this->options.instance},
+                 {"ready", this->host.ready()},
+                 {"classes", json::array()},
+                 {"backends", json::array()}};
+  if (this->configuration != nullptr) {
+    status["store_age_s"] = ToSeconds(this->configuration->StoreAge());
+  }
+  const std::shared_ptr<const ResourceSet> resources = this->host.resources();
+  status["revision"] = resources ? json(resources->revision) : json();
+  this->host.Inspect([&](const Node& node) {
+    const NodeCounters& counters = node.counters();
+    status["waiting"] = node.waiting();
+    status["running"] = node.running();
+    status["counters"] = {{"arrived", counters.arrived},
+                          {"completed", counters.completed},
+                          {"refused", counters.refused},
+                          {"failed", counters.failed},
+                          {"cancelled", counters.cancelled},
+                          {"unknown", counters.unknown},
+                          {"retries", counters.retries},
+                          {"wasted_tokens", counters.wasted_tokens}};
+    for (std::size_t i = 0; resources && i < resources->backends.size(); ++i) {
+      const std::string& name = resources->backends[i].name;
+      json state = DescribeBackend(node.scheduler(), name);
+      state["name"] = name;
+      status["backends"].push_back(state);
+    }
+  });
+  for (std::size_t i = 0; resources && i < resources->classes.size(); ++i) {
+    const RequestClass& item = resources->classes[i];
+    json state = DescribeClass(this->metrics, item.name);
+    state["name"] = item.name;
+    state["tier"] = item.tier;
+    status["classes"].push_back(state);
+  }
+  Answer(response, 200, status);
+}
+
+void OperatorApi::GetMetrics(const httplib::Request& /*request*/,
+                             httplib::Response& response) {
+  std::size_t waiting = 0;
+  std::size_t running = 0;
+  this->host.Inspect([&](const Node& node) {
+    waiting = node.waiting();
+    running = node.running();
+  });
+  response.set_content(this->metrics.ToPrometheus(
+                           std::chrono::steady_clock::now(), waiting, running),
+                       "text/plain; version=0.0.4");
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/settings.cc
@@ -0,0 +1,245 @@
+#include "app/settings.h"
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace rosemarycove {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+constexpr int kMaxConnections = 20000;
+
+// Reads the sections of one settings document.
+class SettingsReader {
+ public:
+  SettingsReader(const toml::table& document, const std::string& file)
+      : document(document), file(file) {}
+
+  tl::expected<Settings, SettingsErrors> Read() {
+    this->ReadInstance();
+    this->ReadLog();
+    this->ReadPlatform();
+    this->ReadTimeouts();
+    this->ReadResourceSet();
+    this->CheckKeys();
+    if (!this->errors.empty()) {
+      return tl::unexpected(std::move(this->errors));
+    }
+    return std::move(this->settings);
+  }
+
+ private:
+  // The section as a table; an empty one where it is absent.
+  const toml::table& Section(const std::string& name) {
+    static const toml::table kEmpty;
+    const toml::node* node = this->document.get(name);
+    if (node == nullptr) {
+      return kEmpty;
+    }
+    if (!node->is_table()) {
+      this->errors.push_back(
+          {.file = this->file,
+           .line = static_cast<int>(node->source().begin.line),
+           .key = name,
+           .message = "must be a table, [" + name + "]"});
+      return kEmpty;
+    }
+    return *node->as_table();
+  }
+
+  void ReadEndpoint(TableReader& reader, const char* key, Endpoint& endpoint,
+                    bool required) {
+    std::string text;
+    reader.Text(key, text, required);
+    if (text.empty()) {
+      return;
+    }
+    const std::optional<Endpoint> parsed = ParseEndpoint(text);
+    if (!parsed) {
+      reader.Fail(key,
+                  "must be an IP number and a port from 0 to 65535, like "
+                  "127.0.0.1:8080");
+      return;
+    }
+    endpoint = *parsed;
+  }
+
+  void ReadInstance() {
+    TableReader reader(this->Section("instance"), "instance", this->file,
+                       this->errors);
+    reader.Text("name", this->settings.name, true);
+    reader.Text("data_centre", this->settings.data_centre, true);
+    this->ReadEndpoint(reader, "listen", this->settings.listen, true);
+    this->ReadEndpoint(reader, "operator_listen",
+                       this->settings.operator_listen, false);
+    reader.Text("operator_token", this->settings.operator_token);
+    reader.Integer("max_connections", this->settings.max_connections, 1,
+                   kMaxConnections);
+    if (!this->settings.operator_listen.host.empty() &&
+        this->settings.operator_token.empty()) {
+      reader.Fail("operator_token", "is required where operator_listen is set");
+    }
+    reader.Finish();
+  }
+
+  void ReadLog() {
+    TableReader reader(this->Section("log"), "log", this->file, this->errors);
+    reader.Choice("format", this->settings.log_format,
+                  Words<LogFormat>{{"json", LogFormat::kJson},
+                                   {"text", LogFormat::kText}});
+    reader.Choice("level", this->settings.log_level,
+                  Words<std::string>{{"debug", "debug"},
+                                     {"info", "info"},
+                                     {"warning", "warning"},
+                                     {"error", "error"}});
+    reader.Finish();
+  }
+
+  void ReadPlatform() {
+    TableReader reader(this->Section("platform"), "platform", this->file,
+                       this->errors);
+    Endpoint store;
+    this->ReadEndpoint(reader, "store", store, false);
+    if (!store.host.empty()) {
+      this->settings.store = store;
+    }
+    reader.Finish();
+  }
+
+  void ReadTimeouts() {
+    TableReader reader(this->Section("timeouts"), "timeouts", this->file,
+                       this->errors);
+    Settings& to = this->settings;
+    reader.Time("connect", to.connect_timeout, milliseconds(10), minutes(1));
+    reader.Time("stall", to.stall_timeout, milliseconds(10), hours(1));
+    reader.Time("read", to.read_timeout, milliseconds(10), minutes(10));
+    reader.Time("write", to.write_timeout, milliseconds(10), minutes(10));
+    reader.Time("drain", to.drain_timeout, milliseconds(10), hours(24));
+    reader.Time("load_period", to.load_period, milliseconds(50), minutes(1));
+    reader.Finish();
+  }
+
+  void ReadResourceSet() {
+    bool present = false;
+    int line = 0;
+    for (const std::string_view key : kResourceKeys) {
+      if (const toml::node* node = this->document.get(key)) {
+        present = true;
+        line = static_cast<int>(node->source().begin.line);
+      }
+    }
+    if (present && this->settings.store) {
+      this->errors.push_back(
+          {.file = this->file,
+           .line = line,
+           .key = "platform.store",
+           .message = "resources are declared in the store when it is set; "
+                      "move them to a file for 'rosemarycove apply'"});
+      return;
+    }
+    if (!present && !this->settings.store) {
+      this->errors.push_back(
+          {.file = this->file,
+           .line = 0,
+           .key = "platform.store",
+           .message = "without a store the settings must declare resources "
+                      "([[class]], [[customer]], [[service]], [[backend]])"});
+      return;
+    }
+    if (!present) {
+      return;
+    }
+    tl::expected<ResourceSet, SettingsErrors> resources =
+        ReadResources(this->document, this->file);
+    if (resources) {
+      this->settings.resources = std::move(*resources);
+    } else {
+      this->errors.insert(this->errors.end(), resources.error().begin(),
+                          resources.error().end());
+    }
+  }
+
+  void CheckKeys() {
+    for (const auto& [key, node] : this->document) {
+      const std::string_view name = key.str();
+      bool known = name == "instance" || name == "log" || name == "platform" ||
+                   name == "timeouts";
+      for (const std::string_view resource : kResourceKeys) {
+        known = known || name == resource;
+      }
+      if (!known) {
+        this->errors.push_back(
+            {.file = this->file,
+             .line = static_cast<int>(node.source().begin.line),
+             .key = std::string(name),
+             .message = "is not a known key; allowed: instance, log, platform, "
+                        "timeouts, class, customer, service, backend, limits"});
+      }
+    }
+  }
+
+  const toml::table& document;
+  std::string file;
+  Settings settings;
+  SettingsErrors errors;
+};
+
+}  // namespace
+
+std::optional<Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
+  }
+  Endpoint endpoint{.host = text.substr(0, colon)};
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data() + colon + 1, end, endpoint.port);
+  constexpr int kMaxPort = 65535;
+  if (error != std::errc{} || stop != end || endpoint.port < 0 ||
+      endpoint.port > kMaxPort) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+tl::expected<std::string, SettingsErrors> ReadFile(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::ostringstream text;
+  if (!stream || !(text << stream.rdbuf())) {
+    return tl::unexpected(SettingsErrors{
+        {.file = file,
+         .line = 0,
+         .key = "file",
+         .message = std::string("can't be read: ") + std::strerror(errno)}});
+  }
+  return text.str();
+}
+
+tl::expected<Settings, SettingsErrors> ParseSettings(std::string_view text,
+                                                     const std::string& file) {
+  toml::table document;
+  try {
+    document = toml::parse(text, file);
+  } catch (const toml::parse_error& error) {
+    return tl::unexpected(
+        SettingsErrors{{.file = file,
+                        .line = static_cast<int>(error.source().begin.line),
+                        .key = "syntax",
+                        .message = std::string(error.description())}});
+  }
+  return SettingsReader(document, file).Read();
+}
+
+tl::expected<Settings, SettingsErrors> LoadSettings(const std::string& file) {
+  return ReadFile(file).and_then(
+      [&](const std::string& text) { return ParseSettings(text, file); });
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/table_writer.h
@@ -0,0 +1,46 @@
+// Writes typed fields into a TOML table; the counterpart of TableReader.
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/table_reader.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// Writes a duration so that ParseDuration reads the same value.
+std::string FormatDuration(Duration duration);
+
+// Fills one table. The bounds in the signatures are those of TableReader, so
+// that one description of the fields serves both.
+class TableWriter {
+ public:
+  void Text(const char* key, const std::string& value, bool required = false);
+  void Integer(const char* key, int value, int min, int max);
+  void Number(const char* key, double value, double min, double max);
+  void Boolean(const char* key, bool value);
+  void Texts(const char* key, const std::vector<std::string>& value);
+  void Time(const char* key, Duration value, Duration min, Duration max);
+  void Time(const char* key, std::optional<Duration> value, Duration min,
+            Duration max);
+  template <typename T>
+  void Choice(const char* key, T value, const Words<T>& words) {
+    for (const auto& [word, meaning] : words) {
+      if (meaning == value) {
+        this->table.insert_or_assign(key, std::string(word));
+      }
+    }
+  }
+
+  // The table filled so far.
+  toml::table&& Take() { return std::move(this->table); }
+
+ private:
+  toml::table table;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/actions.cc
@@ -0,0 +1,24 @@
+#include "core/actions.h"
+
+#include <array>
+
+namespace rosemarycove {
+namespace {
+
+// In the order of EndCause.
+constexpr std::array<std::string_view, 21> kCauseNames = {
+    "answered",          "unknown_model",  "unknown_service",
+    "class_not_allowed", "customer_limit", "class_limit",
+    "queue_full",        "evicted",        "late",
+    "max_wait",          "draining",       "not_ready",
+    "no_backend",        "backend_error",  "answer_lost",
+    "answer_malformed",  "answer_crossed", "caller_left",
+    "key_taken",         "key_reused",     "store_unavailable"};
+
+}  // namespace
+
+std::string_view ToString(EndCause cause) {
+  return kCauseNames.at(static_cast<std::size_t>(cause));
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/length_predictor.cc
@@ -0,0 +1,85 @@
+#include "core/length_predictor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rosemarycove {
+namespace {
+
+constexpr double kDecay = 0.995;
+constexpr double kHighQuantile = 0.8;
+// Customers with less weight than this are predicted by their class.
+constexpr double kMinWeight = 20;
+// Assumed before anything was observed, in tokens.
+constexpr double kPriorMean = 200;
+constexpr double kPriorHigh = 400;
+
+double BucketBound(std::size_t bucket) {
+  return std::exp2((static_cast<double>(bucket) + 1) / 2);
+}
+
+std::string CustomerKey(const std::string& class_name,
+                        const std::string& customer) {
+  return class_name + '\n' + customer;
+}
+
+}  // namespace
+
+void LengthDistribution::Observe(int tokens) {
+  const double length = std::max(1, tokens);
+  const double position = std::ceil(2 * std::log2(length)) - 1;
+  const auto bucket = static_cast<std::size_t>(
+      std::clamp(position, 0.0, static_cast<double>(kBuckets - 1)));
+  for (double& value : this->buckets) {
+    value *= kDecay;
+  }
+  this->buckets[bucket] += 1;
+  this->total = this->total * kDecay + 1;
+  this->sum = this->sum * kDecay + length;
+}
+
+double LengthDistribution::Mean() const {
+  return this->total > 0 ? this->sum / this->total : 0;
+}
+
+double LengthDistribution::Quantile(double quantile) const {
+  double seen = 0;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    seen += this->buckets[bucket];
+    if (seen >= quantile * this->total) {
+      return BucketBound(bucket);
+    }
+  }
+  return BucketBound(kBuckets - 1);
+}
+
+void LengthPredictor::Observe(const std::string& class_name,
+                              const std::string& customer, int tokens) {
+  this->by_class[class_name].Observe(tokens);
+  this->by_customer[CustomerKey(class_name, customer)].Observe(tokens);
+}
+
+LengthEstimate LengthPredictor::Estimate(const std::string& class_name,
+                                         const std::string& customer,
+                                         int max_tokens) const {
+  const LengthDistribution* chosen = nullptr;
+  const auto own = this->by_customer.find(CustomerKey(class_name, customer));
+  if (own != this->by_customer.end() && own->second.weight() >= kMinWeight) {
+    chosen = &own->second;
+  } else if (const auto shared = this->by_class.find(class_name);
+             shared != this->by_class.end()) {
+    chosen = &shared->second;
+  }
+  LengthEstimate estimate{.mean = kPriorMean, .high = kPriorHigh};
+  if (chosen != nullptr) {
+    estimate = {.mean = chosen->Mean(),
+                .high = chosen->Quantile(kHighQuantile)};
+  }
+  if (max_tokens > 0) {
+    estimate.mean = std::min(estimate.mean, static_cast<double>(max_tokens));
+    estimate.high = std::min(estimate.high, static_cast<double>(max_tokens));
+  }
+  return estimate;
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/node.cc
@@ -0,0 +1,474 @@
+#include "core/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+// Sendings of one request, the first included.
+constexpr int kMaxAttempts = 3;
+
+std::string ServiceOfModel(const ResourceSet& resources,
+                           const std::string& model) {
+  for (const Service& service : resources.services) {
+    if (std::find(service.models.begin(), service.models.end(), model) !=
+        service.models.end()) {
+      return service.name;
+    }
+  }
+  return {};
+}
+
+EndCause CauseOf(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kCompleted:
+      return EndCause::kAnswered;
+    case AttemptResult::kNotSent:
+    case AttemptResult::kNotRun:
+      return EndCause::kNoBackend;
+    case AttemptResult::kAnsweredError:
+      return EndCause::kBackendError;
+    case AttemptResult::kLost:
+      return EndCause::kAnswerLost;
+    case AttemptResult::kMalformed:
+      return EndCause::kAnswerMalformed;
+    case AttemptResult::kWrongId:
+      return EndCause::kAnswerCrossed;
+  }
+  return EndCause::kAnswerLost;
+}
+
+EndCause CauseOf(Dismissal::Cause cause) {
+  switch (cause) {
+    case Dismissal::Cause::kEvicted:
+      return EndCause::kEvicted;
+    case Dismissal::Cause::kLate:
+      return EndCause::kLate;
+    case Dismissal::Cause::kMaxWait:
+      return EndCause::kMaxWait;
+  }
+  return EndCause::kMaxWait;
+}
+
+bool CertainlyNotRun(AttemptResult result) {
+  return result == AttemptResult::kNotSent || result == AttemptResult::kNotRun;
+}
+
+}  // namespace
+
+Node::Node(NodeOptions options)
+    : placer(std::move(options.data_centre)), retry_budget(0) {}
+
+bool Node::ready() const { return this->in_force && !this->is_draining; }
+
+std::vector<Action> Node::Handle(TimePoint now, const Event& event) {
+  this->now = now;
+  this->actions.clear();
+  std::visit([this](const auto& what) { this->On(what); }, event);
+  this->PlaceAll();
+  return std::exchange(this->actions, {});
+}
+
+std::optional<EndCause> Node::ReasonToRefuse(const RequestArrived& event,
+                                             const RequestClass* request_class,
+                                             const Customer* customer) const {
+  if (customer == nullptr || request_class == nullptr ||
+      std::find(customer->classes.begin(), customer->classes.end(),
+                request_class->name) == customer->classes.end()) {
+    return EndCause::kClassNotAllowed;
+  }
+  if (!this->placer.HasPool(event.service, event.model)) {
+    return event.model.empty() ? EndCause::kUnknownService
+                               : EndCause::kUnknownModel;
+  }
+  const auto reached = [](const auto& counts, const std::string& name,
+                          int limit) {
+    const auto count = counts.find(name);
+    return limit > 0 && count != counts.end() && count->second >= limit;
+  };
+  if (reached(this->in_flight_by_customer, customer->name,
+              customer->max_in_flight)) {
+    return EndCause::kCustomerLimit;
+  }
+  if (reached(this->in_flight_by_class, request_class->name,
+              request_class->max_in_flight)) {
+    return EndCause::kClassLimit;
+  }
+  return std::nullopt;
+}
+
+void Node::On(const RequestArrived& event) {
+  ++this->counts.arrived;
+  Request& request = this->requests[event.id];
+  request.arrived = event;
+  request.arrival = this->now;
+  if (!this->ready()) {
+    this->Finish(event.id, Outcome::kRefused,
+                 this->is_draining ? EndCause::kDraining : EndCause::kNotReady,
+                 Ran::kNo, std::chrono::seconds(1));
+    return;
+  }
+  RequestArrived& arrived = request.arrived;
+  if (arrived.service.empty()) {
+    arrived.service = ServiceOfModel(*this->in_force, arrived.model);
+  }
+  const auto customer = this->customers.find(arrived.customer);
+  const Customer* definition =
+      customer == this->customers.end() ? nullptr : customer->second;
+  if (definition != nullptr && arrived.class_name.empty()) {
+    arrived.class_name = definition->default_class;
+  }
+  const RequestClass* request_class =
+      FindClass(*this->in_force, arrived.class_name);
+  const std::optional<EndCause> refusal =
+      this->ReasonToRefuse(arrived, request_class, definition);
+  ++this->in_flight_by_customer[arrived.customer];
+  ++this->in_flight_by_class[arrived.class_name];
+  request.counted = true;
+  if (refusal) {
+    const bool limit = *refusal == EndCause::kCustomerLimit ||
+                       *refusal == EndCause::kClassLimit;
+    this->Finish(event.id, Outcome::kRefused, *refusal, Ran::kNo,
+                 limit ? Duration(std::chrono::seconds(1)) : Duration{});
+    return;
+  }
+  request.tier = request_class->tier;
+  request.target = request_class->target;
+  request.repeatable =
+      arrived.repeatable && request_class->repeatable &&
+      FindService(*this->in_force, arrived.service)->repeatable;
+  request.placement = {.id = event.id,
+                       .class_name = arrived.class_name,
+                       .customer = arrived.customer,
+                       .service = arrived.service,
+                       .model = arrived.model,
+                       .arrival = this->now,
+                       .prompt_tokens = arrived.prompt_tokens,
+                       .max_tokens = arrived.max_tokens,
+                       .prefix = arrived.prefix};
+  if (!request.repeatable && !arrived.idempotency_key.empty()) {
+    request.phase = Phase::kClaiming;
+    this->actions.emplace_back(ClaimKey{.id = event.id,
+                                        .customer = arrived.customer,
+                                        .key = arrived.idempotency_key,
+                                        .fingerprint = arrived.fingerprint});
+    return;
+  }
+  this->Enqueue(request);
+}
+
+void Node::On(const ClaimAnswered& event) {
+  const auto found = this->requests.find(event.id);
+  if (found == this->requests.end() ||
+      found->second.phase != Phase::kClaiming) {
+    return;
+  }
+  switch (event.result) {
+    case ClaimResult::kWon:
+      this->Enqueue(found->second);
+      return;
+    case ClaimResult::kRunElsewhere:
+      this->Finish(event.id, Outcome::kRefused, EndCause::kKeyTaken, Ran::kNo);
+      return;
+    case ClaimResult::kOtherRequest:
+      this->Finish(event.id, Outcome::kRefused, EndCause::kKeyReused, Ran::kNo);
+      return;
+    case ClaimResult::kUnavailable:
+      this->Finish(event.id, Outcome::kRefused, EndCause::kStoreUnavailable,
+                   Ran::kNo, std::chrono::seconds(2));
+      return;
+  }
+}
+
+void Node::Enqueue(Request& request) {
+  request.phase = Phase::kWaiting;
+  const AddResult result = this->placer.Add(request.placement, this->now);
+  if (result.evicted) {
+    this->Dismiss(*result.evicted);
+  }
+  if (!result.added) {
+    this->RefuseUnsent(request.placement.id, EndCause::kQueueFull);
+    return;
+  }
+  for (const BackendIndex backend : request.tried) {
+    this->placer.MarkTried(request.placement.id, backend);
+  }
+}
+
+void Node::Dismiss(const Dismissal& dismissal) {
+  this->RefuseUnsent(dismissal.id, CauseOf(dismissal.cause));
+}
+
+void Node::RefuseUnsent(RequestId id, EndCause cause) {
+  const Request& request = this->requests.at(id);
+  const Duration retry_after = this->placer.RetryAfter(
+      request.placement.service, request.placement.model, request.tier);
+  if (request.sent) {
+    this->Finish(id, Outcome::kFailed, cause, Ran::kYes, retry_after);
+  } else {
+    this->Finish(id, Outcome::kRefused, cause, Ran::kNo, retry_after);
+  }
+}
+
+void Node::PlaceAll() {
+  while (const std::optional<Placement> placement =
+             this->placer.PlaceNext(this->now)) {
+    this->Start(*placement);
+  }
+}
+
+void Node::Start(const Placement& placement) {
+  Request& request = this->requests.at(placement.id);
+  const Backend& backend = this->placer.backend(placement.backend).backend();
+  request.phase = Phase::kRunning;
+  request.attempt = this->next_attempt++;
+  request.backend = placement.backend;
+  request.placed = this->now;
+  request.last_progress = this->now;
+  request.tokens = 0;
+  ++this->running_count;
+  if (++request.attempts == 1) {
+    this->retry_budget.Earn();
+  }
+  DecisionMade decision{.placement = placement,
+                        .attempt = request.attempt,
+                        .customer = request.placement.customer,
+                        .class_name = request.placement.class_name,
+                        .backend = backend.name,
+                        .passed_over = {},
+                        .waited = this->now - request.arrival};
+  for (const PassedOver& other : placement.passed_over) {
+    decision.passed_over.push_back(
+        this->placer.backend(other.backend).backend().name + ":" +
+        std::string(ToString(other.cause)));
+  }
+  this->actions.emplace_back(std::move(decision));
+  this->actions.emplace_back(SendAttempt{.id = placement.id,
+                                         .attempt = request.attempt,
+                                         .backend = backend.name,
+                                         .address = backend.address,
+                                         .priority = request.tier});
+}
+
+Node::Request* Node::FindAttempt(RequestId id, AttemptId attempt) {
+  const auto found = this->requests.find(id);
+  if (found == this->requests.end() || found->second.phase != Phase::kRunning ||
+      found->second.attempt != attempt) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void Node::On(const AttemptProgress& event) {
+  Request* request = this->FindAttempt(event.id, event.attempt);
+  if (request == nullptr) {
+    return;
+  }
+  if (request->tokens == 0 && event.tokens > 0) {
+    request->first_token = this->now;
+  } else {
+    this->placer.ObserveTokens(request->backend, event.tokens - request->tokens,
+                               this->now - request->last_progress);
+  }
+  request->tokens = event.tokens;
+  request->last_progress = this->now;
+}
+
+void Node::On(const AttemptEnded& event) {
+  Request* request = this->FindAttempt(event.id, event.attempt);
+  if (request == nullptr) {
+    return;
+  }
+  --this->running_count;
+  request->phase = Phase::kWaiting;
+  request->tokens = event.tokens;
+  if (event.result == AttemptResult::kCompleted) {
+    request->sent = true;
+    this->placer.EndSuccess(request->backend, request->placement.class_name,
+                            request->placement.customer, event.tokens,
+                            this->now);
+    this->Finish(event.id, Outcome::kCompleted, EndCause::kAnswered, Ran::kYes);
+    return;
+  }
+  if (event.result == AttemptResult::kAnsweredError ||
+      event.result == AttemptResult::kNotRun) {
+    this->placer.EndNeutral(request->backend, this->now);
+  } else {
+    this->placer.EndFailure(request->backend, this->now);
+  }
+  this->EndBrokenAttempt(*request, event);
+}
+
+bool Node::MayRetry(const Request& request, const AttemptEnded& event) {
+  if (event.passed_on || request.attempts >= kMaxAttempts ||
+      event.result == AttemptResult::kAnsweredError) {
+    return false;
+  }
+  if (!request.repeatable && !CertainlyNotRun(event.result)) {
+    return false;
+  }
+  return this->retry_budget.Spend();
+}
+
+void Node::EndBrokenAttempt(Request& request, const AttemptEnded& event) {
+  const bool not_run = CertainlyNotRun(event.result);
+  request.sent = request.sent || !not_run;
+  if (this->MayRetry(request, event)) {
+    this->Requeue(request);
+    return;
+  }
+  const EndCause cause = CauseOf(event.result);
+  if (!request.sent) {
+    this->Finish(event.id, Outcome::kRefused, cause, Ran::kNo,
+                 std::chrono::seconds(1));
+  } else if (event.result == AttemptResult::kAnsweredError) {
+    this->Finish(event.id, Outcome::kFailed, cause, Ran::kYes);
+  } else if (!request.repeatable) {
+    this->Finish(event.id, Outcome::kUnknown, cause, Ran::kUnknown);
+  } else {
+    this->Finish(event.id, Outcome::kFailed, cause, Ran::kYes);
+  }
+}
+
+void Node::Requeue(Request& request) {
+  ++this->counts.retries;
+  request.wasted_tokens += request.tokens;
+  request.tokens = 0;
+  request.tried.push_back(request.backend);
+  this->Enqueue(request);
+}
+
+void Node::On(const CallerLeft& event) {
+  const auto found = this->requests.find(event.id);
+  if (found == this->requests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  if (request.phase == Phase::kRunning) {
+    this->actions.emplace_back(
+        CancelAttempt{.id = event.id, .attempt = request.attempt});
+    this->placer.EndNeutral(request.backend, this->now);
+    --this->running_count;
+    request.phase = Phase::kWaiting;
+    request.sent = true;
+  } else {
+    this->placer.Remove(event.id);
+  }
+  this->Finish(event.id, Outcome::kCancelled, EndCause::kCallerLeft,
+               request.sent ? Ran::kUnknown : Ran::kNo);
+}
+
+void Node::On(const LoadReported& event) {
+  this->placer.ReportLoad(event.backend, event.taken_at, event.running,
+                          this->now);
+}
+
+void Node::On(const ResourcesChanged& event) {
+  if (this->in_force && event.resources->revision < this->in_force->revision) {
+    return;
+  }
+  this->in_force = event.resources;
+  this->retry_budget.set_ratio(event.resources->limits.retry_ratio);
+  this->customers.clear();
+  for (const Customer& customer : event.resources->customers) {
+    this->customers[customer.name] = &customer;
+  }
+  this->placer.SetResources(*event.resources, this->now);
+}
+
+void Node::On(const DrainStarted& /*event*/) { this->is_draining = true; }
+
+void Node::On(const Tick& /*event*/) {
+  this->placer.Tick(this->now);
+  for (const Dismissal& dismissal : this->placer.Expire(this->now)) {
+    this->Dismiss(dismissal);
+  }
+}
+
+bool Node::OnTarget(const Request& request) const {
+  const LatencyTarget& target = request.target;
+  if (target.whole && this->now - request.arrival > *target.whole) {
+    return false;
+  }
+  const bool streamed = request.first_token != TimePoint{};
+  if (streamed && target.first_token &&
+      request.first_token - request.arrival > *target.first_token) {
+    return false;
+  }
+  if (!streamed && target.first_token &&
+      this->now - request.arrival > *target.first_token) {
+    return false;
+  }
+  if (streamed && target.between_tokens && request.tokens > 1) {
+    const Duration mean =
+        (this->now - request.first_token) / (request.tokens - 1);
+    return mean <= *target.between_tokens;
+  }
+  return true;
+}
+
+void Node::Count(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kCompleted:
+      ++this->counts.completed;
+      return;
+    case Outcome::kRefused:
+      ++this->counts.refused;
+      return;
+    case Outcome::kFailed:
+      ++this->counts.failed;
+      return;
+    case Outcome::kCancelled:
+      ++this->counts.cancelled;
+      return;
+    case Outcome::kUnknown:
+      ++this->counts.unknown;
+      return;
+  }
+}
+
+void Node::Finish(RequestId id, Outcome outcome, EndCause cause, Ran ran,
+                  Duration retry_after) {
+  const auto found = this->requests.find(id);
+  Request& request = found->second;
+  const auto release = [](auto& counts, const std::string& name) {
+    const auto count = counts.find(name);
+    if (count != counts.end() && --count->second == 0) {
+      counts.erase(count);
+    }
+  };
+  if (request.counted) {
+    release(this->in_flight_by_customer, request.arrived.customer);
+    release(this->in_flight_by_class, request.arrived.class_name);
+  }
+  const bool completed = outcome == Outcome::kCompleted;
+  if (!completed) {
+    request.wasted_tokens += request.tokens;
+  }
+  this->counts.wasted_tokens +=
+      static_cast<std::uint64_t>(request.wasted_tokens);
+  this->Count(outcome);
+  const TimePoint started = request.attempts > 0 ? request.placed : this->now;
+  FinishRequest finish{.id = id,
+                       .outcome = outcome,
+                       .cause = cause,
+                       .ran = ran,
+                       .retry_after = retry_after,
+                       .customer = request.arrived.customer,
+                       .class_name = request.arrived.class_name,
+                       .tier = request.tier,
+                       .on_target = completed && this->OnTarget(request),
+                       .waited = started - request.arrival,
+                       .whole = this->now - request.arrival,
+                       .tokens = request.tokens,
+                       .wasted_tokens = request.wasted_tokens,
+                       .attempts = request.attempts};
+  if (request.first_token != TimePoint{}) {
+    finish.first_token = request.first_token - request.arrival;
+  }
+  this->requests.erase(found);
+  this->actions.emplace_back(std::move(finish));
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/node.h
@@ -0,0 +1,129 @@
+// The state machine of one instance.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/actions.h"
+#include "core/events.h"
+#include "core/resources.h"
+#include "core/retry_budget.h"
+#include "core/scheduler.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// How a node is set up.
+struct NodeOptions {
+  std::string data_centre;
+};
+
+// Counts of requests, by where they are and how they ended.
+struct NodeCounters {
+  std::uint64_t arrived = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t wasted_tokens = 0;
+};
+
+// Takes a request from its arrival to its one outcome.
+//
+// Pure: events come in with their time, actions go out as values. Any driver
+// with a clock and a network, real or simulated, can be put round it.
+class Node {
+ public:
+  explicit Node(NodeOptions options);
+
+  // Takes one event and returns what is to be done because of it, in order.
+  std::vector<Action> Handle(TimePoint now, const Event& event);
+
+  // Whether it may be given requests.
+  [[nodiscard]] bool ready() const;
+  [[nodiscard]] bool draining() const { return this->is_draining; }
+  [[nodiscard]] std::size_t running() const { return this->running_count; }
+  // Requests in the queues or at the store.
+  [[nodiscard]] std::size_t waiting() const {
+    return this->requests.size() - this->running_count;
+  }
+  [[nodiscard]] const NodeCounters& counters() const { return this->counts; }
+  [[nodiscard]] const Scheduler& scheduler() const { return this->placer; }
+  // The resources in force, or null before the first.
+  [[nodiscard]] const std::shared_ptr<const ResourceSet>& resources() const {
+    return this->in_force;
+  }
+
+ private:
+  enum class Phase : std::uint8_t { kClaiming, kWaiting, kRunning };
+
+  // A request that has no outcome yet.
+  struct Request {
+    RequestArrived arrived;
+    PlacementRequest placement;
+    LatencyTarget target;
+    int tier = 0;
+    bool repeatable = true;
+    bool sent = false;
+    bool counted = false;  // In the in-flight counts of its owners.
+    Phase phase = Phase::kWaiting;
+    TimePoint arrival;
+    TimePoint placed;
+    TimePoint first_token;
+    TimePoint last_progress;
+    int tokens = 0;
+    int wasted_tokens = 0;
+    int attempts = 0;
+    AttemptId attempt = 0;
+    BackendIndex backend = 0;
+    std::vector<BackendIndex> tried;
+  };
+
+  void On(const RequestArrived& event);
+  void On(const CallerLeft& event);
+  void On(const AttemptProgress& event);
+  void On(const AttemptEnded& event);
+  void On(const LoadReported& event);
+  void On(const ResourcesChanged& event);
+  void On(const ClaimAnswered& event);
+  void On(const DrainStarted& event);
+  void On(const Tick& event);
+
+  // The request of a current attempt, or null when it is over.
+  Request* FindAttempt(RequestId id, AttemptId attempt);
+  std::optional<EndCause> ReasonToRefuse(const RequestArrived& event,
+                                         const RequestClass* request_class,
+                                         const Customer* customer) const;
+  void Enqueue(Request& request);
+  void Dismiss(const Dismissal& dismissal);
+  void PlaceAll();
+  void Start(const Placement& placement);
+  void EndBrokenAttempt(Request& request, const AttemptEnded& event);
+  bool MayRetry(const Request& request, const AttemptEnded& event);
+  void Requeue(Request& request);
+  void RefuseUnsent(RequestId id, EndCause cause);
+  void Finish(RequestId id, Outcome outcome, EndCause cause, Ran ran,
+              Duration retry_after = {});
+  void Count(Outcome outcome);
+  [[nodiscard]] bool OnTarget(const Request& request) const;
+
+  Scheduler placer;
+  RetryBudget retry_budget;
+  std::shared_ptr<const ResourceSet> in_force;
+  std::unordered_map<std::string, const Customer*> customers;
+  std::unordered_map<RequestId, Request> requests;
+  std::unordered_map<std::string, int> in_flight_by_customer;
+  std::unordered_map<std::string, int> in_flight_by_class;
+  NodeCounters counts;
+  std::size_t running_count = 0;
+  bool is_draining = false;
+  AttemptId next_attempt = 1;
+  TimePoint now;
+  std::vector<Action> actions;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/scheduler.cc
@@ -0,0 +1,513 @@
+#include "core/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace rosemarycove {
+namespace {
+
+// Servers looked at for one placement.
+constexpr int kCandidates = 4;
+// A server that holds the prompt's prefix may be this much slower.
+constexpr double kPrefixSlack = 1.2;
+constexpr std::size_t kMaxPrefixes = 8192;
+// Part of the target for the whole answer that may go to generating it.
+constexpr double kGenerationPart = 0.8;
+// A whole-answer target never asks for a batch smaller than this many times
+// the base token time.
+constexpr double kMinTokenTimeFactor = 1.5;
+// A straggler's tokens take this many times the pool's median.
+constexpr double kStragglerFactor = 2;
+constexpr double kRecoveredFactor = 1.5;
+constexpr int kMinSpeedSamples = 5;
+constexpr Duration kJudgementPeriod = std::chrono::milliseconds(250);
+constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(60);
+
+std::string PoolName(const std::string& service, const std::string& model) {
+  return service + '/' + model;
+}
+
+}  // namespace
+
+std::string_view ToString(Reason reason) {
+  switch (reason) {
+    case Reason::kLeastLoaded:
+      return "least_loaded";
+    case Reason::kPrefix:
+      return "prefix";
+    case Reason::kTrial:
+      return "trial";
+    case Reason::kOtherCentre:
+      return "other_data_centre";
+  }
+  return "invalid";
+}
+
+std::string_view ToString(PassedOverCause cause) {
+  switch (cause) {
+    case PassedOverCause::kSlowerThanTarget:
+      return "slower_than_target";
+    case PassedOverCause::kTriedBefore:
+      return "tried_before";
+    case PassedOverCause::kMoreLoaded:
+      return "more_loaded";
+  }
+  return "invalid";
+}
+
+std::string_view ToString(Turn turn) {
+  return turn == Turn::kTier ? "tier" : "guaranteed_share";
+}
+
+Scheduler::Scheduler(std::string data_centre)
+    : data_centre(std::move(data_centre)) {}
+
+bool Scheduler::InPool(const Backend& backend, const std::string& service,
+                       const std::string& model) const {
+  if (backend.service != service) {
+    return false;
+  }
+  return backend.models.empty() ||
+         std::find(backend.models.begin(), backend.models.end(), model) !=
+             backend.models.end();
+}
+
+void Scheduler::SetResources(const ResourceSet& resources, TimePoint now) {
+  this->classes.clear();
+  for (const RequestClass& definition : resources.classes) {
+    this->classes[definition.name] = definition;
+  }
+  this->customer_weights.clear();
+  for (const Customer& customer : resources.customers) {
+    this->customer_weights[customer.name] = customer.weight;
+  }
+  this->target_factor = 1.15 - 0.4 * resources.limits.attainment_weight;
+  for (BackendEntry& entry : this->backends) {
+    entry.removed = true;
+  }
+  for (const Backend& backend : resources.backends) {
+    const auto [known, is_new] = this->backend_by_name.try_emplace(
+        backend.name, static_cast<BackendIndex>(this->backends.size()));
+    if (is_new) {
+      this->backends.push_back({.state = BackendState(backend), .pools = {}});
+    }
+    BackendEntry& entry = this->entry(known->second);
+    entry.state.Redefine(backend);
+    entry.remote = backend.data_centre != this->data_centre;
+    entry.removed = false;
+  }
+  this->RebuildPools(resources);
+  this->Tick(now);
+}
+
+void Scheduler::RebuildPools(const ResourceSet& resources) {
+  for (auto& [name, pool] : this->pools) {
+    for (const BackendIndex index : std::vector(pool.members())) {
+      pool.Forget(index);
+      this->entry(index).pools.erase(name);
+    }
+  }
+  for (const Service& service : resources.services) {
+    std::vector<std::string> models = service.models;
+    if (service.kind == ServiceKind::kPlain) {
+      models = {""};
+    }
+    for (const std::string& model : models) {
+      const std::string name = PoolName(service.name, model);
+      BackendPool& pool = this->pools[name];
+      for (std::size_t i = 0; i < this->backends.size(); ++i) {
+        BackendEntry& entry = this->backends[i];
+        if (!entry.removed &&
+            this->InPool(entry.state.backend(), service.name, model)) {
+          pool.AddMember(static_cast<BackendIndex>(i));
+          entry.pools.insert(name);
+        }
+      }
+    }
+  }
+  for (auto& [name, pool] : this->pools) {
+    pool.room.SetClasses(resources.classes, resources.limits.max_waiting);
+    this->UpdateRate(pool);
+  }
+  for (std::size_t i = 0; i < this->backends.size(); ++i) {
+    this->Reindex(static_cast<BackendIndex>(i));
+  }
+}
+
+void Scheduler::UpdateRate(BackendPool& pool) {
+  double rate = 0;
+  for (const BackendIndex index : pool.members()) {
+    const BackendState& state = this->entry(index).state;
+    const int batch = std::max(1, state.backend().max_streams / 2);
+    rate += batch / state.TokenTime(batch);
+  }
+  pool.room.SetRate(rate);
+}
+
+void Scheduler::Reindex(BackendIndex index) {
+  BackendEntry& entry = this->entry(index);
+  for (const std::string& name : entry.pools) {
+    this->pools.at(name).Place(index, entry.remote, entry.state);
+    this->changed_pools.insert(name);
+  }
+}
+
+bool Scheduler::HasPool(const std::string& service,
+                        const std::string& model) const {
+  const auto pool = this->pools.find(PoolName(service, model));
+  return pool != this->pools.end() && !pool->second.members().empty();
+}
+
+WaitingEntry Scheduler::MakeEntry(const PlacementRequest& request,
+                                  BackendPool& pool, TimePoint now) {
+  const RequestClass& definition = this->classes.at(request.class_name);
+  const LengthEstimate length = this->predictor.Estimate(
+      request.class_name, request.customer, request.max_tokens);
+  double base = 0;
+  double prefill = 0;
+  if (!request.model.empty() && !pool.members().empty()) {
+    const Backend& backend =
+        this->entry(pool.members().front()).state.backend();
+    base = ToSeconds(backend.token_time_base);
+    prefill = request.prompt_tokens / backend.prefill_rate;
+  }
+  double limit = std::numeric_limits<double>::infinity();
+  if (definition.target.between_tokens) {
+    limit = ToSeconds(*definition.target.between_tokens);
+  }
+  Duration slack = Duration::max();
+  if (definition.target.whole) {
+    const double whole = ToSeconds(*definition.target.whole);
+    const double own = std::max(kMinTokenTimeFactor * base,
+                                kGenerationPart * whole / length.high);
+    limit = std::min(limit, own);
+    slack = FromSeconds(whole - prefill - length.mean * std::max(base, own));
+  }
+  if (definition.target.first_token) {
+    slack = std::min(
+        slack, *definition.target.first_token - FromSeconds(prefill + base));
+  }
+  if (slack == Duration::max()) {
+    slack = definition.max_wait;
+  }
+  if (!request.model.empty()) {
+    pool.limits.Observe(request.class_name, definition.tier,
+                        limit * this->target_factor, now);
+  }
+  const auto weight = this->customer_weights.find(request.customer);
+  return {.id = request.id,
+          .class_name = request.class_name,
+          .customer = request.customer,
+          .customer_weight =
+              weight == this->customer_weights.end() ? 1 : weight->second,
+          .arrival = request.arrival,
+          .latest_start = request.arrival + std::max(slack, Duration{}),
+          .cost = request.model.empty() ? 1 : length.mean};
+}
+
+AddResult Scheduler::Add(const PlacementRequest& request, TimePoint now) {
+  const std::string name = PoolName(request.service, request.model);
+  BackendPool& pool = this->pools.at(name);
+  const WaitingEntry entry = this->MakeEntry(request, pool, now);
+  const AddResult result = pool.room.Add(entry, now);
+  if (result.evicted) {
+    this->waiting_in.erase(result.evicted->id);
+  }
+  if (result.added) {
+    this->waiting_in[request.id] = {
+        .request = request, .pool = name, .cost = entry.cost, .tried = {}};
+    this->changed_pools.insert(name);
+  }
+  return result;
+}
+
+bool Scheduler::Remove(RequestId id) {
+  const auto waiting = this->waiting_in.find(id);
+  if (waiting == this->waiting_in.end()) {
+    return false;
+  }
+  this->pools.at(waiting->second.pool).room.Remove(id);
+  this->changed_pools.insert(waiting->second.pool);
+  this->waiting_in.erase(waiting);
+  return true;
+}
+
+void Scheduler::MarkTried(RequestId id, BackendIndex backend) {
+  const auto waiting = this->waiting_in.find(id);
+  if (waiting != this->waiting_in.end()) {
+    waiting->second.tried.insert(backend);
+  }
+}
+
+std::vector<Dismissal> Scheduler::Expire(TimePoint now) {
+  std::vector<Dismissal> all;
+  for (auto& [name, pool] : this->pools) {
+    for (const Dismissal& dismissal : pool.room.Expire(now)) {
+      this->waiting_in.erase(dismissal.id);
+      all.push_back(dismissal);
+      this->changed_pools.insert(name);
+    }
+  }
+  return all;
+}
+
+bool Scheduler::Fits(const BackendPool& pool, BackendIndex index,
+                     const Waiting& waiting, int tier, TimePoint now) const {
+  const BackendState& state = this->backend(index);
+  const int batch = state.EstimatedRunning() + 1;
+  if (batch == 1 || waiting.request.model.empty()) {
+    return true;
+  }
+  return state.TokenTime(batch) <= pool.limits.For(tier, now);
+}
+
+std::optional<Placement> Scheduler::Choose(BackendPool& pool,
+                                           const NextRequest& next,
+                                           TimePoint now) {
+  const Waiting& waiting = this->waiting_in.at(next.id);
+  Placement placement{.id = next.id,
+                      .turn = next.turn,
+                      .tier = next.tier,
+                      .late = next.late,
+                      .waiting_above = pool.room.WaitingAbove(next.tier),
+                      .cost = waiting.cost,
+                      .passed_over = {}};
+  std::optional<BackendIndex> chosen;
+  std::optional<BackendIndex> last_resort;
+  double best_key = 0;
+  int looked = 0;
+  for (const auto& [key, index] : pool.order()) {
+    if (looked++ >= kCandidates + static_cast<int>(waiting.tried.size())) {
+      break;
+    }
+    if (waiting.tried.contains(index)) {
+      placement.passed_over.push_back(
+          {.backend = index, .cause = PassedOverCause::kTriedBefore});
+      last_resort = last_resort.value_or(index);
+      continue;
+    }
+    if (!this->Fits(pool, index, waiting, next.tier, now)) {
+      placement.passed_over.push_back(
+          {.backend = index, .cause = PassedOverCause::kSlowerThanTarget});
+      continue;
+    }
+    chosen = index;
+    best_key = key;
+    break;
+  }
+  if (!chosen && looked == static_cast<int>(waiting.tried.size())) {
+    chosen = last_resort;
+  }
+  if (!chosen) {
+    return std::nullopt;
+  }
+  placement.reason =
+      this->entry(*chosen).remote ? Reason::kOtherCentre : Reason::kLeastLoaded;
+  const auto cached = this->prefixes.find(waiting.request.prefix);
+  if (waiting.request.prefix != 0 && cached != this->prefixes.end() &&
+      cached->second != *chosen) {
+    const BackendState& state = this->backend(cached->second);
+    const double key = state.TokenTime(state.EstimatedRunning() + 1);
+    if (state.HasRoom() && state.health() == Health::kHealthy &&
+        key <= best_key * kPrefixSlack &&
+        this->entry(cached->second).pools.contains(waiting.pool) &&
+        !waiting.tried.contains(cached->second) &&
+        this->Fits(pool, cached->second, waiting, next.tier, now)) {
+      placement.passed_over.push_back(
+          {.backend = *chosen, .cause = PassedOverCause::kMoreLoaded});
+      chosen = cached->second;
+      placement.reason = Reason::kPrefix;
+    }
+  }
+  placement.backend = *chosen;
+  if (this->backend(*chosen).health() == Health::kTrial) {
+    placement.reason = Reason::kTrial;
+  }
+  return placement;
+}
+
+std::optional<Placement> Scheduler::PlaceIn(BackendPool& pool, TimePoint now) {
+  for (const bool by_share : {true, false}) {
+    const std::optional<NextRequest> next = pool.room.Next(by_share);
+    if (!next) {
+      return std::nullopt;
+    }
+    std::optional<Placement> placement = this->Choose(pool, *next, now);
+    if (placement) {
+      this->Commit(pool, *next, *placement, now);
+      return placement;
+    }
+    if (next->turn == Turn::kTier) {
+      return std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+void Scheduler::Commit(BackendPool& pool, const NextRequest& next,
+                       Placement& placement, TimePoint now) {
+  pool.room.Take(next);
+  BackendState& state = this->entry(placement.backend).state;
+  state.AddRunning(now);
+  placement.batch = state.EstimatedRunning();
+  placement.token_time = state.TokenTime(placement.batch);
+  this->Reindex(placement.backend);
+  const auto waiting = this->waiting_in.find(next.id);
+  this->RememberPrefix(waiting->second.request.prefix, placement.backend);
+  this->waiting_in.erase(waiting);
+}
+
+std::optional<Placement> Scheduler::PlaceNext(TimePoint now) {
+  while (!this->changed_pools.empty()) {
+    const std::string name = *this->changed_pools.begin();
+    std::optional<Placement> placement =
+        this->PlaceIn(this->pools.at(name), now);
+    if (placement) {
+      return placement;
+    }
+    this->changed_pools.erase(name);
+  }
+  return std::nullopt;
+}
+
+void Scheduler::RememberPrefix(std::uint64_t prefix, BackendIndex backend) {
+  if (prefix == 0) {
+    return;
+  }
+  if (this->prefixes.insert_or_assign(prefix, backend).second) {
+    this->prefix_age.push_back(prefix);
+  }
+  if (this->prefix_age.size() > kMaxPrefixes) {
+    this->prefixes.erase(this->prefix_age.front());
+    this->prefix_age.pop_front();
+  }
+}
+
+void Scheduler::JudgeSpeed(BackendIndex index, TimePoint now) {
+  BackendEntry& entry = this->entry(index);
+  double median = std::numeric_limits<double>::infinity();
+  std::size_t members = 0;
+  std::size_t out = 0;
+  for (const std::string& name : entry.pools) {
+    const BackendPool& pool = this->pools.at(name);
+    median = std::min(median, pool.median_slowness);
+    members = std::max(members, pool.members().size());
+    for (const BackendIndex other : this->ejected) {
+      out += this->entry(other).pools.contains(name) ? 1 : 0;
+    }
+  }
+  const bool trial = entry.state.health() == Health::kTrial;
+  const double bound =
+      (trial ? kRecoveredFactor : kStragglerFactor) * std::max(median, 0.1);
+  if (entry.state.speed_samples() < kMinSpeedSamples) {
+    return;
+  }
+  if (entry.state.slowness() <= bound) {
+    entry.state.ObserveSuccess();
+  } else if (2 * (out + 1) <= members) {
+    entry.state.Eject(now);
+    this->ejected.insert(index);
+    this->Reindex(index);
+  }
+}
+
+void Scheduler::Tick(TimePoint now) {
+  for (const BackendIndex index :
+       std::vector<BackendIndex>(this->ejected.begin(), this->ejected.end())) {
+    if (this->entry(index).state.return_at() <= now) {
+      this->entry(index).state.StartTrial();
+      this->ejected.erase(index);
+      this->Reindex(index);
+    }
+  }
+  if (now < this->next_judgement) {
+    return;
+  }
+  this->next_judgement = now + kJudgementPeriod;
+  for (auto& [name, pool] : this->pools) {
+    std::vector<double> speeds;
+    for (const BackendIndex index : pool.members()) {
+      if (this->entry(index).state.health() == Health::kHealthy) {
+        speeds.push_back(this->entry(index).state.slowness());
+      }
+    }
+    if (!speeds.empty()) {
+      const auto middle =
+          speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+      std::nth_element(speeds.begin(), middle, speeds.end());
+      pool.median_slowness = *middle;
+    }
+  }
+  for (std::size_t i = 0; i < this->backends.size(); ++i) {
+    if (this->backends[i].state.health() != Health::kEjected) {
+      this->JudgeSpeed(static_cast<BackendIndex>(i), now);
+    }
+  }
+}
+
+void Scheduler::ObserveTokens(BackendIndex backend, int batch_tokens,
+                              Duration elapsed) {
+  if (batch_tokens <= 0 || elapsed <= Duration{}) {
+    return;
+  }
+  this->entry(backend).state.ObserveTokenTime(ToSeconds(elapsed) /
+                                              batch_tokens);
+}
+
+void Scheduler::EndStream(BackendIndex backend, TimePoint now) {
+  this->entry(backend).state.RemoveRunning(now);
+  this->Reindex(backend);
+}
+
+void Scheduler::EndSuccess(BackendIndex backend, const std::string& class_name,
+                           const std::string& customer, int tokens,
+                           TimePoint now) {
+  BackendState& state = this->entry(backend).state;
+  if (tokens > 0) {
+    this->predictor.Observe(class_name, customer, tokens);
+  } else {
+    state.ObserveSuccess();
+  }
+  this->EndStream(backend, now);
+}
+
+void Scheduler::EndFailure(BackendIndex backend, TimePoint now) {
+  this->entry(backend).state.ObserveFailure(now);
+  this->ejected.insert(backend);
+  this->EndStream(backend, now);
+}
+
+void Scheduler::EndNeutral(BackendIndex backend, TimePoint now) {
+  this->EndStream(backend, now);
+}
+
+void Scheduler::ReportLoad(const std::string& backend, TimePoint taken_at,
+                           int running, TimePoint /*now*/) {
+  const auto known = this->backend_by_name.find(backend);
+  if (known != this->backend_by_name.end()) {
+    this->entry(known->second).state.ReportLoad(taken_at, running);
+    this->Reindex(known->second);
+  }
+}
+
+Duration Scheduler::RetryAfter(const std::string& service,
+                               const std::string& model, int tier) const {
+  const auto found = this->pools.find(PoolName(service, model));
+  if (found == this->pools.end()) {
+    return kMaxRetryAfter;
+  }
+  const WaitingRoom& room = found->second.room;
+  const Duration drain = FromSeconds(room.WaitingCost(tier) / room.rate());
+  return std::clamp(drain, kMinRetryAfter, kMaxRetryAfter);
+}
+
+bool Scheduler::SharedWaitingBelow(const std::string& service,
+                                   const std::string& model, int tier) const {
+  const auto found = this->pools.find(PoolName(service, model));
+  return found != this->pools.end() &&
+         found->second.room.SharedWaitingBelow(tier);
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/waiting_room.h
@@ -0,0 +1,147 @@
+// The requests that wait for one pool of backend servers, and their order.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/resources.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// A waiting request, as far as its order is concerned.
+struct WaitingEntry {
+  RequestId id = 0;
+  std::string class_name;
+  std::string customer;
+  double customer_weight = 1;
+  TimePoint arrival;
+  // Started later than this, it is not expected to meet its target.
+  TimePoint latest_start;
+  // Expected tokens.
+  double cost = 1;
+};
+
+// Why a request is next.
+enum class Turn : std::uint8_t {
+  kTier,             // Nothing of a higher tier waits.
+  kGuaranteedShare,  // Its class is owed part of its share.
+};
+
+// The request that is to be placed next.
+struct NextRequest {
+  RequestId id = 0;
+  Turn turn = Turn::kTier;
+  int tier = 0;
+  bool late = false;
+};
+
+// A request taken off the room without being placed.
+struct Dismissal {
+  RequestId id = 0;
+  // Why: its place went to a higher tier, or its time ran out.
+  enum class Cause : std::uint8_t { kEvicted, kLate, kMaxWait } cause;
+};
+
+// What became of a request that was to be added.
+struct AddResult {
+  bool added = false;
+  std::optional<Dismissal> evicted;
+};
+
+// Orders the waiting requests of one pool.
+//
+// Tiers go strictly first, but for the guaranteed share of each class. Within
+// a tier the earliest latest start goes first, put back by as much as the
+// request's customer is ahead of its fair rate (the virtual clock of Zhang,
+// 1990). A request that is late yields to those on time; each class still
+// serves a late one after a bounded number of others. The exact order is
+// stated in docs/design/tier-order.md.
+class WaitingRoom {
+ public:
+  // Takes the classes as they are now; entries of a class that is gone keep
+  // the definition with which they were added.
+  void SetClasses(const std::vector<RequestClass>& classes, int max_waiting);
+  // Tokens a second that the pool produces, for the customers' fair rates.
+  void SetRate(double tokens_per_second);
+  [[nodiscard]] double rate() const { return this->tokens_per_second; }
+
+  // Adds a request. When the shared places are taken, the last request of the
+  // lowest tier below its own is evicted; without one it is not added.
+  AddResult Add(const WaitingEntry& entry, TimePoint now);
+  // Takes off the requests that gave up by now: late ones of classes that
+  // refuse when late, and those over their class's longest wait.
+  std::vector<Dismissal> Expire(TimePoint now);
+  // The request to place next; with `by_share` false, by tiers alone.
+  [[nodiscard]] std::optional<NextRequest> Next(bool by_share) const;
+  // Takes off a request that was placed and settles the shares.
+  void Take(const NextRequest& next);
+  // Takes off a request whose caller left. False when it does not wait here.
+  bool Remove(RequestId id);
+
+  [[nodiscard]] std::size_t size() const { return this->slots.size(); }
+  // Requests waiting above the tier given (smaller numbers).
+  [[nodiscard]] std::size_t WaitingAbove(int tier) const;
+  // Whether a lower tier waits in the shared places.
+  [[nodiscard]] bool SharedWaitingBelow(int tier) const;
+  // Tokens waiting in this tier and above.
+  [[nodiscard]] double WaitingCost(int tier) const;
+  // The time at which Expire has something to do next.
+  [[nodiscard]] std::optional<TimePoint> NextExpiry() const;
+
+ private:
+  using OrderKey = std::pair<TimePoint, RequestId>;
+
+  // The waiting requests of one class.
+  struct ClassQueue {
+    RequestClass definition;
+    std::size_t reserved = 0;
+    double credit = 0;
+    double cost = 0;
+    int since_late = 0;
+    std::set<OrderKey> on_time;
+    std::set<OrderKey> late;
+
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] bool LateTurn() const;
+    [[nodiscard]] OrderKey Head() const;
+  };
+
+  // One waiting request and where it stands.
+  struct Slot {
+    WaitingEntry entry;
+    std::size_t queue = 0;
+    OrderKey key;
+    TimePoint expiry;
+    bool late = false;
+  };
+
+  // How far a customer is ahead of its fair rate.
+  struct Flow {
+    TimePoint clock;
+    int waiting = 0;
+  };
+
+  [[nodiscard]] std::size_t SharedWaiting() const;
+  [[nodiscard]] std::optional<RequestId> Victim(int tier) const;
+  [[nodiscard]] std::optional<NextRequest> NextByShare() const;
+  [[nodiscard]] std::optional<NextRequest> NextByTier() const;
+  [[nodiscard]] TimePoint GiveUpAt(const Slot& slot) const;
+  Slot Erase(RequestId id);
+  void AddCredit(double cost);
+  TimePoint AdvanceFlow(const WaitingEntry& entry, TimePoint now);
+
+  std::vector<ClassQueue> queues;  // By tier.
+  std::unordered_map<std::string, std::size_t> queue_by_class;
+  std::unordered_map<RequestId, Slot> slots;
+  std::unordered_map<std::string, Flow> flows;
+  std::set<OrderKey> expiries;
+  std::size_t shared_places = 0;
+  double tokens_per_second = 1000;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/http/caller_front.h
@@ -0,0 +1,46 @@
+// The callers' interface: the OpenAI shape, and plain services.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "http/http_server.h"
+#include "http/request_gate.h"
+
+namespace rosemarycove {
+
+// How the callers' interface is set up.
+struct CallerFrontOptions {
+  std::string instance;
+  // Names this process in request names.
+  std::string process;
+};
+
+// Serves callers over HTTP and hands their requests to the node.
+class CallerFront {
+ public:
+  CallerFront(CallerFrontOptions options, HttpServer& server,
+              RequestGate& host);
+
+ private:
+  void HandleChat(const httplib::Request& request, httplib::Response& response);
+  void HandleService(const httplib::Request& request,
+                     httplib::Response& response);
+  void HandleModels(const httplib::Request& request,
+                    httplib::Response& response);
+  // The caller's customer; answers 401 and returns nothing without one.
+  std::optional<std::string> Authenticate(const httplib::Request& request,
+                                          httplib::Response& response);
+  // Fills in what comes from the headers.
+  void TakeHeaders(const httplib::Request& request, RequestArrived& arrived);
+  void Serve(RequestArrived arrived, UpstreamRequest upstream,
+             httplib::Response& response);
+  void Stream(const std::shared_ptr<Exchange>& exchange, std::string first,
+              httplib::Response& response);
+
+  CallerFrontOptions options;
+  HttpServer& server;
+  RequestGate& host;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/http/client_pool.cc
@@ -0,0 +1,42 @@
+#include "http/client_pool.h"
+
+#include <utility>
+
+namespace rosemarycove {
+
+ClientPool::ClientPool(ClientPoolOptions options) : options(options) {}
+
+std::unique_ptr<httplib::Client> ClientPool::MakeFresh(
+    const std::string& address) const {
+  auto client = std::make_unique<httplib::Client>("http://" + address);
+  client->set_connection_timeout(this->options.connect_timeout);
+  client->set_read_timeout(this->options.stall_timeout);
+  client->set_write_timeout(this->options.stall_timeout);
+  client->set_tcp_nodelay(true);
+  client->set_keep_alive(true);
+  return client;
+}
+
+std::unique_ptr<httplib::Client> ClientPool::Take(const std::string& address) {
+  {
+    const std::lock_guard lock(this->mutex);
+    auto& clients = this->idle[address];
+    if (!clients.empty()) {
+      std::unique_ptr<httplib::Client> client = std::move(clients.back());
+      clients.pop_back();
+      return client;
+    }
+  }
+  return this->MakeFresh(address);
+}
+
+void ClientPool::Return(const std::string& address,
+                        std::unique_ptr<httplib::Client> client) {
+  const std::lock_guard lock(this->mutex);
+  auto& clients = this->idle[address];
+  if (clients.size() < this->options.max_idle) {
+    clients.push_back(std::move(client));
+  }
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/http/growing_pool.cc
@@ -0,0 +1,51 @@
+#include "http/growing_pool.h"
+
+#include <utility>
+
+namespace rosemarycove {
+
+GrowingPool::GrowingPool(std::size_t max_threads) : bound(max_threads) {}
+
+GrowingPool::~GrowingPool() { this->Shutdown(); }
+
+void GrowingPool::Run(std::function<void()> task) {
+  const std::lock_guard lock(this->mutex);
+  this->tasks.push_back(std::move(task));
+  if (this->tasks.size() > this->idle && this->threads.size() < this->bound) {
+    this->threads.emplace_back([this] { this->Work(); });
+  }
+  this->changed.notify_one();
+}
+
+void GrowingPool::Shutdown() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->changed.notify_all();
+  for (std::thread& thread : this->threads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void GrowingPool::Work() {
+  std::unique_lock lock(this->mutex);
+  while (true) {
+    ++this->idle;
+    this->changed.wait(
+        lock, [this] { return this->stopping || !this->tasks.empty(); });
+    --this->idle;
+    if (this->tasks.empty()) {
+      return;
+    }
+    std::function<void()> task = std::move(this->tasks.front());
+    this->tasks.pop_front();
+    lock.unlock();
+    task();
+    lock.lock();
+  }
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/standins/plain_service_standin.cc
@@ -0,0 +1,71 @@
+#include "standins/plain_service_standin.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+namespace standins {
+
+using nlohmann::json;
+
+PlainServiceStandin::PlainServiceStandin(std::string name)
+    : name(std::move(name)) {
+  this->server->Get("/load", [](const httplib::Request& /*request*/,
+                                httplib::Response& response) {
+    response.set_content(json{{"running", 0}, {"age_ms", 0}}.dump(),
+                         "application/json");
+  });
+  this->server->Post("/.*", [this](const httplib::Request& request,
+                                   httplib::Response& response) {
+    this->Handle(request, response);
+  });
+}
+
+int PlainServiceStandin::Runs(const std::string& body) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->runs.find(body);
+  return found == this->runs.end() ? 0 : found->second;
+}
+
+int PlainServiceStandin::TotalRuns() const {
+  const std::lock_guard lock(this->mutex);
+  int total = 0;
+  for (const auto& [body, count] : this->runs) {
+    total += count;
+  }
+  return total;
+}
+
+void PlainServiceStandin::Handle(const httplib::Request& request,
+                                 httplib::Response& response) {
+  const bool crossed = this->switches.Fires("wrong_id");
+  response.set_header(
+      "X-Request-Id",
+      crossed ? "someone-else-1" : request.get_header_value("X-Request-Id"));
+  if (this->switches.Fires("busy")) {
+    response.status = 503;
+    response.set_header("X-Ran", "no");
+    return;
+  }
+  const double wait = this->switches.Value("slow_ms", 0);
+  std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(wait));
+  int count = 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    count = ++this->runs[request.body];
+  }
+  if (this->switches.Fires("lose_answer")) {
+    StandinServer::CutConnection();
+    return;
+  }
+  if (this->switches.Fires("error")) {
+    response.status = 500;
+  }
+  response.set_content(
+      json{{"service", this->name}, {"path", request.path}, {"runs", count}}
+          .dump(),
+      "application/json");
+}
+
+}  // namespace standins
