--- a/src/core/backend_state.cc
+++ b/src/core/backend_state.cc
@@ -8,8 +8,8 @@
 // Own running counts are kept this long, to correct late reports.
 constexpr Duration kHistory = std::chrono::seconds(10);
 constexpr std::size_t kMaxHistory = 4096;
-// Weight of a new token time in the moving average.
-constexpr double kSpeedWeight = 0.1;
+// Weight of a new period in the moving average of the speed.
+constexpr double kSpeedWeight = 0.2;
 constexpr int kTrialStreams = 2;
 constexpr Duration kFirstEjection = std::chrono::seconds(2);
 constexpr int kMaxDoublings = 4;
@@ -73,12 +73,22 @@
   this->others = std::max(0, running - this->OwnRunningAt(taken_at));
 }
 
-void BackendState::ObserveTokenTime(double seconds) {
-  const double expected = this->TokenTime(this->EstimatedRunning());
-  const double ratio = seconds / expected * this->slowness_now;
+void BackendState::ObserveTokens(int tokens, double seconds) {
+  this->observed_seconds += seconds;
+  this->expected_seconds +=
+      tokens * this->TokenTime(this->EstimatedRunning()) / this->slowness_now;
+}
+
+void BackendState::SettleSpeed() {
+  if (this->expected_seconds <= 0) {
+    return;
+  }
+  const double ratio = this->observed_seconds / this->expected_seconds;
   ++this->samples;
   const double weight = std::max(kSpeedWeight, 1.0 / this->samples);
   this->slowness_now += weight * (ratio - this->slowness_now);
+  this->observed_seconds = 0;
+  this->expected_seconds = 0;
 }
 
 void BackendState::ObserveFailure(TimePoint now) { this->Eject(now); }
--- a/src/core/backend_state.h
+++ b/src/core/backend_state.h
@@ -30,7 +30,7 @@
   [[nodiscard]] int own_running() const { return this->own; }
   // Observed token time over the declared one; 1 is as declared.
   [[nodiscard]] double slowness() const { return this->slowness_now; }
-  // Token times observed since it was last let in.
+  // Periods with observed tokens since it was last let in.
   [[nodiscard]] int speed_samples() const { return this->samples; }
   // When an ejected backend server may be tried again.
   [[nodiscard]] TimePoint return_at() const { return this->returns; }
@@ -49,8 +49,11 @@
   // Takes a report of `running` requests as they were at `taken_at`. Reports
   // older than the last one are ignored.
   void ReportLoad(TimePoint taken_at, int running);
-  // Takes an observed time between tokens, in seconds.
-  void ObserveTokenTime(double seconds);
+  // Takes the seconds that a stream's next tokens took together.
+  void ObserveTokens(int tokens, double seconds);
+  // Learns from what was observed since the last call; called at a steady
+  // period, so that busy servers are not judged by shorter spans.
+  void SettleSpeed();
   // Takes a crash, a refused connection or a broken answer.
   void ObserveFailure(TimePoint now);
   // Takes a whole answer; ends a trial when the speed is normal too.
@@ -71,6 +74,8 @@
   TimePoint last_report;
   std::deque<std::pair<TimePoint, int>> own_history;
   double slowness_now = 1;
+  double observed_seconds = 0;
+  double expected_seconds = 0;
   int samples = 0;
   int ejections = 0;
   TimePoint returns;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -20,7 +20,9 @@
 // A straggler's tokens take this many times the pool's median.
 constexpr double kStragglerFactor = 2;
 constexpr double kRecoveredFactor = 1.5;
-constexpr int kMinSpeedSamples = 5;
+constexpr int kMinSpeedSamples = 4;
+// Part of a token time target that is kept free at attainment weight 1.
+constexpr double kMaxMargin = 0.3;
 constexpr Duration kJudgementPeriod = std::chrono::milliseconds(250);
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(60);
@@ -83,7 +85,7 @@
   for (const Customer& customer : resources.customers) {
     this->customer_weights[customer.name] = customer.weight;
   }
-  this->target_factor = 1.15 - 0.4 * resources.limits.attainment_weight;
+  this->target_factor = 1 - kMaxMargin * resources.limits.attainment_weight;
   for (BackendEntry& entry : this->backends) {
     entry.removed = true;
   }
@@ -426,6 +428,10 @@
     return;
   }
   this->next_judgement = now + kJudgementPeriod;
+  for (std::size_t i = 0; i < this->backends.size(); ++i) {
+    this->backends[i].state.SettleSpeed();
+    this->Reindex(static_cast<BackendIndex>(i));
+  }
   for (auto& [name, pool] : this->pools) {
     std::vector<double> speeds;
     for (const BackendIndex index : pool.members()) {
@@ -447,13 +453,12 @@
   }
 }
 
-void Scheduler::ObserveTokens(BackendIndex backend, int batch_tokens,
+void Scheduler::ObserveTokens(BackendIndex backend, int tokens,
                               Duration elapsed) {
-  if (batch_tokens <= 0 || elapsed <= Duration{}) {
+  if (tokens <= 0 || elapsed <= Duration{}) {
     return;
   }
-  this->entry(backend).state.ObserveTokenTime(ToSeconds(elapsed) /
-                                              batch_tokens);
+  this->entry(backend).state.ObserveTokens(tokens, ToSeconds(elapsed));
 }
 
 void Scheduler::EndStream(BackendIndex backend, TimePoint now) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -102,7 +102,7 @@
   void Tick(TimePoint now);
 
   // Reports of what became of placed requests.
-  void ObserveTokens(BackendIndex backend, int batch_tokens, Duration elapsed);
+  void ObserveTokens(BackendIndex backend, int tokens, Duration elapsed);
   void EndSuccess(BackendIndex backend, const std::string& class_name,
                   const std::string& customer, int tokens, TimePoint now);
   void EndFailure(BackendIndex backend, TimePoint now);
