Leave room for higher tiers by a margin that grows down the tiers

Cause: every engine stood at the limit of the strictest class, so a small rise of the learned token time left no engine open to the top tiers until several streams had ended (waits up to 2.3 s for a 420 ms target). Change: each active tier above takes 4% off the token time up to which a tier may fill an engine.

--- a/src/core/backend_pool.cc
+++ b/src/core/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "core/backend_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace rosemarycove {
@@ -10,6 +11,9 @@
 constexpr Duration kActive = std::chrono::seconds(60);
 // Weight of a new limit in a class's moving average.
 constexpr double kLimitWeight = 0.1;
+// Part of the token time that a tier leaves free for each active tier above
+// it, so that a request from above finds room at once.
+constexpr double kTierPart = 0.96;
 // Added to the order of servers in other data centres, in seconds; more than
 // any token time.
 constexpr double kRemoteOrder = 1e6;
@@ -29,12 +33,17 @@
 
 double TokenTimeLimits::For(int tier, TimePoint now) const {
   double shortest = std::numeric_limits<double>::infinity();
+  std::set<int> tiers_above;
   for (const auto& [name, limit] : this->limits) {
-    if (limit.tier <= tier && now - limit.last <= kActive) {
-      shortest = std::min(shortest, limit.seconds);
+    if (limit.tier > tier || now - limit.last > kActive) {
+      continue;
+    }
+    shortest = std::min(shortest, limit.seconds);
+    if (limit.tier < tier) {
+      tiers_above.insert(limit.tier);
     }
   }
-  return shortest;
+  return shortest * std::pow(kTierPart, tiers_above.size());
 }
 
 void BackendPool::Place(BackendIndex index, bool remote,
