Interpolate predicted lengths within their bucket

Cause: a quantile was rounded up to its bucket's bound (up to 41% long), so whole-answer targets asked for smaller batches than they needed.

--- a/src/core/length_predictor.cc
+++ b/src/core/length_predictor.cc
@@ -43,14 +43,19 @@
 }
 
 double LengthDistribution::Quantile(double quantile) const {
+  const double wanted = quantile * this->total;
   double seen = 0;
+  double lower = 1;
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    seen += this->buckets[bucket];
-    if (seen >= quantile * this->total) {
-      return BucketBound(bucket);
+    const double weight = this->buckets[bucket];
+    const double upper = BucketBound(bucket);
+    if (weight > 0 && seen + weight >= wanted) {
+      return lower + (upper - lower) * (wanted - seen) / weight;
     }
+    seen += weight;
+    lower = upper;
   }
-  return BucketBound(kBuckets - 1);
+  return lower;
 }
 
 void LengthPredictor::Observe(const std::string& class_name,
--- a/src/core/length_predictor.h
+++ b/src/core/length_predictor.h
@@ -20,7 +20,8 @@
   [[nodiscard]] double weight() const { return this->total; }
   // Mean length in tokens; 0 without observations.
   [[nodiscard]] double Mean() const;
-  // Smallest bucket bound that covers the share `quantile` of the weight.
+  // Length that covers the share `quantile` of the weight, interpolated within
+  // its bucket.
   [[nodiscard]] double Quantile(double quantile) const;
 
  private:
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -13,7 +13,7 @@
 constexpr double kPrefixSlack = 1.2;
 constexpr std::size_t kMaxPrefixes = 8192;
 // Part of the target for the whole answer that may go to generating it.
-constexpr double kGenerationPart = 0.8;
+constexpr double kGenerationPart = 0.9;
 // A whole-answer target never asks for a batch smaller than this many times
 // the base token time.
 constexpr double kMinTokenTimeFactor = 1.5;
