Call a request late by its typical speed, and lose less to margins

Change: margin 10% at attainment weight 1, 2% a tier; late when three times the base token time no longer suffices; limits by the 0.95 quantile.

--- a/src/core/backend_pool.cc
+++ b/src/core/backend_pool.cc
@@ -13,7 +13,7 @@
 constexpr double kLimitWeight = 0.1;
 // Part of the token time that a tier leaves free for each active tier above
 // it, so that a request from above finds room at once.
-constexpr double kTierPart = 0.96;
+constexpr double kTierPart = 0.98;
 // Added to the order of servers in other data centres, in seconds; more than
 // any token time.
 constexpr double kRemoteOrder = 1e6;
--- a/src/core/length_predictor.cc
+++ b/src/core/length_predictor.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double kDecay = 0.995;
-constexpr double kHighQuantile = 0.8;
+constexpr double kHighQuantile = 0.95;
 // Customers with less weight than this are predicted by their class.
 constexpr double kMinWeight = 20;
 // Assumed before anything was observed, in tokens.
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -17,12 +17,13 @@
 // A whole-answer target never asks for a batch smaller than this many times
 // the base token time.
 constexpr double kMinTokenTimeFactor = 1.5;
+constexpr double kTypicalFactor = 3;
 // A straggler's tokens take this many times the pool's median.
 constexpr double kStragglerFactor = 2;
 constexpr double kRecoveredFactor = 1.5;
 constexpr int kMinSpeedSamples = 4;
 // Part of a token time target that is kept free at attainment weight 1.
-constexpr double kMaxMargin = 0.3;
+constexpr double kMaxMargin = 0.1;
 constexpr Duration kJudgementPeriod = std::chrono::milliseconds(250);
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(60);
@@ -185,7 +186,7 @@
     const double own = std::max(kMinTokenTimeFactor * base,
                                 kGenerationPart * whole / length.high);
     limit = std::min(limit, own);
-    slack = FromSeconds(whole - prefill - length.mean * std::max(base, own));
+    slack = FromSeconds(whole - prefill - length.mean * std::min(own, kTypicalFactor * base));
   }
   if (definition.target.first_token) {
     slack = std::min(
