--- a/src/core/backend_state.cc
+++ b/src/core/backend_state.cc
@@ -102,6 +102,8 @@
 
 void BackendState::Eject(TimePoint now) {
   if (this->health_now == Health::kEjected) {
+    // A request sent before the ejection failed only now.
+    this->returns = std::max(this->returns, now + kFirstEjection);
     return;
   }
   this->health_now = Health::kEjected;
