Test bad callers and bad engines over HTTP; golden sessions of both examples

Cause: nothing exercised malformed input, floods, slow or half-closed callers, or engines that crash, stall, cross or garble answers. Found: a caller that reads too slowly ended its request as answer_malformed and ejected the engine, which had done no wrong. Such an end is now its own result (kAbandoned): cancelled, and neutral for the server. Test: SlowReaderIsCutOff.

Log fields moved to one place so that golden files and the running instance write the same lines.

--- /dev/null
+++ b/src/app/event_fields.cc
@@ -0,0 +1,53 @@
+#include "app/event_fields.h"
+
+#include <cmath>
+
+namespace rosemarycove {
+namespace {
+
+// Milliseconds, rounded to a microsecond.
+double ToMilliseconds(Duration duration) {
+  return std::round(ToSeconds(duration) * 1e6) / 1e3;
+}
+
+double RoundToTenth(double value) { return std::round(value * 10) / 10; }
+
+}  // namespace
+
+LogFields FieldsOf(const FinishRequest& finish) {
+  return {{"request", finish.id},
+          {"customer", finish.customer},
+          {"class", finish.class_name},
+          {"tier", finish.tier},
+          {"outcome", ToString(finish.outcome)},
+          {"cause", ToString(finish.cause)},
+          {"ran", ToString(finish.ran)},
+          {"on_target", finish.on_target},
+          {"waited_ms", ToMilliseconds(finish.waited)},
+          {"first_token_ms", ToMilliseconds(finish.first_token)},
+          {"whole_ms", ToMilliseconds(finish.whole)},
+          {"tokens", finish.tokens},
+          {"wasted_tokens", finish.wasted_tokens},
+          {"attempts", finish.attempts}};
+}
+
+LogFields FieldsOf(const DecisionMade& decision) {
+  const Placement& placement = decision.placement;
+  return {{"request", placement.id},
+          {"customer", decision.customer},
+          {"class", decision.class_name},
+          {"tier", placement.tier},
+          {"attempt", decision.attempt},
+          {"backend", decision.backend},
+          {"why", ToString(placement.reason)},
+          {"turn", ToString(placement.turn)},
+          {"late", placement.late},
+          {"waiting_above", placement.waiting_above},
+          {"batch", placement.batch},
+          {"token_time_ms", RoundToTenth(placement.token_time * 1000)},
+          {"expected_tokens", RoundToTenth(placement.cost)},
+          {"waited_ms", ToMilliseconds(decision.waited)},
+          {"passed_over", decision.passed_over}};
+}
+
+}  // namespace rosemarycove
--- a/src/app/instance.cc
+++ b/src/app/instance.cc
@@ -79,7 +79,8 @@
                         .max_body = max_body,
                         .max_request = max_body + kHeaderRoom,
                         .read_timeout = this->settings.read_timeout,
-                        .write_timeout = this->settings.write_timeout});
+                        .write_timeout = this->settings.write_timeout,
+                        .idle_timeout = this->settings.idle_timeout});
   this->caller_front = std::make_unique<CallerFront>(
       CallerFrontOptions{.instance = this->settings.name,
                          .process = this->process},
@@ -92,7 +93,8 @@
                         .max_body = kOperatorMaxBody,
                         .max_request = kOperatorMaxBody + kHeaderRoom,
                         .read_timeout = this->settings.read_timeout,
-                        .write_timeout = this->settings.write_timeout});
+                        .write_timeout = this->settings.write_timeout,
+                        .idle_timeout = this->settings.idle_timeout});
   this->operator_api = std::make_unique<OperatorApi>(
       OperatorApiOptions{.instance = this->settings.name,
                          .token = this->settings.operator_token},
--- a/src/app/node_host.cc
+++ b/src/app/node_host.cc
@@ -4,14 +4,14 @@
 #include <utility>
 #include <variant>
 
+#include "app/event_fields.h"
+
 namespace rosemarycove {
 namespace {
 
 constexpr auto kTickPeriod = std::chrono::milliseconds(20);
 constexpr std::size_t kClaimThreads = 8;
 
-double ToMilliseconds(Duration duration) { return ToSeconds(duration) * 1000; }
-
 }  // namespace
 
 NodeHost::NodeHost(NodeHostOptions options, EventLog& log, Metrics& metrics,
@@ -114,21 +114,7 @@
 
 void NodeHost::Do(const FinishRequest& action) {
   this->metrics.Observe(action, std::chrono::steady_clock::now());
-  this->log.Write(LogEvent::kRequestEnded,
-                  {{"request", action.id},
-                   {"customer", action.customer},
-                   {"class", action.class_name},
-                   {"tier", action.tier},
-                   {"outcome", ToString(action.outcome)},
-                   {"cause", ToString(action.cause)},
-                   {"ran", ToString(action.ran)},
-                   {"on_target", action.on_target},
-                   {"waited_ms", ToMilliseconds(action.waited)},
-                   {"first_token_ms", ToMilliseconds(action.first_token)},
-                   {"whole_ms", ToMilliseconds(action.whole)},
-                   {"tokens", action.tokens},
-                   {"wasted_tokens", action.wasted_tokens},
-                   {"attempts", action.attempts}});
+  this->log.Write(LogEvent::kRequestEnded, FieldsOf(action));
   const auto found = this->exchanges.find(action.id);
   if (found != this->exchanges.end()) {
     found->second->Finish(action);
@@ -137,23 +123,7 @@
 }
 
 void NodeHost::Do(const DecisionMade& action) {
-  const Placement& placement = action.placement;
-  this->log.Write(LogEvent::kPlaced,
-                  {{"request", placement.id},
-                   {"customer", action.customer},
-                   {"class", action.class_name},
-                   {"tier", placement.tier},
-                   {"attempt", action.attempt},
-                   {"backend", action.backend},
-                   {"why", ToString(placement.reason)},
-                   {"turn", ToString(placement.turn)},
-                   {"late", placement.late},
-                   {"waiting_above", placement.waiting_above},
-                   {"batch", placement.batch},
-                   {"token_time_ms", placement.token_time * 1000},
-                   {"expected_tokens", placement.cost},
-                   {"waited_ms", ToMilliseconds(action.waited)},
-                   {"passed_over", action.passed_over}});
+  this->log.Write(LogEvent::kPlaced, FieldsOf(action));
 }
 
 std::shared_ptr<const ResourceSet> NodeHost::resources() const {
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -120,6 +120,7 @@
     reader.Time("stall", to.stall_timeout, milliseconds(10), hours(1));
     reader.Time("read", to.read_timeout, milliseconds(10), minutes(10));
     reader.Time("write", to.write_timeout, milliseconds(10), minutes(10));
+    reader.Time("idle", to.idle_timeout, milliseconds(10), minutes(10));
     reader.Time("drain", to.drain_timeout, milliseconds(10), hours(24));
     reader.Time("load_period", to.load_period, milliseconds(50), minutes(1));
     reader.Finish();
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -42,6 +42,8 @@
   // Time to read one request, and to write one part of an answer.
   Duration read_timeout = std::chrono::seconds(15);
   Duration write_timeout = std::chrono::seconds(5);
+  // Time that an idle connection of a caller is kept.
+  Duration idle_timeout = std::chrono::seconds(5);
   // Longest wait for the streams of a stopping instance.
   Duration drain_timeout = std::chrono::minutes(10);
   // Period of asking backend servers for their load.
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -54,6 +54,7 @@
   kAnsweredError,  // A well-formed answer that reports an error.
   kLost,       // Connection lost, timed out, or ended without its final event.
   kMalformed,  // The answer broke the protocol.
+  kAbandoned,      // The caller took no more of it; the server did no wrong.
   kWrongId,    // The answer belongs to another request.
 };
 
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -33,6 +33,8 @@
       return EndCause::kAnswerLost;
     case AttemptResult::kMalformed:
       return EndCause::kAnswerMalformed;
+    case AttemptResult::kAbandoned:
+      return EndCause::kCallerLeft;
     case AttemptResult::kWrongId:
       return EndCause::kAnswerCrossed;
   }
@@ -292,11 +294,17 @@
     return;
   }
   if (event.result == AttemptResult::kAnsweredError ||
+      event.result == AttemptResult::kAbandoned ||
       event.result == AttemptResult::kNotRun) {
     this->placer.EndNeutral(request->backend, this->now);
   } else {
     this->placer.EndFailure(request->backend, this->now);
   }
+  if (event.result == AttemptResult::kAbandoned) {
+    this->Finish(event.id, Outcome::kCancelled, EndCause::kCallerLeft,
+                 Ran::kUnknown);
+    return;
+  }
   this->EndBrokenAttempt(*request, event);
 }
 
--- a/src/http/attempt_runner.cc
+++ b/src/http/attempt_runner.cc
@@ -115,6 +115,7 @@
     part += data;
     part += "\n\n";
     if (!this->exchange.Push(std::move(part))) {
+      this->abandoned = true;
       return false;
     }
     this->Report();
@@ -144,6 +145,9 @@
         error == httplib::Error::ConnectionTimeout) {
       return AttemptResult::kNotSent;
     }
+    if (this->abandoned) {
+      return AttemptResult::kAbandoned;
+    }
     if (this->malformed) {
       return AttemptResult::kMalformed;
     }
@@ -199,6 +203,7 @@
   bool streaming = false;
   bool not_run = false;
   bool malformed = false;
+  bool abandoned = false;
   bool done = false;
   bool has_passed_on = false;
   int token_count = 0;
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -73,12 +73,13 @@
     }
   }
   this->WaitTokenTime();
-  const std::string event = Event(
-      {{"id", id},
-       {"object", "chat.completion.chunk"},
-       {"choices",
-        {{{"index", 0},
-          {"delta", {{"content", "t" + std::to_string(index) + " "}}}}}}});
+  const std::string padding(
+      static_cast<std::size_t>(this->switches.Value("token_bytes", 0)), 'p');
+  const std::string content = "t" + std::to_string(index) + " " + padding;
+  const std::string event =
+      Event({{"id", id},
+             {"object", "chat.completion.chunk"},
+             {"choices", {{{"index", 0}, {"delta", {{"content", content}}}}}}});
   return !this->stopping && sink.write(event.data(), event.size());
 }
 
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -25,7 +25,8 @@
 // middle), crash (streams cut in the middle), wrong_id (answers that name
 // another request), garbage (answers that are not what was asked for),
 // endless_line, no_final (streams without their final event), busy (answers
-// of 503 with X-Ran: no), error (answers of 500), load_lag_ms.
+// of 503 with X-Ran: no), error (answers of 500), load_lag_ms, token_bytes
+// (more text in each token).
 class EngineStandin : public StandinServer {
  public:
   explicit EngineStandin(EngineOptions options);
--- /dev/null
+++ b/tests/session.cc
@@ -0,0 +1,241 @@
+#include "tests/session.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+#include <utility>
+
+#include "app/event_fields.h"
+#include "app/event_log.h"
+
+namespace rosemarycove {
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+
+}  // namespace
+
+Session::Session(const ResourceSet& resources, const std::string& data_centre)
+    : node(NodeOptions{.data_centre = data_centre}),
+      start(TimePoint{} + std::chrono::seconds(1000)),
+      now(this->start) {
+  for (const Backend& backend : resources.backends) {
+    if (FindService(resources, backend.service)->kind == ServiceKind::kModel) {
+      this->engines.emplace(
+          backend.name,
+          bench::VirtualEngine(
+              {.token_time_base = backend.token_time_base,
+               .token_time_per_stream = backend.token_time_per_stream,
+               .prefill_rate = backend.prefill_rate,
+               .max_streams = backend.max_streams}));
+    }
+  }
+  this->Post(ResourcesChanged{
+      .resources = std::make_shared<const ResourceSet>(resources)});
+}
+
+void Session::Arrive(Duration at, RequestArrived arrived, int tokens) {
+  this->lengths[arrived.id] = tokens;
+  this->script.emplace(this->start + at,
+                       Scripted{.kind = Scripted::Kind::kArrive,
+                                .arrived = std::move(arrived),
+                                .tokens = tokens,
+                                .backend = {}});
+}
+
+void Session::Leave(Duration at, RequestId id) {
+  this->script.emplace(this->start + at,
+                       Scripted{.kind = Scripted::Kind::kLeave,
+                                .arrived = {.id = id},
+                                .backend = {}});
+}
+
+void Session::Crash(Duration at, const std::string& backend) {
+  this->script.emplace(
+      this->start + at,
+      Scripted{
+          .kind = Scripted::Kind::kCrash, .arrived = {}, .backend = backend});
+}
+
+void Session::LoseAnswers(Duration at, const std::string& backend) {
+  this->script.emplace(this->start + at,
+                       Scripted{.kind = Scripted::Kind::kLoseAnswers,
+                                .arrived = {},
+                                .backend = backend});
+}
+
+void Session::StoreOut(Duration at) {
+  this->script.emplace(
+      this->start + at,
+      Scripted{
+          .kind = Scripted::Kind::kStoreOut, .arrived = {}, .backend = {}});
+}
+
+void Session::Write(const std::string& line) {
+  this->text +=
+      fmt::format("{:9.3f} {}\n", ToSeconds(this->now - this->start), line);
+}
+
+void Session::Post(const Event& event) {
+  for (const Action& action : this->node.Handle(this->now, event)) {
+    std::visit([this](const auto& what) { this->Do(what); }, action);
+  }
+}
+
+void Session::Do(const DecisionMade& action) {
+  this->Write(
+      FormatEvent(LogEvent::kPlaced, FieldsOf(action), LogFormat::kText));
+}
+
+void Session::Do(const FinishRequest& action) {
+  this->Write(
+      FormatEvent(LogEvent::kRequestEnded, FieldsOf(action), LogFormat::kText));
+}
+
+void Session::Do(const ClaimKey& action) {
+  ClaimResult result = ClaimResult::kUnavailable;
+  if (!this->store_out) {
+    const auto [held, is_new] = this->claims.try_emplace(
+        action.customer + "/" + action.key, action.fingerprint);
+    result = is_new                               ? ClaimResult::kWon
+             : held->second == action.fingerprint ? ClaimResult::kRunElsewhere
+                                                  : ClaimResult::kOtherRequest;
+  }
+  this->Write(fmt::format("claim request={} key={} result={}", action.id,
+                          action.key, static_cast<int>(result)));
+  this->Post(ClaimAnswered{.id = action.id, .result = result});
+}
+
+void Session::Do(const CancelAttempt& action) {
+  this->Write(
+      fmt::format("cancel request={} attempt={}", action.id, action.attempt));
+  for (auto stream = this->streams.begin(); stream != this->streams.end();
+       ++stream) {
+    if (stream->second.attempt == action.attempt) {
+      this->engines.at(stream->second.backend).Cancel(stream->first);
+      this->streams.erase(stream);
+      return;
+    }
+  }
+}
+
+void Session::Do(const SendAttempt& action) {
+  const Running running{
+      .id = action.id, .attempt = action.attempt, .backend = action.backend};
+  if (this->down[action.backend]) {
+    this->EndAttempt(running, AttemptResult::kNotSent);
+    return;
+  }
+  const auto engine = this->engines.find(action.backend);
+  if (engine == this->engines.end()) {
+    this->script.emplace(this->now + kServiceTime,
+                         Scripted{.kind = Scripted::Kind::kServiceEnd,
+                                  .arrived = {.id = action.id},
+                                  .backend = action.backend,
+                                  .attempt = action.attempt});
+    return;
+  }
+  const bench::StreamId stream = this->next_stream++;
+  this->streams[stream] = running;
+  engine->second.Add(stream, 200, this->lengths.at(action.id), action.priority,
+                     this->now);
+}
+
+void Session::EndAttempt(const Running& running, AttemptResult result) {
+  this->Post(AttemptEnded{.id = running.id,
+                          .attempt = running.attempt,
+                          .result = result,
+                          .tokens = running.tokens,
+                          .passed_on = running.tokens > 0});
+}
+
+void Session::StepEngine(const std::string& name) {
+  for (const bench::StreamProgress& progress :
+       this->engines.at(name).Step(this->now)) {
+    Running& running = this->streams.at(progress.id);
+    running.tokens = progress.tokens;
+    this->Post(AttemptProgress{.id = running.id,
+                               .attempt = running.attempt,
+                               .tokens = progress.tokens,
+                               .passed_on = true});
+    if (progress.ended) {
+      const Running ended = running;
+      this->streams.erase(progress.id);
+      this->EndAttempt(ended, AttemptResult::kCompleted);
+    }
+  }
+}
+
+void Session::Happen(const Scripted& what) {
+  switch (what.kind) {
+    case Scripted::Kind::kArrive:
+      this->Write(fmt::format(
+          "arrive request={} customer={} class={} service={} model={} key={}",
+          what.arrived.id, what.arrived.customer, what.arrived.class_name,
+          what.arrived.service, what.arrived.model,
+          what.arrived.idempotency_key));
+      this->Post(what.arrived);
+      return;
+    case Scripted::Kind::kLeave:
+      this->Write(fmt::format("leave request={}", what.arrived.id));
+      this->Post(CallerLeft{.id = what.arrived.id});
+      return;
+    case Scripted::Kind::kLoseAnswers:
+      this->Write("answers are lost at " + what.backend);
+      this->loses_answers[what.backend] = true;
+      return;
+    case Scripted::Kind::kStoreOut:
+      this->Write("the store is out");
+      this->store_out = true;
+      return;
+    case Scripted::Kind::kServiceEnd:
+      this->EndAttempt({.id = what.arrived.id,
+                        .attempt = what.attempt,
+                        .backend = what.backend},
+                       this->loses_answers[what.backend]
+                           ? AttemptResult::kLost
+                           : AttemptResult::kCompleted);
+      return;
+    case Scripted::Kind::kCrash:
+      break;
+  }
+  this->Write("crash " + what.backend);
+  this->down[what.backend] = true;
+  for (const bench::StreamId stream : this->engines.at(what.backend).Crash()) {
+    const Running lost = this->streams.at(stream);
+    this->streams.erase(stream);
+    this->EndAttempt(lost, AttemptResult::kLost);
+  }
+}
+
+std::string Session::Run() {
+  TimePoint next_tick = this->start;
+  while (!this->script.empty() || !this->streams.empty() ||
+         this->node.waiting() > 0) {
+    TimePoint at = next_tick;
+    std::string engine;
+    for (const auto& [name, state] : this->engines) {
+      if (state.next_step() < at) {
+        at = state.next_step();
+        engine = name;
+      }
+    }
+    if (!this->script.empty() && this->script.begin()->first <= at) {
+      this->now = this->script.begin()->first;
+      const Scripted what = this->script.begin()->second;
+      this->script.erase(this->script.begin());
+      this->Happen(what);
+      continue;
+    }
+    this->now = at;
+    if (!engine.empty()) {
+      this->StepEngine(engine);
+    } else {
+      next_tick += kTickPeriod;
+      this->Post(Tick{});
+    }
+  }
+  return this->text;
+}
+
+}  // namespace rosemarycove
