--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -18,7 +18,6 @@
     {LogEvent::kDrainCutOff, "drain_cut_off", LogLevel::kError},
     {LogEvent::kListenFailed, "listen_failed", LogLevel::kError},
     {LogEvent::kRequestEnded, "request_ended", LogLevel::kInfo},
-    {LogEvent::kRequestRejected, "request_rejected", LogLevel::kInfo},
     {LogEvent::kPlaced, "placed", LogLevel::kInfo},
     {LogEvent::kAttemptBroken, "attempt_broken", LogLevel::kWarning},
     {LogEvent::kConfigurationInForce, "configuration_in_force",
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -25,7 +25,6 @@
   kDrainCutOff = 1005,
   kListenFailed = 1006,
   kRequestEnded = 2001,
-  kRequestRejected = 2002,
   kPlaced = 3001,
   kAttemptBroken = 3002,
   kConfigurationInForce = 4001,
--- a/src/app/node_host.cc
+++ b/src/app/node_host.cc
@@ -48,6 +48,10 @@
 
 void NodeHost::HandleLocked(const Event& event) {
   if (const auto* changed = std::get_if<ResourcesChanged>(&event)) {
+    if (!this->node.resources()) {
+      this->log.Write(LogEvent::kReady,
+                      {{"revision", changed->resources->revision}});
+    }
     this->customer_by_key.clear();
     for (const Customer& customer : changed->resources->customers) {
       this->customer_by_key[customer.key_hash] = customer.name;
@@ -77,7 +81,7 @@
     this->log.Write(LogEvent::kAttemptBroken,
                     {{"request", ended.id},
                      {"attempt", ended.attempt},
-                     {"result", static_cast<int>(ended.result)},
+                     {"result", ToString(ended.result)},
                      {"tokens", ended.tokens}});
   }
   this->Post(ended);
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "core/resources.h"
@@ -58,6 +59,9 @@
   kWrongId,    // The answer belongs to another request.
 };
 
+// Returns the lower-case word that logs use.
+std::string_view ToString(AttemptResult result);
+
 // An attempt is over; nothing more of it reaches the caller.
 struct AttemptEnded {
   RequestId id = 0;
--- /dev/null
+++ b/tests/test_configuration.cc
@@ -0,0 +1,169 @@
+// Changes and claims in the platform's store under its failures.
+#include "app/claim_keeper.h"
+#include "app/configuration.h"
+#include "tests/fake_store.h"
+#include "tests/resource_fixtures.h"
+
+// The test library's macros come last.
+#include <CppUTest/TestHarness.h>
+
+using namespace rosemarycove;  // NOLINT
+
+namespace {
+
+// Declares the shared resources with so many engines.
+ResourceEdit Declare(int engines) {
+  return [engines](ResourceSet& set) -> tl::expected<void, SettingsErrors> {
+    const std::uint64_t revision = set.revision;
+    set = MakeResources(engines);
+    set.customers[0].key_hash = std::string(64, 'a');
+    set.customers[1].key_hash = std::string(64, 'b');
+    set.revision = revision;
+    return {};
+  };
+}
+
+}  // namespace
+
+TEST_GROUP(Configuration) {
+  FakeStore store;
+  EventLog log{"test", LogFormat::kText, "error"};
+  std::vector<std::uint64_t> adopted;
+  Configuration configuration{
+      this->store, this->log,
+      [this](std::shared_ptr<const ResourceSet> resources) {
+        this->adopted.push_back(resources->revision);
+      }};
+  Configuration other{this->store, this->log,
+                      [](std::shared_ptr<const ResourceSet>) {}};
+};
+
+TEST(Configuration, AcceptedChangeIsAdopted) {
+  const auto changed = this->configuration.Change("c1", 0, Declare(2));
+  CHECK_EQUAL(1U, *changed);
+  CHECK_EQUAL(1U, this->adopted.size());
+}
+
+TEST(Configuration, SameChangeTwiceIsOne) {
+  this->configuration.Change("c1", 0, Declare(2));
+  CHECK_EQUAL(1U, *this->configuration.Change("c1", 0, Declare(2)));
+  CHECK_EQUAL(1U, this->configuration.revision());
+}
+
+TEST(Configuration, OfTwoOperatorsAtOnceOneWins) {
+  this->configuration.Change("c1", 0, Declare(2));
+  this->store.before_write = [this] {
+    CHECK(this->other.Change("c2", 1, Declare(3)).has_value());
+  };
+  const auto loser = this->configuration.Change("c3", 1, Declare(4));
+  CHECK(loser.error().kind == ChangeErrorKind::kConflict);
+  const auto late = this->configuration.Change("c4", 1, Declare(4));
+  CHECK(late.error().kind == ChangeErrorKind::kConflict);
+  CHECK_EQUAL(2U, late.error().revision);
+}
+
+TEST(Configuration, LostAnswerIsSettledByReadingBack) {
+  this->store.lose_answer = true;
+  CHECK_EQUAL(1U, *this->configuration.Change("c1", 0, Declare(2)));
+  CHECK(*this->configuration.WasAccepted("c1"));
+}
+
+TEST(Configuration, LostWriteIsUnknownUntilItIsMadeAgain) {
+  this->store.lose_write = true;
+  const auto changed = this->configuration.Change("c1", 0, Declare(2));
+  CHECK(changed.error().kind == ChangeErrorKind::kUnknown);
+  CHECK(!*this->configuration.WasAccepted("c1"));
+  CHECK_EQUAL(1U, *this->configuration.Change("c1", 0, Declare(2)));
+}
+
+TEST(Configuration, OutageChangesNothing) {
+  this->configuration.Change("c1", 0, Declare(2));
+  this->store.outage = true;
+  const auto changed = this->configuration.Change("c2", 0, Declare(3));
+  CHECK(changed.error().kind == ChangeErrorKind::kUnavailable);
+  CHECK(!this->configuration.WasAccepted("c2").has_value());
+  this->store.outage = false;
+  CHECK(!*this->configuration.WasAccepted("c2"));
+  CHECK_EQUAL(1U, this->configuration.revision());
+}
+
+TEST(Configuration, OutageDuringTheWriteChangesNothing) {
+  this->store.before_write = [this] { this->store.outage = true; };
+  const auto changed = this->configuration.Change("c1", 0, Declare(2));
+  CHECK(changed.error().kind == ChangeErrorKind::kUnavailable);
+  this->store.outage = false;
+  CHECK(!*this->configuration.WasAccepted("c1"));
+}
+
+TEST(Configuration, InvalidChangeIsRefusedWhole) {
+  const auto changed = this->configuration.Change(
+      "c1", 0, [](ResourceSet&) -> tl::expected<void, SettingsErrors> {
+        return tl::unexpected(SettingsErrors{{.file = "request"}});
+      });
+  CHECK(changed.error().kind == ChangeErrorKind::kInvalid);
+  CHECK(this->store.values["configuration/root"].version == 0);
+}
+
+TEST(Configuration, LowerRevisionIsNeverAdopted) {
+  this->configuration.Change("c1", 0, Declare(2));
+  const StoreValue old = this->store.values["configuration/root"];
+  this->configuration.Change("c2", 0, Declare(3));
+  // A lagging copy of the store comes back with a higher version number.
+  this->store.values["configuration/root"] = {.value = old.value, .version = 9};
+  this->configuration.Start();
+  this->configuration.Stop();
+  CHECK_EQUAL(2U, this->configuration.revision());
+  CHECK_EQUAL(2U, this->adopted.size());
+}
+
+TEST_GROUP(Claims) {
+  FakeStore store;
+  StoreClaimKeeper keeper{this->store};
+
+  ClaimResult Take(const std::string& owner,
+                   const std::string& fingerprint = "f") {
+    return this->keeper.Claim({.customer = "alice",
+                               .key = "k",
+                               .fingerprint = fingerprint,
+                               .owner = owner});
+  }
+};
+
+TEST(Claims, FirstWinsAndOthersDoNot) {
+  CHECK(this->Take("one") == ClaimResult::kWon);
+  CHECK(this->Take("two") == ClaimResult::kRunElsewhere);
+  CHECK(this->Take("three", "other") == ClaimResult::kOtherRequest);
+}
+
+TEST(Claims, AnotherKeeperAfterARestartSeesTheClaim) {
+  this->Take("one");
+  StoreClaimKeeper restarted(this->store);
+  CHECK(restarted.Claim({.customer = "alice",
+                         .key = "k",
+                         .fingerprint = "f",
+                         .owner = "one-after-restart"}) ==
+        ClaimResult::kRunElsewhere);
+}
+
+TEST(Claims, LostAnswerOfTheOwnWriteWins) {
+  this->store.lose_answer = true;
+  CHECK(this->Take("one") == ClaimResult::kWon);
+}
+
+TEST(Claims, LostWriteIsNotRun) {
+  this->store.lose_write = true;
+  CHECK(this->Take("one") == ClaimResult::kUnavailable);
+}
+
+TEST(Claims, OutageIsNotRun) {
+  this->store.outage = true;
+  CHECK(this->Take("one") == ClaimResult::kUnavailable);
+}
+
+TEST(Claims, KeysOfCustomersAreApart) {
+  this->Take("one");
+  CHECK(this->keeper.Claim({.customer = "bob",
+                            .key = "k",
+                            .fingerprint = "f",
+                            .owner = "two"}) == ClaimResult::kWon);
+}
