Let one instance grant the slots of a group of engines to the others

Cause: nine instances that each decide on load reports overfill the shared engines, and none can hold tier order across the data centre. Change: a rendezvous hash over the reachable instances names a scheduler for each group of at most 24 backend servers; the others ask it, wait in its queue and report back. Cuts, kills and pauses move the asks and the held slots to the next scheduler.

--- a/bench/decider.h
+++ b/bench/decider.h
@@ -22,8 +22,8 @@
 // The core itself.
 class NodeDecider : public Decider {
  public:
-  explicit NodeDecider(const std::string& data_centre)
-      : node(NodeOptions{.data_centre = data_centre}) {}
+  NodeDecider(const std::string& instance, const std::string& data_centre)
+      : node(NodeOptions{.instance = instance, .data_centre = data_centre}) {}
   std::vector<Action> Handle(TimePoint now, const Event& event) override {
     return this->node.Handle(now, event);
   }
--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -31,7 +31,7 @@
   int deciders = 1;
 };
 
-std::unique_ptr<Decider> MakeDecider(const std::string& policy,
+std::unique_ptr<Decider> MakeDecider(const std::string& policy, int index,
                                      std::uint32_t seed) {
   if (policy == "round-robin") {
     return std::make_unique<RoundRobinDecider>();
@@ -45,7 +45,7 @@
   if (policy == "oracle") {
     return std::make_unique<OracleDecider>();
   }
-  return std::make_unique<NodeDecider>("a");
+  return std::make_unique<NodeDecider>(std::to_string(index), "a");
 }
 
 RunResult RunScenario(const Scenario& scenario, const std::string& policy,
@@ -55,7 +55,7 @@
   std::vector<std::unique_ptr<Decider>> deciders;
   for (int i = 0; i < scenario.deciders; ++i) {
     deciders.push_back(
-        MakeDecider(policy, seed + static_cast<std::uint32_t>(i)));
+        MakeDecider(policy, i, seed + static_cast<std::uint32_t>(i)));
   }
   VirtualRun run(scenario.mix, scenario.run, std::move(deciders),
                  std::make_shared<const ResourceSet>(
@@ -101,6 +101,18 @@
         {.engine = 0, .at = seconds(30), .kind = EngineFault::Kind::kCrash},
         {.engine = 0, .at = seconds(50), .kind = EngineFault::Kind::kRestart}};
     scenarios.push_back(crash);
+    for (const bool linked : {false, true}) {
+      for (const int lag : {1, 5}) {
+        Scenario nine = base;
+        nine.load.load = 1.5;
+        nine.deciders = 9;
+        nine.run.linked = linked;
+        nine.run.report_lag = seconds(lag);
+        nine.name = mix.name + " nine " + (linked ? "linked" : "alone") +
+                    " lag " + std::to_string(lag);
+        scenarios.push_back(nine);
+      }
+    }
     for (const double weight : {0.0, 1.0}) {
       Scenario weighted = base;
       weighted.load.load = 1.5;
@@ -141,6 +153,7 @@
           {"tokens", result.tokens},
           {"wasted_share", result.WastedShare()},
           {"wasted_tokens", result.wasted_tokens},
+          {"messages", result.messages},
           {"crashed_tokens", result.crashed_tokens}};
 }
 
--- a/bench/virtual_run.cc
+++ b/bench/virtual_run.cc
@@ -96,6 +96,21 @@
   this->request_of.erase(request.stream);
 }
 
+void VirtualRun::Do(std::size_t decider, const SendToPeer& action) {
+  ++this->result.messages;
+  this->letters.emplace(
+      this->now + this->options.link_delay,
+      Letter{.to = static_cast<std::size_t>(std::stoi(action.peer)),
+             .said = {.peer = std::to_string(decider),
+                      .message = action.message}});
+}
+
+void VirtualRun::Deliver() {
+  const Letter letter = std::move(this->letters.begin()->second);
+  this->letters.erase(this->letters.begin());
+  this->Post(letter.to, letter.said);
+}
+
 bool VirtualRun::Counted(const Request& request) const {
   return request.arrival.at - this->start >= this->options.warm_up;
 }
@@ -254,6 +269,14 @@
   for (std::size_t i = 0; i < this->deciders.size(); ++i) {
     this->Post(i, ResourcesChanged{.resources = this->resources});
   }
+  for (std::size_t i = 0; this->options.linked && i < this->deciders.size();
+       ++i) {
+    for (std::size_t j = 0; j < this->deciders.size(); ++j) {
+      if (i != j) {
+        this->Post(i, PeerUp{.peer = std::to_string(j)});
+      }
+    }
+  }
   std::size_t next_arrival = 0;
   std::size_t next_fault = 0;
   TimePoint next_tick = this->start;
@@ -268,6 +291,13 @@
         engine = static_cast<int>(i);
       }
     }
+    if (!this->letters.empty() && this->letters.begin()->first <= at &&
+        (next_arrival >= arrivals.size() ||
+         this->letters.begin()->first <= arrivals[next_arrival].at)) {
+      this->now = std::max(this->now, this->letters.begin()->first);
+      this->Deliver();
+      continue;
+    }
     if (next_fault < this->options.faults.size() &&
         this->start + this->options.faults[next_fault].at <= at) {
       this->now = std::max(this->now,
--- a/bench/virtual_run.h
+++ b/bench/virtual_run.h
@@ -31,6 +31,10 @@
   Duration report_lag = std::chrono::seconds(1);
   Duration report_period = std::chrono::seconds(1);
   std::vector<EngineFault> faults;
+  // Whether deciders are linked and ask each other for slots, and how long a
+  // message takes.
+  bool linked = false;
+  Duration link_delay = std::chrono::microseconds(300);
   // Requests that arrive this long before the end still count.
   Duration drain = std::chrono::minutes(30);
   // Outcomes before this time are not counted.
@@ -54,6 +58,8 @@
   std::map<std::string, ClassResult> classes;
   std::uint64_t tokens = 0;
   std::uint64_t wasted_tokens = 0;
+  // Messages between deciders.
+  std::uint64_t messages = 0;
   // Tokens that were in flight on engines as they crashed.
   std::uint64_t crashed_tokens = 0;
   Duration counted{};
@@ -99,6 +105,9 @@
   void Do(std::size_t decider, const FinishRequest& action);
   void Do(std::size_t /*decider*/, const ClaimKey& /*action*/) {}
   void Do(std::size_t /*decider*/, const DecisionMade& /*action*/) {}
+  void Do(std::size_t /*decider*/, const SlotTaken& /*action*/) {}
+  void Do(std::size_t decider, const SendToPeer& action);
+  void Deliver();
   void Arrive(const Arrival& arrival);
   void StepEngine(int engine);
   void Strike(const EngineFault& fault);
@@ -119,6 +128,12 @@
   std::vector<std::pair<TimePoint, std::vector<int>>> load_samples;
   TimePoint start;
   TimePoint now;
+  // Messages between deciders, by arrival.
+  struct Letter {
+    std::size_t to = 0;
+    PeerSaid said;
+  };
+  std::multimap<TimePoint, Letter> letters;
   RequestId next_request = 1;
   StreamId next_stream = 1;
   RunResult result;
--- a/src/app/event_fields.cc
+++ b/src/app/event_fields.cc
@@ -47,6 +47,7 @@
           {"token_time_ms", RoundToTenth(placement.token_time * 1000)},
           {"expected_tokens", RoundToTenth(placement.cost)},
           {"waited_ms", ToMilliseconds(decision.waited)},
+          {"asked_by", decision.asked_by},
           {"passed_over", decision.passed_over}};
 }
 
--- a/src/app/instance.cc
+++ b/src/app/instance.cc
@@ -50,6 +50,7 @@
   }
   this->host = std::make_unique<NodeHost>(
       NodeHostOptions{
+          .instance = this->settings.name,
           .process = this->process,
           .data_centre = this->settings.data_centre,
           .max_attempts =
--- a/src/app/node_host.cc
+++ b/src/app/node_host.cc
@@ -22,7 +22,8 @@
       claims(claims),
       clients(this->options.clients),
       runner(this->clients, *this, this->options.process),
-      node(NodeOptions{.data_centre = this->options.data_centre}),
+      node(NodeOptions{.instance = this->options.instance,
+                       .data_centre = this->options.data_centre}),
       attempts(this->options.max_attempts),
       claim_threads(kClaimThreads),
       ticker([this] { this->RunTicks(); }) {}
@@ -41,6 +42,11 @@
   }
 }
 
+void NodeHost::set_peer_sender(PeerSender sender) {
+  const std::lock_guard lock(this->mutex);
+  this->peer_sender = std::move(sender);
+}
+
 void NodeHost::Post(const Event& event) {
   const std::lock_guard lock(this->mutex);
   this->HandleLocked(event);
@@ -130,6 +136,21 @@
   this->log.Write(LogEvent::kPlaced, FieldsOf(action));
 }
 
+void NodeHost::Do(const SlotTaken& action) {
+  this->log.Write(LogEvent::kSlotTaken,
+                  {{"request", action.id},
+                   {"attempt", action.attempt},
+                   {"scheduler", action.scheduler},
+                   {"backend", action.backend},
+                   {"waited_ms", ToSeconds(action.waited) * 1000}});
+}
+
+void NodeHost::Do(const SendToPeer& action) {
+  if (this->peer_sender) {
+    this->peer_sender(action.peer, action.message);
+  }
+}
+
 std::shared_ptr<const ResourceSet> NodeHost::resources() const {
   const std::lock_guard lock(this->mutex);
   return this->node.resources();
--- a/src/app/node_host.h
+++ b/src/app/node_host.h
@@ -24,6 +24,8 @@
 
 // How a node's host is set up.
 struct NodeHostOptions {
+  // The instance's name among its peers.
+  std::string instance;
   // Names this process: unlike the instance's name it changes with each start,
   // so that no request of an earlier process has the same name.
   std::string process;
@@ -33,6 +35,10 @@
   ClientPoolOptions clients;
 };
 
+// Takes a message for another instance; must not block.
+using PeerSender =
+    std::function<void(const std::string& peer, const PeerMessage& message)>;
+
 // Feeds a Node with events from all threads, one at a time, and carries out
 // the actions that it returns.
 class NodeHost : public AttemptListener, public RequestGate {
@@ -41,6 +47,8 @@
            ClaimKeeper& claims);
   ~NodeHost() override;
 
+  // Sets where messages to other instances go; before any peer is up.
+  void set_peer_sender(PeerSender sender);
   // Gives the core one event and carries out what follows.
   void Post(const Event& event);
 
@@ -69,6 +77,8 @@
   void Do(const ClaimKey& action);
   void Do(const FinishRequest& action);
   void Do(const DecisionMade& action);
+  void Do(const SlotTaken& action);
+  void Do(const SendToPeer& action);
   void RunTicks();
 
   NodeHostOptions options;
@@ -82,6 +92,7 @@
   Node node;
   std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
   std::unordered_map<std::string, std::string> customer_by_key;
+  PeerSender peer_sender;
   GrowingPool attempts;
   GrowingPool claim_threads;
   std::atomic<bool> stopping = false;
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -91,10 +91,18 @@
   std::string backend;
   std::vector<std::string> passed_over;
   Duration waited{};
+  // The instance that asked, when it is another one.
+  std::string asked_by;
 };
 
-using Action = std::variant<SendAttempt, CancelAttempt, ClaimKey, FinishRequest,
-                            DecisionMade>;
+// A slot that another instance granted, for the log.
+struct SlotTaken {
+  RequestId id = 0;
+  AttemptId attempt = 0;
+  std::string scheduler;
+  std::string backend;
+  Duration waited{};
+};
 
 // Returns the lower-case word that answers, logs and counters use.
 std::string_view ToString(EndCause cause);
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <variant>
 
+#include "core/peer_messages.h"
 #include "core/resources.h"
 #include "core/types.h"
 
@@ -55,7 +56,7 @@
   kAnsweredError,  // A well-formed answer that reports an error.
   kLost,       // Connection lost, timed out, or ended without its final event.
   kMalformed,  // The answer broke the protocol.
-  kAbandoned,      // The caller took no more of it; the server did no wrong.
+  kAbandoned,  // The caller took no more of it; the server did no wrong.
   kWrongId,    // The answer belongs to another request.
 };
 
@@ -103,8 +104,15 @@
 // Time passed.
 struct Tick {};
 
-using Event = std::variant<RequestArrived, CallerLeft, AttemptProgress,
-                           AttemptEnded, LoadReported, ResourcesChanged,
-                           ClaimAnswered, DrainStarted, Tick>;
+// A peer says that it is leaving: it takes no new role, and what it holds
+// stays until it ends.
+struct PeerLeaving {
+  std::string peer;
+};
+
+using Event =
+    std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
+                 LoadReported, ResourcesChanged, ClaimAnswered, DrainStarted,
+                 PeerUp, PeerLeaving, PeerDown, PeerSaid, Tick>;
 
 }  // namespace rosemarycove
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -8,6 +8,8 @@
 
 // Sendings of one request, the first included.
 constexpr int kMaxAttempts = 3;
+// How often the granting instance is told of a request's tokens.
+constexpr Duration kTellPeriod = std::chrono::seconds(1);
 
 std::string ServiceOfModel(const ResourceSet& resources,
                            const std::string& model) {
@@ -60,7 +62,9 @@
 }  // namespace
 
 Node::Node(NodeOptions options)
-    : placer(std::move(options.data_centre)), retry_budget(0) {}
+    : placer(std::move(options.data_centre)),
+      choice(std::move(options.instance)),
+      retry_budget(0) {}
 
 bool Node::ready() const { return this->in_force && !this->is_draining; }
 
@@ -140,15 +144,18 @@
   request.repeatable =
       arrived.repeatable && request_class->repeatable &&
       FindService(*this->in_force, arrived.service)->repeatable;
-  request.placement = {.id = event.id,
-                       .class_name = arrived.class_name,
-                       .customer = arrived.customer,
-                       .service = arrived.service,
-                       .model = arrived.model,
-                       .arrival = this->now,
-                       .prompt_tokens = arrived.prompt_tokens,
-                       .max_tokens = arrived.max_tokens,
-                       .prefix = arrived.prefix};
+  request.placement = {
+      .id = event.id,
+      .class_name = arrived.class_name,
+      .customer = arrived.customer,
+      .service = arrived.service,
+      .model = arrived.model,
+      .group = static_cast<std::uint32_t>(
+          event.id % this->placer.GroupCount(arrived.service, arrived.model)),
+      .arrival = this->now,
+      .prompt_tokens = arrived.prompt_tokens,
+      .max_tokens = arrived.max_tokens,
+      .prefix = arrived.prefix};
   if (!request.repeatable && !arrived.idempotency_key.empty()) {
     request.phase = Phase::kClaiming;
     this->actions.emplace_back(ClaimKey{.id = event.id,
@@ -183,7 +190,25 @@
   }
 }
 
+std::string Node::SchedulerOf(const Request& request) const {
+  return this->choice.SchedulerOf(
+      request.placement.service + '/' + request.placement.model,
+      request.placement.group);
+}
+
 void Node::Enqueue(Request& request) {
+  // A change of the resources may have left fewer groups.
+  request.placement.group %= this->placer.GroupCount(request.placement.service,
+                                                     request.placement.model);
+  request.scheduler = this->SchedulerOf(request);
+  if (this->IsSelf(request.scheduler)) {
+    this->EnqueueHere(request);
+  } else {
+    this->Ask(request);
+  }
+}
+
+void Node::EnqueueHere(Request& request) {
   request.phase = Phase::kWaiting;
   const AddResult result = this->placer.Add(request.placement, this->now);
   if (result.evicted) {
@@ -198,14 +223,44 @@
   }
 }
 
+void Node::Ask(Request& request) {
+  request.phase = Phase::kAsked;
+  const PlacementRequest& wanted = request.placement;
+  AskSlot ask{.id = wanted.id,
+              .class_name = wanted.class_name,
+              .customer = wanted.customer,
+              .service = wanted.service,
+              .model = wanted.model,
+              .group = wanted.group,
+              .waited = this->now - request.arrival,
+              .prompt_tokens = wanted.prompt_tokens,
+              .max_tokens = wanted.max_tokens,
+              .prefix = wanted.prefix,
+              .tried = {}};
+  for (const BackendIndex backend : request.tried) {
+    ask.tried.push_back(this->placer.backend(backend).backend().name);
+  }
+  this->Say(request.scheduler, std::move(ask));
+}
+
+void Node::Say(const std::string& peer, PeerMessage message) {
+  this->actions.emplace_back(
+      SendToPeer{.peer = peer, .message = std::move(message)});
+}
+
 void Node::Dismiss(const Dismissal& dismissal) {
+  if (RemoteSlots::IsRemote(dismissal.id)) {
+    this->DismissRemote(dismissal.id, CauseOf(dismissal.cause));
+    return;
+  }
   this->RefuseUnsent(dismissal.id, CauseOf(dismissal.cause));
 }
 
 void Node::RefuseUnsent(RequestId id, EndCause cause) {
   const Request& request = this->requests.at(id);
   const Duration retry_after = this->placer.RetryAfter(
-      request.placement.service, request.placement.model, request.tier);
+      request.placement.service, request.placement.model,
+      request.placement.group, request.tier);
   if (request.sent) {
     this->Finish(id, Outcome::kFailed, cause, Ran::kYes, retry_after);
   } else {
@@ -220,37 +275,57 @@
   }
 }
 
-void Node::Start(const Placement& placement) {
-  Request& request = this->requests.at(placement.id);
-  const Backend& backend = this->placer.backend(placement.backend).backend();
+void Node::BeginAttempt(Request& request, BackendIndex index) {
+  const Backend& backend = this->placer.backend(index).backend();
   request.phase = Phase::kRunning;
   request.attempt = this->next_attempt++;
-  request.backend = placement.backend;
+  request.backend = index;
   request.placed = this->now;
   request.last_progress = this->now;
+  request.told_at = this->now;
+  request.told_tokens = 0;
   request.tokens = 0;
   ++this->running_count;
   if (++request.attempts == 1) {
     this->retry_budget.Earn();
   }
-  DecisionMade decision{.placement = placement,
-                        .attempt = request.attempt,
-                        .customer = request.placement.customer,
-                        .class_name = request.placement.class_name,
-                        .backend = backend.name,
-                        .passed_over = {},
-                        .waited = this->now - request.arrival};
+  this->actions.emplace_back(SendAttempt{.id = request.placement.id,
+                                         .attempt = request.attempt,
+                                         .backend = backend.name,
+                                         .address = backend.address,
+                                         .priority = request.tier});
+}
+
+DecisionMade Node::Describe(const Placement& placement,
+                            const std::string& customer,
+                            const std::string& class_name) const {
+  DecisionMade decision{
+      .placement = placement,
+      .customer = customer,
+      .class_name = class_name,
+      .backend = this->placer.backend(placement.backend).backend().name,
+      .passed_over = {},
+      .asked_by = {}};
   for (const PassedOver& other : placement.passed_over) {
     decision.passed_over.push_back(
         this->placer.backend(other.backend).backend().name + ":" +
         std::string(ToString(other.cause)));
   }
+  return decision;
+}
+
+void Node::Start(const Placement& placement) {
+  if (RemoteSlots::IsRemote(placement.id)) {
+    this->GrantRemote(placement);
+    return;
+  }
+  Request& request = this->requests.at(placement.id);
+  DecisionMade decision = this->Describe(placement, request.placement.customer,
+                                         request.placement.class_name);
+  decision.waited = this->now - request.arrival;
+  decision.attempt = this->next_attempt;
   this->actions.emplace_back(std::move(decision));
-  this->actions.emplace_back(SendAttempt{.id = placement.id,
-                                         .attempt = request.attempt,
-                                         .backend = backend.name,
-                                         .address = backend.address,
-                                         .priority = request.tier});
+  this->BeginAttempt(request, placement.backend);
 }
 
 Node::Request* Node::FindAttempt(RequestId id, AttemptId attempt) {
@@ -269,9 +344,18 @@
   }
   if (request->tokens == 0 && event.tokens > 0) {
     request->first_token = this->now;
-  } else {
+    request->told_at = this->now;
+    request->told_tokens = event.tokens;
+  } else if (this->IsSelf(request->scheduler)) {
     this->placer.ObserveTokens(request->backend, event.tokens - request->tokens,
                                this->now - request->last_progress);
+  } else if (this->now - request->told_at >= kTellPeriod) {
+    this->Say(request->scheduler,
+              TokensSeen{.id = event.id,
+                         .tokens = event.tokens - request->told_tokens,
+                         .elapsed = this->now - request->told_at});
+    request->told_at = this->now;
+    request->told_tokens = event.tokens;
   }
   request->tokens = event.tokens;
   request->last_progress = this->now;
@@ -287,19 +371,15 @@
   request->tokens = event.tokens;
   if (event.result == AttemptResult::kCompleted) {
     request->sent = true;
-    this->placer.EndSuccess(request->backend, request->placement.class_name,
-                            request->placement.customer, event.tokens,
-                            this->now);
+    this->ReleaseSlot(*request, SlotEnd::kSuccess);
     this->Finish(event.id, Outcome::kCompleted, EndCause::kAnswered, Ran::kYes);
     return;
   }
-  if (event.result == AttemptResult::kAnsweredError ||
-      event.result == AttemptResult::kAbandoned ||
-      event.result == AttemptResult::kNotRun) {
-    this->placer.EndNeutral(request->backend, this->now);
-  } else {
-    this->placer.EndFailure(request->backend, this->now);
-  }
+  const bool is_neutral = event.result == AttemptResult::kAnsweredError ||
+                          event.result == AttemptResult::kAbandoned ||
+                          event.result == AttemptResult::kNotRun;
+  this->ReleaseSlot(*request,
+                    is_neutral ? SlotEnd::kNeutral : SlotEnd::kFailure);
   if (event.result == AttemptResult::kAbandoned) {
     this->Finish(event.id, Outcome::kCancelled, EndCause::kCallerLeft,
                  Ran::kUnknown);
@@ -356,10 +436,12 @@
   if (request.phase == Phase::kRunning) {
     this->actions.emplace_back(
         CancelAttempt{.id = event.id, .attempt = request.attempt});
-    this->placer.EndNeutral(request.backend, this->now);
+    this->ReleaseSlot(request, SlotEnd::kNeutral);
     --this->running_count;
     request.phase = Phase::kWaiting;
     request.sent = true;
+  } else if (request.phase == Phase::kAsked) {
+    this->Say(request.scheduler, WithdrawAsk{.id = event.id});
   } else {
     this->placer.Remove(event.id);
   }
@@ -383,9 +465,14 @@
     this->customers[customer.name] = &customer;
   }
   this->placer.SetResources(*event.resources, this->now);
+  this->RerouteAll();
 }
 
-void Node::On(const DrainStarted& /*event*/) { this->is_draining = true; }
+void Node::On(const DrainStarted& /*event*/) {
+  this->is_draining = true;
+  this->choice.set_leaving();
+  this->RerouteAll();
+}
 
 void Node::On(const Tick& /*event*/) {
   this->placer.Tick(this->now);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -8,15 +8,19 @@
 
 #include "core/actions.h"
 #include "core/events.h"
+#include "core/remote_slots.h"
 #include "core/resources.h"
 #include "core/retry_budget.h"
 #include "core/scheduler.h"
+#include "core/scheduler_choice.h"
 #include "core/types.h"
 
 namespace rosemarycove {
 
 // How a node is set up.
 struct NodeOptions {
+  // The instance's name among its peers.
+  std::string instance;
   std::string data_centre;
 };
 
@@ -34,6 +38,10 @@
 
 // Takes a request from its arrival to its one outcome.
 //
+// The instances of a data centre share its backend servers: each group of them
+// has one scheduler among the instances, which grants slots to the others. The
+// asking instance talks to the backend server itself.
+//
 // Pure: events come in with their time, actions go out as values. Any driver
 // with a clock and a network, real or simulated, can be put round it.
 class Node {
@@ -51,6 +59,8 @@
   [[nodiscard]] std::size_t waiting() const {
     return this->requests.size() - this->running_count;
   }
+  // Requests of other instances that wait here or hold a slot from here.
+  [[nodiscard]] std::size_t remote_slots() const { return this->remote.size(); }
   [[nodiscard]] const NodeCounters& counters() const { return this->counts; }
   [[nodiscard]] const Scheduler& scheduler() const { return this->placer; }
   // The resources in force, or null before the first.
@@ -59,7 +69,12 @@
   }
 
  private:
-  enum class Phase : std::uint8_t { kClaiming, kWaiting, kRunning };
+  enum class Phase : std::uint8_t {
+    kClaiming,  // For the store's answer on its idempotency key.
+    kWaiting,   // In the queue of this node's own scheduler.
+    kAsked,     // In the queue of another instance.
+    kRunning,
+  };
 
   // A request that has no outcome yet.
   struct Request {
@@ -81,6 +96,11 @@
     AttemptId attempt = 0;
     BackendIndex backend = 0;
     std::vector<BackendIndex> tried;
+    // The instance that was asked or that granted the slot.
+    std::string scheduler;
+    // Tokens and time that the granting instance was told of.
+    int told_tokens = 0;
+    TimePoint told_at;
   };
 
   void On(const RequestArrived& event);
@@ -91,6 +111,10 @@
   void On(const ResourcesChanged& event);
   void On(const ClaimAnswered& event);
   void On(const DrainStarted& event);
+  void On(const PeerUp& event);
+  void On(const PeerLeaving& event);
+  void On(const PeerDown& event);
+  void On(const PeerSaid& event);
   void On(const Tick& event);
 
   // The request of a current attempt, or null when it is over.
@@ -99,6 +123,35 @@
                                          const RequestClass* request_class,
                                          const Customer* customer) const;
   void Enqueue(Request& request);
+  void EnqueueHere(Request& request);
+  void Ask(Request& request);
+
+  // Messages of other instances, by kind.
+  void Take(const std::string& peer, const AskSlot& message);
+  void Take(const std::string& peer, const WithdrawAsk& message);
+  void Take(const std::string& peer, const SlotGranted& message);
+  void Take(const std::string& peer, const SlotRefused& message);
+  void Take(const std::string& peer, const TokensSeen& message);
+  void Take(const std::string& peer, const SlotReleased& message);
+  void Take(const std::string& peer, const SlotHeld& message);
+  void Say(const std::string& peer, PeerMessage message);
+  // Takes a remote request off, whether it waits or runs.
+  void DropRemote(RequestId local);
+  void DismissRemote(RequestId local, EndCause cause);
+  void GrantRemote(const Placement& placement);
+  // Moves requests whose group has another scheduler now.
+  void RerouteAll();
+  void Reroute(Request& request);
+  [[nodiscard]] std::string SchedulerOf(const Request& request) const;
+  [[nodiscard]] bool IsSelf(const std::string& instance) const {
+    return instance == this->choice.self();
+  }
+  // Tells the scheduler that placed a request that its slot is free.
+  void ReleaseSlot(Request& request, SlotEnd end);
+  void BeginAttempt(Request& request, BackendIndex backend);
+  [[nodiscard]] DecisionMade Describe(const Placement& placement,
+                                      const std::string& customer,
+                                      const std::string& class_name) const;
   void Dismiss(const Dismissal& dismissal);
   void PlaceAll();
   void Start(const Placement& placement);
@@ -112,6 +165,8 @@
   [[nodiscard]] bool OnTarget(const Request& request) const;
 
   Scheduler placer;
+  SchedulerChoice choice;
+  RemoteSlots remote;
   RetryBudget retry_budget;
   std::shared_ptr<const ResourceSet> in_force;
   std::unordered_map<std::string, const Customer*> customers;
--- /dev/null
+++ b/src/core/node_peers.cc
@@ -0,0 +1,279 @@
+// The part of Node that shares backend servers with other instances.
+#include <utility>
+
+#include "core/node.h"
+
+namespace rosemarycove {
+
+void Node::ReleaseSlot(Request& request, SlotEnd end) {
+  if (!this->IsSelf(request.scheduler)) {
+    this->Say(request.scheduler, SlotReleased{.id = request.placement.id,
+                                              .end = end,
+                                              .tokens = request.tokens});
+    return;
+  }
+  switch (end) {
+    case SlotEnd::kSuccess:
+      this->placer.EndSuccess(request.backend, request.placement.class_name,
+                              request.placement.customer, request.tokens,
+                              this->now);
+      return;
+    case SlotEnd::kFailure:
+      this->placer.EndFailure(request.backend, this->now);
+      return;
+    case SlotEnd::kNeutral:
+      this->placer.EndNeutral(request.backend, this->now);
+      return;
+  }
+}
+
+void Node::On(const PeerUp& event) {
+  this->choice.AddPeer(event.peer);
+  this->RerouteAll();
+}
+
+void Node::On(const PeerLeaving& event) {
+  this->choice.RemovePeer(event.peer);
+  this->RerouteAll();
+}
+
+void Node::On(const PeerDown& event) {
+  this->choice.RemovePeer(event.peer);
+  for (const RequestId local : this->remote.OfPeer(event.peer)) {
+    this->DropRemote(local);
+  }
+  this->RerouteAll();
+}
+
+void Node::On(const PeerSaid& event) {
+  if (!this->in_force) {
+    return;
+  }
+  std::visit([&](const auto& message) { this->Take(event.peer, message); },
+             event.message);
+}
+
+void Node::RerouteAll() {
+  // Requests may end on the way, so their names are collected first.
+  std::vector<RequestId> open;
+  for (const auto& [id, request] : this->requests) {
+    open.push_back(id);
+  }
+  for (const RequestId id : open) {
+    const auto found = this->requests.find(id);
+    if (found != this->requests.end()) {
+      this->Reroute(found->second);
+    }
+  }
+}
+
+void Node::Reroute(Request& request) {
+  if (request.phase == Phase::kClaiming) {
+    return;
+  }
+  const std::string next = this->SchedulerOf(request);
+  // A change of the resources can leave fewer groups.
+  const bool regroup = request.placement.group >=
+                       this->placer.GroupCount(request.placement.service,
+                                               request.placement.model);
+  if (next == request.scheduler &&
+      (!regroup || request.phase == Phase::kRunning)) {
+    return;
+  }
+  switch (request.phase) {
+    case Phase::kClaiming:
+      return;
+    case Phase::kWaiting:
+      this->placer.Remove(request.placement.id);
+      this->Enqueue(request);
+      return;
+    case Phase::kAsked:
+      this->Say(request.scheduler, WithdrawAsk{.id = request.placement.id});
+      this->Enqueue(request);
+      return;
+    case Phase::kRunning:
+      this->ReleaseSlot(request, SlotEnd::kNeutral);
+      request.scheduler = next;
+      if (this->IsSelf(next)) {
+        this->placer.AdoptRunning(request.backend, this->now);
+      } else {
+        this->Say(
+            next,
+            SlotHeld{
+                .id = request.placement.id,
+                .backend = this->placer.backend(request.backend).backend().name,
+                .class_name = request.placement.class_name,
+                .customer = request.placement.customer});
+      }
+      return;
+  }
+}
+
+void Node::Take(const std::string& peer, const AskSlot& message) {
+  if (const auto earlier = this->remote.LocalOf(peer, message.id)) {
+    this->DropRemote(*earlier);
+  }
+  const RequestClass* request_class =
+      FindClass(*this->in_force, message.class_name);
+  if (request_class == nullptr ||
+      !this->placer.HasPool(message.service, message.model)) {
+    // The instances' configurations differ for a moment.
+    this->Say(peer, SlotRefused{.id = message.id,
+                                .cause = EndCause::kNotReady,
+                                .retry_after = std::chrono::seconds(1)});
+    return;
+  }
+  const std::uint32_t group =
+      message.group % this->placer.GroupCount(message.service, message.model);
+  const RequestId local =
+      this->remote.Add({.peer = peer,
+                        .id = message.id,
+                        .class_name = message.class_name,
+                        .customer = message.customer,
+                        .service = message.service,
+                        .model = message.model,
+                        .group = group,
+                        .tier = request_class->tier,
+                        .asked_at = this->now - message.waited});
+  const AddResult result =
+      this->placer.Add({.id = local,
+                        .class_name = message.class_name,
+                        .customer = message.customer,
+                        .service = message.service,
+                        .model = message.model,
+                        .group = group,
+                        .arrival = this->now - message.waited,
+                        .prompt_tokens = message.prompt_tokens,
+                        .max_tokens = message.max_tokens,
+                        .prefix = message.prefix},
+                       this->now);
+  if (result.evicted) {
+    this->Dismiss(*result.evicted);
+  }
+  if (!result.added) {
+    this->DismissRemote(local, EndCause::kQueueFull);
+    return;
+  }
+  for (const std::string& name : message.tried) {
+    if (const auto backend = this->placer.Find(name)) {
+      this->placer.MarkTried(local, *backend);
+    }
+  }
+}
+
+void Node::Take(const std::string& peer, const WithdrawAsk& message) {
+  if (const auto local = this->remote.LocalOf(peer, message.id)) {
+    this->DropRemote(*local);
+  }
+}
+
+void Node::Take(const std::string& peer, const SlotGranted& message) {
+  const auto found = this->requests.find(message.id);
+  const auto backend = this->placer.Find(message.backend);
+  const bool wanted = found != this->requests.end() &&
+                      found->second.phase == Phase::kAsked &&
+                      found->second.scheduler == peer;
+  if (!wanted || !backend) {
+    this->Say(peer, SlotReleased{.id = message.id});
+    if (wanted) {
+      // This instance does not know the server yet: ask again.
+      this->Enqueue(found->second);
+    }
+    return;
+  }
+  this->actions.emplace_back(
+      SlotTaken{.id = message.id,
+                .attempt = this->next_attempt,
+                .scheduler = peer,
+                .backend = message.backend,
+                .waited = this->now - found->second.arrival});
+  this->BeginAttempt(found->second, *backend);
+}
+
+void Node::Take(const std::string& peer, const SlotRefused& message) {
+  const auto found = this->requests.find(message.id);
+  if (found == this->requests.end() || found->second.phase != Phase::kAsked ||
+      found->second.scheduler != peer) {
+    return;
+  }
+  const bool sent = found->second.sent;
+  this->Finish(message.id, sent ? Outcome::kFailed : Outcome::kRefused,
+               message.cause, sent ? Ran::kYes : Ran::kNo, message.retry_after);
+}
+
+void Node::Take(const std::string& peer, const TokensSeen& message) {
+  const auto local = this->remote.LocalOf(peer, message.id);
+  const RemoteSlot* slot = local ? this->remote.Find(*local) : nullptr;
+  if (slot != nullptr && slot->backend) {
+    this->placer.ObserveTokens(*slot->backend, message.tokens, message.elapsed);
+  }
+}
+
+void Node::Take(const std::string& peer, const SlotReleased& message) {
+  const auto local = this->remote.LocalOf(peer, message.id);
+  RemoteSlot* slot = local ? this->remote.Find(*local) : nullptr;
+  if (slot == nullptr || !slot->backend) {
+    return;
+  }
+  switch (message.end) {
+    case SlotEnd::kSuccess:
+      this->placer.EndSuccess(*slot->backend, slot->class_name, slot->customer,
+                              message.tokens, this->now);
+      break;
+    case SlotEnd::kFailure:
+      this->placer.EndFailure(*slot->backend, this->now);
+      break;
+    case SlotEnd::kNeutral:
+      this->placer.EndNeutral(*slot->backend, this->now);
+      break;
+  }
+  this->remote.Remove(*local);
+}
+
+void Node::Take(const std::string& peer, const SlotHeld& message) {
+  const auto backend = this->placer.Find(message.backend);
+  if (!backend || this->remote.LocalOf(peer, message.id)) {
+    return;
+  }
+  this->remote.Add({.peer = peer,
+                    .id = message.id,
+                    .class_name = message.class_name,
+                    .customer = message.customer,
+                    .backend = *backend});
+  this->placer.AdoptRunning(*backend, this->now);
+}
+
+void Node::DropRemote(RequestId local) {
+  const RemoteSlot* slot = this->remote.Find(local);
+  if (slot->backend) {
+    this->placer.EndNeutral(*slot->backend, this->now);
+  } else {
+    this->placer.Remove(local);
+  }
+  this->remote.Remove(local);
+}
+
+void Node::DismissRemote(RequestId local, EndCause cause) {
+  const RemoteSlot* slot = this->remote.Find(local);
+  this->Say(slot->peer, SlotRefused{.id = slot->id,
+                                    .cause = cause,
+                                    .retry_after = this->placer.RetryAfter(
+                                        slot->service, slot->model, slot->group,
+                                        slot->tier)});
+  this->remote.Remove(local);
+}
+
+void Node::GrantRemote(const Placement& placement) {
+  RemoteSlot* slot = this->remote.Find(placement.id);
+  slot->backend = placement.backend;
+  DecisionMade decision =
+      this->Describe(placement, slot->customer, slot->class_name);
+  decision.placement.id = slot->id;
+  decision.asked_by = slot->peer;
+  decision.waited = this->now - slot->asked_at;
+  this->Say(slot->peer,
+            SlotGranted{.id = slot->id, .backend = decision.backend});
+  this->actions.emplace_back(std::move(decision));
+}
+
+}  // namespace rosemarycove
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -28,10 +28,18 @@
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(60);
 
+// Servers of one data centre that one scheduler places on at most.
+constexpr std::size_t kGroupServers = 24;
+
 std::string PoolName(const std::string& service, const std::string& model) {
   return service + '/' + model;
 }
 
+std::string GroupName(const std::string& service, const std::string& model,
+                      std::uint32_t group) {
+  return PoolName(service, model) + '#' + std::to_string(group);
+}
+
 }  // namespace
 
 std::string_view ToString(Reason reason) {
@@ -118,16 +126,7 @@
       models = {""};
     }
     for (const std::string& model : models) {
-      const std::string name = PoolName(service.name, model);
-      BackendPool& pool = this->pools[name];
-      for (std::size_t i = 0; i < this->backends.size(); ++i) {
-        BackendEntry& entry = this->backends[i];
-        if (!entry.removed &&
-            this->InPool(entry.state.backend(), service.name, model)) {
-          pool.AddMember(static_cast<BackendIndex>(i));
-          entry.pools.insert(name);
-        }
-      }
+      this->BuildGroups(service.name, model);
     }
   }
   for (auto& [name, pool] : this->pools) {
@@ -139,6 +138,59 @@
   }
 }
 
+void Scheduler::BuildGroups(const std::string& service,
+                            const std::string& model) {
+  std::vector<BackendIndex> home;
+  std::vector<BackendIndex> remote;
+  for (std::size_t i = 0; i < this->backends.size(); ++i) {
+    const BackendEntry& entry = this->backends[i];
+    if (!entry.removed && this->InPool(entry.state.backend(), service, model)) {
+      (entry.remote ? remote : home).push_back(static_cast<BackendIndex>(i));
+    }
+  }
+  // All instances divide the servers alike, whatever order they learned them.
+  std::sort(home.begin(), home.end(), [this](BackendIndex a, BackendIndex b) {
+    return this->backend(a).backend().name < this->backend(b).backend().name;
+  });
+  const std::size_t groups = std::max<std::size_t>(
+      1, (home.size() + kGroupServers - 1) / kGroupServers);
+  this->group_counts[PoolName(service, model)] =
+      static_cast<std::uint32_t>(groups);
+  for (std::uint32_t group = 0; group < groups; ++group) {
+    const std::string name = GroupName(service, model, group);
+    BackendPool& pool = this->pools[name];
+    const auto add = [&](BackendIndex index) {
+      pool.AddMember(index);
+      this->entry(index).pools.insert(name);
+    };
+    for (std::size_t i = group; i < home.size(); i += groups) {
+      add(home[i]);
+    }
+    for (const BackendIndex index : remote) {
+      add(index);
+    }
+  }
+}
+
+std::uint32_t Scheduler::GroupCount(const std::string& service,
+                                    const std::string& model) const {
+  const auto count = this->group_counts.find(PoolName(service, model));
+  return count == this->group_counts.end() ? 1 : count->second;
+}
+
+std::optional<BackendIndex> Scheduler::Find(const std::string& backend) const {
+  const auto found = this->backend_by_name.find(backend);
+  if (found == this->backend_by_name.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void Scheduler::AdoptRunning(BackendIndex backend, TimePoint now) {
+  this->entry(backend).state.AddRunning(now);
+  this->Reindex(backend);
+}
+
 void Scheduler::UpdateRate(BackendPool& pool) {
   double rate = 0;
   for (const BackendIndex index : pool.members()) {
@@ -159,7 +211,7 @@
 
 bool Scheduler::HasPool(const std::string& service,
                         const std::string& model) const {
-  const auto pool = this->pools.find(PoolName(service, model));
+  const auto pool = this->pools.find(GroupName(service, model, 0));
   return pool != this->pools.end() && !pool->second.members().empty();
 }
 
@@ -186,7 +238,8 @@
     const double own = std::max(kMinTokenTimeFactor * base,
                                 kGenerationPart * whole / length.high);
     limit = std::min(limit, own);
-    slack = FromSeconds(whole - prefill - length.mean * std::min(own, kTypicalFactor * base));
+    slack = FromSeconds(whole - prefill -
+                        length.mean * std::min(own, kTypicalFactor * base));
   }
   if (definition.target.first_token) {
     slack = std::min(
@@ -211,7 +264,8 @@
 }
 
 AddResult Scheduler::Add(const PlacementRequest& request, TimePoint now) {
-  const std::string name = PoolName(request.service, request.model);
+  const std::string name =
+      GroupName(request.service, request.model, request.group);
   BackendPool& pool = this->pools.at(name);
   const WaitingEntry entry = this->MakeEntry(request, pool, now);
   const AddResult result = pool.room.Add(entry, now);
@@ -499,8 +553,9 @@
 }
 
 Duration Scheduler::RetryAfter(const std::string& service,
-                               const std::string& model, int tier) const {
-  const auto found = this->pools.find(PoolName(service, model));
+                               const std::string& model, std::uint32_t group,
+                               int tier) const {
+  const auto found = this->pools.find(GroupName(service, model, group));
   if (found == this->pools.end()) {
     return kMaxRetryAfter;
   }
@@ -509,11 +564,4 @@
   return std::clamp(drain, kMinRetryAfter, kMaxRetryAfter);
 }
 
-bool Scheduler::SharedWaitingBelow(const std::string& service,
-                                   const std::string& model, int tier) const {
-  const auto found = this->pools.find(PoolName(service, model));
-  return found != this->pools.end() &&
-         found->second.room.SharedWaitingBelow(tier);
-}
-
 }  // namespace rosemarycove
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -26,6 +26,8 @@
   std::string customer;
   std::string service;
   std::string model;  // Empty for a plain service.
+  // Which group of the pool's servers it waits for, below GroupCount.
+  std::uint32_t group = 0;
   TimePoint arrival;
   int prompt_tokens = 0;
   int max_tokens = 0;        // 0 is no bound.
@@ -90,6 +92,16 @@
   [[nodiscard]] bool HasPool(const std::string& service,
                              const std::string& model) const;
 
+  // Into how many groups the servers of this data centre are divided for the
+  // service and model; each group has one scheduler. At least 1.
+  [[nodiscard]] std::uint32_t GroupCount(const std::string& service,
+                                         const std::string& model) const;
+  // The index of a backend server, or nothing when it is not declared.
+  [[nodiscard]] std::optional<BackendIndex> Find(
+      const std::string& backend) const;
+  // Counts a request that another scheduler placed.
+  void AdoptRunning(BackendIndex backend, TimePoint now);
+
   // Lets a request wait. The result names a request that lost its place.
   AddResult Add(const PlacementRequest& request, TimePoint now);
   // Takes off a waiting request whose caller left.
@@ -113,7 +125,8 @@
 
   // How long until a request refused now could be served.
   [[nodiscard]] Duration RetryAfter(const std::string& service,
-                                    const std::string& model, int tier) const;
+                                    const std::string& model,
+                                    std::uint32_t group, int tier) const;
   // Not to be used again for this request, after a failure there.
   void MarkTried(RequestId id, BackendIndex backend);
 
@@ -124,10 +137,6 @@
     return this->backends.size();
   }
   [[nodiscard]] std::size_t waiting() const { return this->waiting_in.size(); }
-  // Whether lower tiers wait in the shared places of the request's pool.
-  [[nodiscard]] bool SharedWaitingBelow(const std::string& service,
-                                        const std::string& model,
-                                        int tier) const;
 
  private:
   struct BackendEntry {
@@ -151,6 +160,7 @@
   [[nodiscard]] bool InPool(const Backend& backend, const std::string& service,
                             const std::string& model) const;
   void RebuildPools(const ResourceSet& resources);
+  void BuildGroups(const std::string& service, const std::string& model);
   void UpdateRate(BackendPool& pool);
   void Reindex(BackendIndex index);
   WaitingEntry MakeEntry(const PlacementRequest& request, BackendPool& pool,
@@ -173,6 +183,7 @@
   std::vector<BackendEntry> backends;
   std::unordered_map<std::string, BackendIndex> backend_by_name;
   std::map<std::string, BackendPool> pools;
+  std::unordered_map<std::string, std::uint32_t> group_counts;
   std::set<std::string> changed_pools;
   std::unordered_map<RequestId, Waiting> waiting_in;
   LengthPredictor predictor;
--- /dev/null
+++ b/src/core/scheduler_choice.cc
@@ -0,0 +1,38 @@
+#include "core/scheduler_choice.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <utility>
+
+namespace rosemarycove {
+
+SchedulerChoice::SchedulerChoice(std::string self)
+    : own_name(std::move(self)) {}
+
+std::string SchedulerChoice::SchedulerOf(const std::string& pool,
+                                         std::uint32_t group) const {
+  const auto weight = [&](const std::string& instance) {
+    const std::string key =
+        instance + '\n' + pool + '\n' + std::to_string(group);
+    return XXH3_64bits(key.data(), key.size());
+  };
+  std::string best;
+  std::uint64_t most = 0;
+  const auto consider = [&](const std::string& instance) {
+    const std::uint64_t value = weight(instance);
+    if (best.empty() || value > most) {
+      best = instance;
+      most = value;
+    }
+  };
+  for (const std::string& peer : this->peers) {
+    consider(peer);
+  }
+  if (!this->is_leaving || this->peers.empty()) {
+    consider(this->own_name);
+  }
+  return best;
+}
+
+}  // namespace rosemarycove
--- a/tests/node_history.cc
+++ b/tests/node_history.cc
@@ -19,7 +19,7 @@
 NodeHistory::NodeHistory(ResourceSet set, std::uint32_t seed)
     : random(seed),
       resources(std::move(set)),
-      node(NodeOptions{.data_centre = "a"}),
+      node(NodeOptions{.instance = "one", .data_centre = "a"}),
       now(TimePoint{} + seconds(1000)) {
   this->Post(ResourcesChanged{
       .resources = std::make_shared<const ResourceSet>(this->resources)});
--- a/tests/node_history.h
+++ b/tests/node_history.h
@@ -50,6 +50,8 @@
   void Check(const ClaimKey& action);
   void Check(const FinishRequest& action);
   void Check(const DecisionMade& action);
+  void Check(const SlotTaken& /*action*/) {}
+  void Check(const SendToPeer& /*action*/) {}
   void CheckCounters();
   void CheckOverloadRefusal(const Request& request, EndCause cause);
   void CheckShare(const Request& request, double cost);
--- a/tests/session.cc
+++ b/tests/session.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 Session::Session(const ResourceSet& resources, const std::string& data_centre)
-    : node(NodeOptions{.data_centre = data_centre}),
+    : node(NodeOptions{.instance = "one", .data_centre = data_centre}),
       start(TimePoint{} + std::chrono::seconds(1000)),
       now(this->start) {
   for (const Backend& backend : resources.backends) {
--- a/tests/session.h
+++ b/tests/session.h
@@ -63,6 +63,8 @@
   void Do(const ClaimKey& action);
   void Do(const FinishRequest& action);
   void Do(const DecisionMade& action);
+  void Do(const SlotTaken& /*action*/) {}
+  void Do(const SendToPeer& /*action*/) {}
   void Happen(const Scripted& what);
   void StepEngine(const std::string& name);
   void EndAttempt(const Running& running, AttemptResult result);
