--- a/bench/load_main.cc
+++ b/bench/load_main.cc
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <cstdio>
 #include <fstream>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -38,7 +39,8 @@
 
 // What to send, where, and how fast.
 struct LoadSettings {
-  std::string target = "127.0.0.1:8080";
+  // Used in turn, as a balancer would; one that refuses is passed over.
+  std::vector<std::string> targets = {"127.0.0.1:8080"};
   std::string key;
   std::string request_class;
   std::string model = "m";
@@ -57,7 +59,10 @@
   TimeHistogram first_token{TimeAxis(kBins, kShortest, kLongest)};
   TimeHistogram whole{TimeAxis(kBins, kShortest, kLongest)};
   std::uint64_t completed = 0;
-  std::uint64_t failed = 0;
+  // The answer began and did not end as it should.
+  std::uint64_t cut = 0;
+  // No target took the request.
+  std::uint64_t refused = 0;
   std::uint64_t chunks = 0;
 };
 
@@ -87,6 +92,9 @@
   std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
   std::string line;
   std::getline(file, line);
+  if (line.empty()) {
+    return {};
+  }
   std::istringstream fields(line.substr(line.rfind(')') + 2));
   std::string skipped;
   for (int i = 0; i < 11; ++i) {
@@ -147,10 +155,13 @@
   }
 
   void Work() {
-    httplib::Client client("http://" + this->settings.target);
-    client.set_keep_alive(true);
-    client.set_tcp_nodelay(true);
-    client.set_read_timeout(std::chrono::seconds(120));
+    std::vector<std::unique_ptr<httplib::Client>> clients;
+    for (const std::string& target : this->settings.targets) {
+      clients.push_back(std::make_unique<httplib::Client>("http://" + target));
+      clients.back()->set_keep_alive(this->settings.targets.size() == 1);
+      clients.back()->set_tcp_nodelay(true);
+      clients.back()->set_read_timeout(std::chrono::seconds(120));
+    }
     while (true) {
       const std::size_t index = this->next++;
       if (index >= this->schedule.size()) {
@@ -163,11 +174,19 @@
                   std::chrono::duration<double>(this->schedule[index]));
         std::this_thread::sleep_until(due);
       }
-      this->Send(client, due);
+      // A target that refuses is passed over for the next.
+      bool taken = false;
+      for (std::size_t i = 0; i < clients.size() && !taken; ++i) {
+        taken = this->Send(*clients[(index + i) % clients.size()], due);
+      }
+      if (!taken) {
+        const std::lock_guard lock(this->mutex);
+        ++this->report.refused;
+      }
     }
   }
 
-  void Send(httplib::Client& client, Clock::time_point due) {
+  httplib::Request MakeRequest() const {
     httplib::Request request;
     request.method = "POST";
     request.path = "/v1/chat/completions";
@@ -186,9 +205,20 @@
              {"messages",
               {{{"role", "user"}, {"content", "How long is the rope?"}}}}}
             .dump();
+    return request;
+  }
+
+  // Sends one request; false when the target did not take it.
+  bool Send(httplib::Client& client, Clock::time_point due) {
+    httplib::Request request = this->MakeRequest();
     std::uint64_t chunks = 0;
+    int status = 0;
     bool done = false;
     Clock::time_point first;
+    request.response_handler = [&](const httplib::Response& response) {
+      status = response.status;
+      return true;
+    };
     request.content_receiver = [&](const char* data, size_t size, std::uint64_t,
                                    std::uint64_t) {
       if (chunks++ == 0) {
@@ -200,16 +230,20 @@
     };
     const httplib::Result result = client.send(request);
     const Clock::time_point end = Clock::now();
+    if (status == 0 || status == 503) {
+      return false;
+    }
     const std::lock_guard lock(this->mutex);
-    if (result && result->status == 200 && done) {
+    if (result && status == 200 && done) {
       ++this->report.completed;
       this->report.chunks += chunks;
       this->report.first_token(
           std::chrono::duration<double>(first - due).count());
       this->report.whole(std::chrono::duration<double>(end - due).count());
     } else {
-      ++this->report.failed;
+      ++this->report.cut;
     }
+    return true;
   }
 
   json Report(const ProcessUse& before, const ProcessUse& after,
@@ -220,7 +254,8 @@
                   {"p99", 1000 * Quantile(histogram, 0.99)}};
     };
     json result = {{"completed", this->report.completed},
-                   {"failed", this->report.failed},
+                   {"cut", this->report.cut},
+                   {"refused", this->report.refused},
                    {"chunks", this->report.chunks},
                    {"seconds", elapsed},
                    {"first_token_ms", milliseconds(this->report.first_token)},
@@ -245,7 +280,8 @@
 int Main(int argc, char** argv) {
   CLI::App app("Sends chat requests by schedule and reports the answers");
   LoadSettings settings;
-  app.add_option("--target", settings.target, "HOST:PORT")
+  app.add_option("--target", settings.targets,
+                 "HOST:PORT; several are used in turn")
       ->capture_default_str();
   app.add_option("--key", settings.key, "Customer's key");
   app.add_option("--class", settings.request_class, "Request class");
--- a/src/app/configuration.cc
+++ b/src/app/configuration.cc
@@ -79,6 +79,7 @@
 
 void Configuration::Stop() {
   this->stopping = true;
+  this->store.CancelWatches();
   if (this->follower.joinable()) {
     this->follower.join();
   }
@@ -102,6 +103,9 @@
 void Configuration::Follow() {
   while (!this->stopping) {
     const auto value = this->store.Watch(kRootKey, this->version, kWatchTime);
+    if (this->stopping) {
+      return;
+    }
     this->NoteStore(value.has_value());
     if (!value) {
       std::this_thread::sleep_for(kRetryPause);
@@ -154,7 +158,7 @@
   }
   const auto& changes = stored->changes;
   if (std::find(changes.begin(), changes.end(), change_id) != changes.end()) {
-    return stored->resources.revision;
+    return this->RevisionOf(change_id);
   }
   if (expected > 0 && expected != stored->resources.revision) {
     return tl::unexpected(
@@ -217,7 +221,7 @@
                                     .message = "the store's answer was lost"});
 }
 
-tl::expected<bool, ChangeError> Configuration::WasAccepted(
+tl::expected<std::uint64_t, ChangeError> Configuration::RevisionOf(
     const std::string& change_id) {
   const auto value = this->store.Get(kRootKey);
   if (!value) {
@@ -225,10 +229,17 @@
   }
   const auto stored = ParseStoredText(value->value);
   if (!stored) {
-    return false;
+    return 0;
+  }
+  const std::vector<std::string>& changes = stored->changes;
+  const auto found = std::find(changes.begin(), changes.end(), change_id);
+  if (found == changes.end()) {
+    return 0;
   }
-  return std::find(stored->changes.begin(), stored->changes.end(), change_id) !=
-         stored->changes.end();
+  // Each change makes one revision, and the last one made the current.
+  const auto later =
+      static_cast<std::uint64_t>(std::distance(found, changes.end()) - 1);
+  return stored->resources.revision - later;
 }
 
 }  // namespace rosemarycove
--- a/src/app/configuration.h
+++ b/src/app/configuration.h
@@ -75,8 +75,10 @@
                                                   std::uint64_t expected,
                                                   const ResourceEdit& edit);
 
-  // Whether a change with this name is among the last ones accepted.
-  tl::expected<bool, ChangeError> WasAccepted(const std::string& change_id);
+  // The revision that a change made, or 0 when it is not among the last ones
+  // accepted.
+  tl::expected<std::uint64_t, ChangeError> RevisionOf(
+      const std::string& change_id);
 
   // The highest revision seen, and how long ago the store last answered.
   [[nodiscard]] std::uint64_t revision() const { return this->seen; }
--- a/src/app/instance.cc
+++ b/src/app/instance.cc
@@ -12,8 +12,10 @@
 #include "app/load_poller.h"
 #include "app/node_host.h"
 #include "app/operator_api.h"
+#include "app/peer_service.h"
 #include "http/caller_front.h"
 #include "http/http_server.h"
+#include "platform/http_instance_list.h"
 #include "platform/http_key_value_store.h"
 
 namespace rosemarycove {
@@ -62,14 +64,35 @@
     this->configuration = std::make_unique<Configuration>(
         *this->store, this->log,
         [this](std::shared_ptr<const ResourceSet> resources) {
+          const std::uint64_t revision = resources->revision;
           this->host->Post(ResourcesChanged{.resources = std::move(resources)});
+          if (this->peers) {
+            this->peers->SetRevision(revision);
+          }
         });
   }
+  this->MakePeers();
   this->MakeServers();
 }
 
 Instance::~Instance() = default;
 
+void Instance::MakePeers() {
+  if (!this->settings.instance_list) {
+    return;
+  }
+  this->instance_list = std::make_unique<HttpInstanceList>(
+      this->settings.instance_list->host, this->settings.instance_list->port,
+      kStoreTimeout);
+  this->peers = std::make_unique<PeerService>(
+      PeerLinksOptions{.name = this->settings.name,
+                       .data_centre = this->settings.data_centre,
+                       .host = this->settings.peer_listen.host,
+                       .port = this->settings.peer_listen.port,
+                       .secret = this->settings.peer_secret},
+      *this->instance_list, *this->host, this->log);
+}
+
 void Instance::MakeServers() {
   const std::size_t max_body =
       this->settings.resources
@@ -100,7 +123,7 @@
       OperatorApiOptions{.instance = this->settings.name,
                          .token = this->settings.operator_token},
       *this->operator_server, *this->host, this->metrics,
-      this->configuration.get());
+      this->configuration.get(), this->peers.get());
 }
 
 bool Instance::StartServers() {
@@ -116,6 +139,15 @@
   if (this->callers_at <= 0) {
     return false;
   }
+  if (this->peers) {
+    this->peers_at = this->peers->Start();
+    if (this->peers_at <= 0) {
+      this->log.Write(LogEvent::kListenFailed,
+                      {{"host", this->settings.peer_listen.host},
+                       {"port", this->settings.peer_listen.port}});
+      return false;
+    }
+  }
   if (this->operator_server) {
     this->operators_at =
         bind(*this->operator_server, this->settings.operator_listen);
@@ -147,13 +179,17 @@
   this->log.Write(LogEvent::kStarted,
                   {{"data_centre", this->settings.data_centre},
                    {"callers_at", this->callers_at},
-                   {"operators_at", this->operators_at}});
+                   {"operators_at", this->operators_at},
+                   {"peers_at", this->peers_at}});
   return true;
 }
 
 bool Instance::Drain(const std::function<bool()>& cut_short) {
   this->log.Write(LogEvent::kDrainStarted,
                   {{"open", this->host->open_requests()}});
+  if (this->peers) {
+    this->peers->AnnounceLeaving();
+  }
   this->host->Post(DrainStarted{});
   const auto deadline =
       std::chrono::steady_clock::now() + this->settings.drain_timeout;
@@ -179,6 +215,8 @@
     this->operator_server->stop();
     this->operator_thread.join();
   }
+  // Last, since the parts above speak of peers.
+  this->peers.reset();
   this->log.Write(LogEvent::kStopped, LogFields::object());
   this->log.Flush();
   return true;
--- a/src/app/instance.h
+++ b/src/app/instance.h
@@ -19,7 +19,9 @@
 class KeyValueStore;
 class LoadPoller;
 class NodeHost;
+class InstanceList;
 class OperatorApi;
+class PeerService;
 
 // Owns every part of an instance, starts them and stops them in order.
 class Instance {
@@ -39,10 +41,12 @@
   // Ports after Start, for settings that ask for any port (0).
   [[nodiscard]] int caller_port() const { return this->callers_at; }
   [[nodiscard]] int operator_port() const { return this->operators_at; }
+  [[nodiscard]] int peer_port() const { return this->peers_at; }
 
  private:
   bool StartServers();
   void MakeServers();
+  void MakePeers();
 
   Settings settings;
   std::string process;
@@ -52,6 +56,8 @@
   std::unique_ptr<ClaimKeeper> claims;
   std::unique_ptr<NodeHost> host;
   std::unique_ptr<Configuration> configuration;
+  std::unique_ptr<InstanceList> instance_list;
+  std::unique_ptr<PeerService> peers;
   std::unique_ptr<LoadPoller> load_poller;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> operator_server;
@@ -61,6 +67,7 @@
   std::thread operator_thread;
   int callers_at = 0;
   int operators_at = 0;
+  int peers_at = 0;
 };
 
 }  // namespace rosemarycove
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -170,11 +170,12 @@
 
 OperatorApi::OperatorApi(OperatorApiOptions options, HttpServer& server,
                          NodeHost& host, Metrics& metrics,
-                         Configuration* configuration)
+                         Configuration* configuration, PeerService* peers)
     : options(std::move(options)),
       host(host),
       metrics(metrics),
-      configuration(configuration) {
+      configuration(configuration),
+      peers(peers) {
   constexpr char kOne[] =
       R"(/operator/v1/(class|customer|service|backend|limits)/([^/]+))";
   constexpr char kAll[] =
@@ -407,14 +408,27 @@
     return;
   }
   const std::string change_id = request.matches[1];
-  const tl::expected<bool, ChangeError> accepted =
-      this->configuration->WasAccepted(change_id);
-  const std::string_view state =
-      !accepted ? "unknown" : (*accepted ? "accepted" : "not_seen");
+  const tl::expected<std::uint64_t, ChangeError> accepted =
+      this->configuration->RevisionOf(change_id);
+  if (!accepted || *accepted == 0) {
+    Answer(
+        response, 200,
+        {{"change", change_id}, {"state", accepted ? "not_seen" : "unknown"}});
+    return;
+  }
+  RevisionSpread spread{
+      .in_force = this->configuration->revision() >= *accepted,
+      .list_known = true,
+      .unconfirmed = {}};
+  if (this->peers != nullptr) {
+    spread = this->peers->SpreadOf(*accepted);
+  }
   Answer(response, 200,
          {{"change", change_id},
-          {"state", state},
-          {"revision_here", this->configuration->revision()}});
+          {"revision", *accepted},
+          {"state", spread.in_force ? "in_force" : "accepted"},
+          {"instances_known", spread.list_known},
+          {"unconfirmed", spread.unconfirmed}});
 }
 
 void OperatorApi::GetStatus(const httplib::Request& /*request*/,
@@ -426,6 +440,19 @@
   if (this->configuration != nullptr) {
     status["store_age_s"] = ToSeconds(this->configuration->StoreAge());
   }
+  if (this->peers != nullptr) {
+    const PeerTraffic traffic = this->peers->Traffic();
+    status["peer_bytes_sent"] = traffic.bytes_sent;
+    status["peer_bytes_received"] = traffic.bytes_received;
+    status["peer_frames_sent"] = traffic.frames_sent;
+    status["peers"] = json::array();
+    for (const PeerState& peer : this->peers->Peers()) {
+      status["peers"].push_back({{"name", peer.name},
+                                 {"data_centre", peer.data_centre},
+                                 {"revision", peer.revision},
+                                 {"leaving", peer.leaving}});
+    }
+  }
   const std::shared_ptr<const ResourceSet> resources = this->host.resources();
   status["revision"] = resources ? json(resources->revision) : json();
   this->host.Inspect([&](const Node& node) {
--- a/src/app/operator_api.h
+++ b/src/app/operator_api.h
@@ -6,6 +6,7 @@
 #include "app/configuration.h"
 #include "app/metrics.h"
 #include "app/node_host.h"
+#include "app/peer_service.h"
 #include "http/http_server.h"
 
 namespace rosemarycove {
@@ -19,9 +20,11 @@
 // Serves declarations, reads and state of resources, and the metrics.
 class OperatorApi {
  public:
-  // `configuration` is null for an instance that runs alone.
+  // `configuration` is null for an instance that runs alone, `peers` for one
+  // that keeps no links.
   OperatorApi(OperatorApiOptions options, HttpServer& server, NodeHost& host,
-              Metrics& metrics, Configuration* configuration);
+              Metrics& metrics, Configuration* configuration,
+              PeerService* peers);
 
  private:
   using Handler = void (OperatorApi::*)(const httplib::Request&,
@@ -47,6 +50,7 @@
   NodeHost& host;
   Metrics& metrics;
   Configuration* configuration;
+  PeerService* peers;
 };
 
 }  // namespace rosemarycove
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -14,6 +14,7 @@
 using std::chrono::minutes;
 
 constexpr int kMaxConnections = 20000;
+constexpr std::size_t kMinSecret = 16;
 
 // Reads the sections of one settings document.
 class SettingsReader {
@@ -25,6 +26,7 @@
     this->ReadInstance();
     this->ReadLog();
     this->ReadPlatform();
+    this->ReadPeers();
     this->ReadTimeouts();
     this->ReadResourceSet();
     this->CheckKeys();
@@ -109,6 +111,29 @@
     if (!store.host.empty()) {
       this->settings.store = store;
     }
+    Endpoint list;
+    this->ReadEndpoint(reader, "instances", list, false);
+    if (!list.host.empty()) {
+      this->settings.instance_list = list;
+    }
+    reader.Finish();
+  }
+
+  void ReadPeers() {
+    TableReader reader(this->Section("peers"), "peers", this->file,
+                       this->errors);
+    this->ReadEndpoint(reader, "listen", this->settings.peer_listen, false);
+    reader.Text("secret", this->settings.peer_secret);
+    const bool listens = !this->settings.peer_listen.host.empty();
+    if (listens && this->settings.peer_secret.size() < kMinSecret) {
+      reader.Fail("secret",
+                  "of at least 16 characters is required where "
+                  "peers.listen is set");
+    }
+    if (listens != this->settings.instance_list.has_value()) {
+      reader.Fail("listen",
+                  "and platform.instances go together: set both or none");
+    }
     reader.Finish();
   }
 
@@ -170,7 +195,7 @@
     for (const auto& [key, node] : this->document) {
       const std::string_view name = key.str();
       bool known = name == "instance" || name == "log" || name == "platform" ||
-                   name == "timeouts";
+                   name == "peers" || name == "timeouts";
       for (const std::string_view resource : kResourceKeys) {
         known = known || name == resource;
       }
@@ -179,8 +204,9 @@
             {.file = this->file,
              .line = static_cast<int>(node.source().begin.line),
              .key = std::string(name),
-             .message = "is not a known key; allowed: instance, log, platform, "
-                        "timeouts, class, customer, service, backend, limits"});
+             .message =
+                 "is not a known key; allowed: instance, log, platform, "
+                 "peers, timeouts, class, customer, service, backend, limits"});
       }
     }
   }
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -36,6 +36,11 @@
   std::string log_level = "info";
   // The platform's key-value service; none runs the instance alone.
   std::optional<Endpoint> store;
+  // The platform's list of instances; none keeps no links to others.
+  std::optional<Endpoint> instance_list;
+  // Where other instances connect to, and the secret shared with them.
+  Endpoint peer_listen;
+  std::string peer_secret;
   Duration connect_timeout = std::chrono::seconds(1);
   // A backend server that sends nothing for this long is given up.
   Duration stall_timeout = std::chrono::seconds(15);
--- a/src/platform/http_key_value_store.cc
+++ b/src/platform/http_key_value_store.cc
@@ -1,7 +1,5 @@
 #include "platform/http_key_value_store.h"
 
-#include <httplib.h>
-
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -50,8 +48,7 @@
     : host(std::move(host)), port(port), timeout(timeout) {}
 
 tl::expected<StoreValue, StoreError> HttpKeyValueStore::Read(
-    const std::string& path, Duration longest) {
-  httplib::Client client = MakeClient(this->host, this->port, longest);
+    httplib::Client& client, const std::string& path) {
   const httplib::Result result = client.Get(path);
   if (!result || result->status != kOk) {
     return tl::unexpected(ToStoreError(result));
@@ -68,16 +65,37 @@
 
 tl::expected<StoreValue, StoreError> HttpKeyValueStore::Get(
     const std::string& key) {
-  return this->Read("/kv/" + key, this->timeout);
+  httplib::Client client = MakeClient(this->host, this->port, this->timeout);
+  return Read(client, "/kv/" + key);
 }
 
 tl::expected<StoreValue, StoreError> HttpKeyValueStore::Watch(
     const std::string& key, StoreVersion known, Duration longest) {
+  httplib::Client client =
+      MakeClient(this->host, this->port, longest + this->timeout);
+  client.set_connection_timeout(this->timeout);
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->watches_cancelled) {
+      return tl::unexpected(StoreError{.message = "watch cancelled"});
+    }
+    this->watching = &client;
+  }
   const auto wait =
       std::chrono::duration_cast<std::chrono::milliseconds>(longest);
-  return this->Read("/kv/" + key + "?above=" + std::to_string(known) +
-                        "&wait_ms=" + std::to_string(wait.count()),
-                    longest + this->timeout);
+  auto value = Read(client, "/kv/" + key + "?above=" + std::to_string(known) +
+                                "&wait_ms=" + std::to_string(wait.count()));
+  const std::lock_guard lock(this->mutex);
+  this->watching = nullptr;
+  return value;
+}
+
+void HttpKeyValueStore::CancelWatches() {
+  const std::lock_guard lock(this->mutex);
+  this->watches_cancelled = true;
+  if (this->watching != nullptr) {
+    this->watching->stop();
+  }
 }
 
 tl::expected<StoreVersion, StoreError> HttpKeyValueStore::CompareAndSwap(
--- a/src/platform/http_key_value_store.h
+++ b/src/platform/http_key_value_store.h
@@ -1,7 +1,9 @@
 // The key-value service over HTTP with JSON, as docs/PLATFORM.md describes it.
 #pragma once
 
-#include <memory>
+#include <httplib.h>
+
+#include <mutex>
 #include <string>
 
 #include "platform/key_value_store.h"
@@ -20,14 +22,19 @@
   tl::expected<StoreValue, StoreError> Watch(const std::string& key,
                                              StoreVersion known,
                                              Duration longest) override;
+  void CancelWatches() override;
 
  private:
-  tl::expected<StoreValue, StoreError> Read(const std::string& path,
-                                            Duration timeout);
+  static tl::expected<StoreValue, StoreError> Read(httplib::Client& client,
+                                                   const std::string& path);
 
   std::string host;
   int port;
   Duration timeout;
+  std::mutex mutex;
+  bool watches_cancelled = false;
+  // The client of the watch under way; one watch at a time.
+  httplib::Client* watching = nullptr;
 };
 
 }  // namespace rosemarycove
--- a/src/platform/key_value_store.h
+++ b/src/platform/key_value_store.h
@@ -49,6 +49,8 @@
   virtual tl::expected<StoreValue, StoreError> Watch(const std::string& key,
                                                      StoreVersion known,
                                                      Duration longest) = 0;
+  // Ends the watch that another thread waits in, and those that come after.
+  virtual void CancelWatches() {}
 };
 
 }  // namespace rosemarycove
--- a/standins/store_standin.cc
+++ b/standins/store_standin.cc
@@ -33,6 +33,24 @@
                                       httplib::Response& response) {
     this->HandleCounts(response);
   });
+  this->RegisterInstances();
+}
+
+void StoreStandin::RegisterInstances() {
+  this->server->Get("/instances", [this](const httplib::Request& /*request*/,
+                                         httplib::Response& response) {
+    ++this->read_calls;
+    if (this->Faulty()) {
+      return;
+    }
+    const std::lock_guard lock(this->mutex);
+    response.set_content(this->instances, "application/json");
+  });
+  this->server->Put("/instances", [this](const httplib::Request& request,
+                                         httplib::Response& /*response*/) {
+    const std::lock_guard lock(this->mutex);
+    this->instances = request.body;
+  });
 }
 
 StoreStandin::~StoreStandin() {
--- a/standins/store_standin.h
+++ b/standins/store_standin.h
@@ -12,7 +12,8 @@
 
 namespace standins {
 
-// Compare-and-swap, reads and watches over HTTP, as docs/PLATFORM.md says.
+// Compare-and-swap, reads and watches over HTTP, as docs/PLATFORM.md says. The
+// list of instances is what was last put to /instances.
 //
 // Faults: outage (1 while on: every call is cut), lose_answer (writes that
 // take effect and whose answer is cut), slow_ms.
@@ -35,10 +36,12 @@
   void HandleGet(const httplib::Request& request, httplib::Response& response);
   void HandlePut(const httplib::Request& request, httplib::Response& response);
   void HandleCounts(httplib::Response& response) const;
+  void RegisterInstances();
 
   std::mutex mutex;
   std::condition_variable changed;
   std::map<std::string, Entry> entries;
+  std::string instances = "[]";
   std::atomic<std::uint64_t> read_calls = 0;
   std::atomic<std::uint64_t> write_calls = 0;
   std::atomic<bool> stopping = false;
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -1,6 +1,7 @@
 // A key-value store in memory whose answers can be lost.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <string>
@@ -47,9 +48,12 @@
   tl::expected<StoreValue, StoreError> Watch(const std::string& key,
                                              StoreVersion /*known*/,
                                              Duration /*longest*/) override {
+    ++this->watches;
     return this->Get(key);
   }
 
+  // Watches asked for so far.
+  std::atomic<int> watches = 0;
   std::map<std::string, StoreValue> values;
   bool outage = false;
   // The next write takes effect and its answer is lost.
--- a/tests/node_history.cc
+++ b/tests/node_history.cc
@@ -178,6 +178,13 @@
       ended_count + this->node.running() + this->node.waiting()) {
     this->Break("counters do not balance");
   }
+  const auto running =
+      std::count_if(this->open.begin(), this->open.end(), [](const auto& item) {
+        return item.second.attempt != 0;
+      });
+  if (this->node.running() != static_cast<std::size_t>(running)) {
+    this->Break("the count of running requests is wrong");
+  }
   if (ended_count != this->ended.size() ||
       this->node.running() + this->node.waiting() != this->open.size()) {
     this->Break("counters differ from what was seen");
--- a/tests/test_configuration.cc
+++ b/tests/test_configuration.cc
@@ -1,4 +1,6 @@
 // Changes and claims in the platform's store under its failures.
+#include <thread>
+
 #include "app/claim_keeper.h"
 #include "app/configuration.h"
 #include "tests/fake_store.h"
@@ -50,6 +52,14 @@
   CHECK_EQUAL(1U, this->configuration.revision());
 }
 
+TEST(Configuration, EachChangeKnowsItsRevision) {
+  this->configuration.Change("c1", 0, Declare(2));
+  this->configuration.Change("c2", 0, Declare(3));
+  CHECK_EQUAL(1U, *this->configuration.RevisionOf("c1"));
+  CHECK_EQUAL(2U, *this->configuration.RevisionOf("c2"));
+  CHECK_EQUAL(1U, *this->configuration.Change("c1", 0, Declare(2)));
+}
+
 TEST(Configuration, OfTwoOperatorsAtOnceOneWins) {
   this->configuration.Change("c1", 0, Declare(2));
   this->store.before_write = [this] {
@@ -65,14 +75,14 @@
 TEST(Configuration, LostAnswerIsSettledByReadingBack) {
   this->store.lose_answer = true;
   CHECK_EQUAL(1U, *this->configuration.Change("c1", 0, Declare(2)));
-  CHECK(*this->configuration.WasAccepted("c1"));
+  CHECK_EQUAL(1U, *this->configuration.RevisionOf("c1"));
 }
 
 TEST(Configuration, LostWriteIsUnknownUntilItIsMadeAgain) {
   this->store.lose_write = true;
   const auto changed = this->configuration.Change("c1", 0, Declare(2));
   CHECK(changed.error().kind == ChangeErrorKind::kUnknown);
-  CHECK(!*this->configuration.WasAccepted("c1"));
+  CHECK_EQUAL(0U, *this->configuration.RevisionOf("c1"));
   CHECK_EQUAL(1U, *this->configuration.Change("c1", 0, Declare(2)));
 }
 
@@ -81,9 +91,9 @@
   this->store.outage = true;
   const auto changed = this->configuration.Change("c2", 0, Declare(3));
   CHECK(changed.error().kind == ChangeErrorKind::kUnavailable);
-  CHECK(!this->configuration.WasAccepted("c2").has_value());
+  CHECK(!this->configuration.RevisionOf("c2").has_value());
   this->store.outage = false;
-  CHECK(!*this->configuration.WasAccepted("c2"));
+  CHECK_EQUAL(0U, *this->configuration.RevisionOf("c2"));
   CHECK_EQUAL(1U, this->configuration.revision());
 }
 
@@ -92,7 +102,7 @@
   const auto changed = this->configuration.Change("c1", 0, Declare(2));
   CHECK(changed.error().kind == ChangeErrorKind::kUnavailable);
   this->store.outage = false;
-  CHECK(!*this->configuration.WasAccepted("c1"));
+  CHECK_EQUAL(0U, *this->configuration.RevisionOf("c1"));
 }
 
 TEST(Configuration, InvalidChangeIsRefusedWhole) {
@@ -111,6 +121,10 @@
   // A lagging copy of the store comes back with a higher version number.
   this->store.values["configuration/root"] = {.value = old.value, .version = 9};
   this->configuration.Start();
+  // The second watch begins after the first value was looked at.
+  while (this->store.watches < 2) {
+    std::this_thread::yield();
+  }
   this->configuration.Stop();
   CHECK_EQUAL(2U, this->configuration.revision());
   CHECK_EQUAL(2U, this->adopted.size());
