--- a/src/app/load_poller.cc
+++ b/src/app/load_poller.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <vector>
 
 namespace rosemarycove {
 namespace {
@@ -34,12 +35,13 @@
 void LoadPoller::Run() {
   std::unique_lock lock(this->mutex);
   while (!this->stopping) {
-    const std::shared_ptr<const ResourceSet> resources = this->host.resources();
-    if (resources) {
-      for (const Backend& backend : resources->backends) {
-        if (this->asking.insert(backend.name).second) {
-          this->pool.Run([this, backend] { this->Ask(backend); });
-        }
+    std::vector<Backend> scheduled;
+    this->host.Inspect([&scheduled](const Node& node) {
+      scheduled = node.ScheduledBackends();
+    });
+    for (const Backend& backend : scheduled) {
+      if (this->asking.insert(backend.name).second) {
+        this->pool.Run([this, backend] { this->Ask(backend); });
       }
     }
     this->changed.wait_for(lock, this->period,
--- a/src/app/load_poller.h
+++ b/src/app/load_poller.h
@@ -13,7 +13,8 @@
 
 namespace rosemarycove {
 
-// Posts a LoadReported for each answer of a backend server.
+// Posts a LoadReported for each answer of a backend server. Only the servers
+// whose slots this instance grants are asked.
 class LoadPoller {
  public:
   // `period` is the time between two questions to the same server.
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -59,6 +59,9 @@
   [[nodiscard]] std::size_t waiting() const {
     return this->requests.size() - this->running_count;
   }
+  // The backend servers whose slots this node grants: those of the groups that
+  // it schedules, in its own data centre where there are any.
+  [[nodiscard]] std::vector<Backend> ScheduledBackends() const;
   // Requests of other instances that wait here or hold a slot from here.
   [[nodiscard]] std::size_t remote_slots() const { return this->remote.size(); }
   [[nodiscard]] const NodeCounters& counters() const { return this->counts; }
--- a/src/core/node_peers.cc
+++ b/src/core/node_peers.cc
@@ -53,6 +53,33 @@
              event.message);
 }
 
+std::vector<Backend> Node::ScheduledBackends() const {
+  std::vector<Backend> scheduled;
+  if (!this->in_force) {
+    return scheduled;
+  }
+  for (const Service& service : this->in_force->services) {
+    std::vector<std::string> models = service.models;
+    if (service.kind == ServiceKind::kPlain) {
+      models = {""};
+    }
+    for (const std::string& model : models) {
+      const std::uint32_t groups = this->placer.GroupCount(service.name, model);
+      for (std::uint32_t group = 0; group < groups; ++group) {
+        if (!this->IsSelf(
+                this->choice.SchedulerOf(service.name + '/' + model, group))) {
+          continue;
+        }
+        for (const BackendIndex index :
+             this->placer.NearMembers(service.name, model, group)) {
+          scheduled.push_back(this->placer.backend(index).backend());
+        }
+      }
+    }
+  }
+  return scheduled;
+}
+
 void Node::RerouteAll() {
   // Requests may end on the way, so their names are collected first.
   std::vector<RequestId> open;
--- a/src/core/scheduler.cc
+++ b/src/core/scheduler.cc
@@ -186,6 +186,22 @@
   return found->second;
 }
 
+std::vector<BackendIndex> Scheduler::NearMembers(const std::string& service,
+                                                 const std::string& model,
+                                                 std::uint32_t group) const {
+  const auto pool = this->pools.find(GroupName(service, model, group));
+  if (pool == this->pools.end()) {
+    return {};
+  }
+  std::vector<BackendIndex> near;
+  for (const BackendIndex index : pool->second.members()) {
+    if (!this->backends[static_cast<std::size_t>(index)].remote) {
+      near.push_back(index);
+    }
+  }
+  return near.empty() ? pool->second.members() : near;
+}
+
 void Scheduler::AdoptRunning(BackendIndex backend, TimePoint now) {
   this->entry(backend).state.AddRunning(now);
   this->Reindex(backend);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -99,6 +99,10 @@
   // The index of a backend server, or nothing when it is not declared.
   [[nodiscard]] std::optional<BackendIndex> Find(
       const std::string& backend) const;
+  // Members of a group in this data centre; all, when there are none here.
+  [[nodiscard]] std::vector<BackendIndex> NearMembers(
+      const std::string& service, const std::string& model,
+      std::uint32_t group) const;
   // Counts a request that another scheduler placed.
   void AdoptRunning(BackendIndex backend, TimePoint now);
 
--- a/tests/node_history.cc
+++ b/tests/node_history.cc
@@ -179,9 +179,8 @@
     this->Break("counters do not balance");
   }
   const auto running =
-      std::count_if(this->open.begin(), this->open.end(), [](const auto& item) {
-        return item.second.attempt != 0;
-      });
+      std::count_if(this->open.begin(), this->open.end(),
+                    [](const auto& item) { return item.second.attempt != 0; });
   if (this->node.running() != static_cast<std::size_t>(running)) {
     this->Break("the count of running requests is wrong");
   }
