--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -279,6 +279,9 @@
        kMemoryBudget, "the same and the peak of reading");
   line("store: watches", watches, "calls/s", kReadBudget,
        "each node waits by itself; grows with the fleet");
+  line("store and list: all idle calls", slopes.fleet_reads.At(kNodes),
+       "calls/s", kReadBudget,
+       "the fleet's slope: each node reads the list once a second");
   line("store: reads after changes, mean", change_reads, "calls/s", kReadBudget,
        "each node reads each change");
   line("store: claims", claims, "writes/s", 300,
--- a/bench/decision_main.cc
+++ b/bench/decision_main.cc
@@ -105,6 +105,7 @@
     }
     const double memory = ResidentBytes() - memory_before;
     std::vector<double> times;
+    times.reserve(kDecisions);
     const double cpu = CpuSeconds();
     for (int i = 0; i < kDecisions; ++i) {
       times.push_back(this->Decide(scheduler));
--- a/bench/load_main.cc
+++ b/bench/load_main.cc
@@ -156,6 +156,7 @@
 
   void Work() {
     std::vector<std::unique_ptr<httplib::Client>> clients;
+    clients.reserve(this->settings.targets.size());
     for (const std::string& target : this->settings.targets) {
       clients.push_back(std::make_unique<httplib::Client>("http://" + target));
       clients.back()->set_keep_alive(this->settings.targets.size() == 1);
--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -53,6 +53,7 @@
   LoadOptions load = scenario.load;
   load.seed = seed;
   std::vector<std::unique_ptr<Decider>> deciders;
+  deciders.reserve(static_cast<std::size_t>(scenario.deciders));
   for (int i = 0; i < scenario.deciders; ++i) {
     deciders.push_back(
         MakeDecider(policy, i, seed + static_cast<std::uint32_t>(i)));
--- a/bench/virtual_run.h
+++ b/bench/virtual_run.h
@@ -116,7 +116,6 @@
   [[nodiscard]] bool OnTarget(const Request& request) const;
   [[nodiscard]] bool Counted(const Request& request) const;
 
-  const Mix& mix;
   RunOptions options;
   std::vector<std::unique_ptr<Decider>> deciders;
   std::shared_ptr<const ResourceSet> resources;
--- a/src/app/command_line.cc
+++ b/src/app/command_line.cc
@@ -15,17 +15,13 @@
 #include "app/instance.h"
 #include "app/settings.h"
 #include "app/version.h"
+#include "http/http_status.h"
 
 namespace rosemarycove {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kUnprocessable = 422;
-constexpr int kConflictStatus = 409;
-constexpr int kAccepted = 202;
-constexpr int kFirstError = 300;
-
 // Where the commands for operators find an instance.
 struct OperatorTarget {
   std::string address = "127.0.0.1:8081";
@@ -141,21 +137,21 @@
               << httplib::to_string(result.error()) << "\n";
     return ExitStatus::kUnreachable;
   }
-  if (result->status == kAccepted) {
+  if (result->status == http_status::kAccepted) {
     std::cerr << result->body;
     return ExitStatus::kUnknown;
   }
-  if (result->status >= kFirstError) {
+  if (result->status >= http_status::kFirstError) {
     std::cerr << result->body;
   }
   switch (result->status) {
-    case kUnprocessable:
+    case http_status::kUnprocessable:
       return ExitStatus::kInvalid;
-    case kConflictStatus:
+    case http_status::kConflict:
       return ExitStatus::kConflict;
     default:
-      return result->status < kFirstError ? ExitStatus::kOk
-                                          : ExitStatus::kFailed;
+      return result->status < http_status::kFirstError ? ExitStatus::kOk
+                                                       : ExitStatus::kFailed;
   }
 }
 
--- a/src/app/configuration.cc
+++ b/src/app/configuration.cc
@@ -45,16 +45,12 @@
   if (text.empty()) {
     return StoredConfiguration{};
   }
-  toml::table document;
-  try {
-    document = toml::parse(text);
-  } catch (const toml::parse_error& error) {
-    return tl::unexpected(
-        SettingsErrors{{.file = kSource,
-                        .line = static_cast<int>(error.source().begin.line),
-                        .key = "syntax",
-                        .message = std::string(error.description())}});
+  const tl::expected<toml::table, SettingsErrors> parsed =
+      ParseToml(text, kSource);
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
   }
+  const toml::table& document = *parsed;
   return ReadResources(document, kSource).map([&](ResourceSet&& resources) {
     StoredConfiguration stored{.resources = std::move(resources),
                                .changes = {}};
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -8,19 +8,14 @@
 #include <random>
 #include <utility>
 
+#include "app/toml_json.h"
+#include "http/http_status.h"
+
 namespace rosemarycove {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kAccepted = 202;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kUnavailable = 503;
-
 constexpr std::string_view kKinds[] = {"class", "customer", "service",
                                        "backend"};
 
@@ -48,53 +43,6 @@
   return id;
 }
 
-toml::array ToTomlArray(const json& values);
-
-// Puts a JSON value into a table; nulls are left out.
-void Insert(toml::table& table, const std::string& key, const json& value);
-
-toml::table ToTomlTable(const json& object) {
-  toml::table table;
-  for (const auto& [key, value] : object.items()) {
-    Insert(table, key, value);
-  }
-  return table;
-}
-
-void Insert(toml::table& table, const std::string& key, const json& value) {
-  if (value.is_string()) {
-    table.insert_or_assign(key, value.get<std::string>());
-  } else if (value.is_boolean()) {
-    table.insert_or_assign(key, value.get<bool>());
-  } else if (value.is_number_integer()) {
-    table.insert_or_assign(key, value.get<std::int64_t>());
-  } else if (value.is_number()) {
-    table.insert_or_assign(key, value.get<double>());
-  } else if (value.is_array()) {
-    table.insert_or_assign(key, ToTomlArray(value));
-  } else if (value.is_object()) {
-    table.insert_or_assign(key, ToTomlTable(value));
-  }
-}
-
-toml::array ToTomlArray(const json& values) {
-  toml::array array;
-  for (const json& value : values) {
-    toml::table holder;
-    Insert(holder, "value", value);
-    if (const toml::node* node = holder.get("value")) {
-      array.push_back(*node);
-    }
-  }
-  return array;
-}
-
-json ToJson(const toml::node& node) {
-  toml::table holder;
-  holder.insert_or_assign("value", node);
-  return json::parse(ToJsonText(holder))["value"];
-}
-
 toml::table* FindOne(toml::table& document, const std::string& kind,
                      const std::string& name) {
   toml::array* array = document[kind].as_array();
@@ -204,7 +152,7 @@
     const std::string wanted = "Bearer " + this->options.token;
     if (given.size() != wanted.size() ||
         CRYPTO_memcmp(given.data(), wanted.data(), wanted.size()) != 0) {
-      Fail(response, kUnauthorized, "wrong_token",
+      Fail(response, http_status::kUnauthorized, "wrong_token",
            "the operators' token is required: Authorization: Bearer TOKEN");
       return;
     }
@@ -216,7 +164,8 @@
                                httplib::Response& response) {
   const std::shared_ptr<const ResourceSet> resources = this->host.resources();
   if (!resources) {
-    Fail(response, kUnavailable, "not_ready", "no configuration yet");
+    Fail(response, http_status::kUnavailable, "not_ready",
+         "no configuration yet");
     return;
   }
   response.set_header("ETag",
@@ -248,7 +197,8 @@
                           httplib::Response& response) {
   const std::shared_ptr<const ResourceSet> resources = this->host.resources();
   if (!resources) {
-    Fail(response, kUnavailable, "not_ready", "no configuration yet");
+    Fail(response, http_status::kUnavailable, "not_ready",
+         "no configuration yet");
     return;
   }
   const std::string kind = request.matches[1];
@@ -262,7 +212,8 @@
                          httplib::Response& response) {
   const std::shared_ptr<const ResourceSet> resources = this->host.resources();
   if (!resources) {
-    Fail(response, kUnavailable, "not_ready", "no configuration yet");
+    Fail(response, http_status::kUnavailable, "not_ready",
+         "no configuration yet");
     return;
   }
   const std::string kind = request.matches[1];
@@ -270,7 +221,7 @@
   toml::table document = WriteResources(*resources);
   const toml::table* found = FindOne(document, kind, name);
   if (found == nullptr) {
-    Fail(response, kNotFound, "not_found",
+    Fail(response, http_status::kNotFound, "not_found",
          kind + " " + name + " is not declared");
     return;
   }
@@ -284,7 +235,7 @@
   }
   response.set_header("ETag",
                       "\"" + std::to_string(resources->revision) + "\"");
-  Answer(response, 200,
+  Answer(response, http_status::kOk,
          {{"revision", resources->revision},
           {kind, ToJson(*found)},
           {"state", state}});
@@ -296,11 +247,12 @@
   const std::string name = request.matches[2];
   json body = json::parse(request.body, nullptr, false);
   if (!body.is_object()) {
-    Fail(response, kBadRequest, "bad_request", "the body is not a JSON object");
+    Fail(response, http_status::kBadRequest, "bad_request",
+         "the body is not a JSON object");
     return;
   }
   if (IsKind(kind) && body.value("name", name) != name) {
-    Fail(response, kBadRequest, "bad_request",
+    Fail(response, http_status::kBadRequest, "bad_request",
          "the body names another resource than the path");
     return;
   }
@@ -350,7 +302,7 @@
                          httplib::Response& response,
                          const ResourceEdit& edit) {
   if (this->configuration == nullptr) {
-    Fail(response, kConflict, "runs_alone",
+    Fail(response, http_status::kConflict, "runs_alone",
          "this instance runs alone from its settings file; change that file");
     return;
   }
@@ -362,7 +314,7 @@
   const tl::expected<std::uint64_t, ChangeError> changed =
       this->configuration->Change(change_id, ExpectedRevision(request), edit);
   if (changed) {
-    Answer(response, 200,
+    Answer(response, http_status::kOk,
            {{"change", change_id},
             {"url", url},
             {"state", "accepted"},
@@ -377,22 +329,22 @@
   }
   switch (error.kind) {
     case ChangeErrorKind::kInvalid:
-      Answer(response, kUnprocessable,
+      Answer(response, http_status::kUnprocessable,
              {{"error", {{"code", "invalid"}, {"message", error.message}}},
               {"faults", faults}});
       return;
     case ChangeErrorKind::kConflict:
-      Answer(response, kConflict,
+      Answer(response, http_status::kConflict,
              {{"error", {{"code", "conflict"}, {"message", error.message}}},
               {"revision", error.revision}});
       return;
     case ChangeErrorKind::kUnavailable:
       response.set_header("Retry-After", "2");
-      Fail(response, kUnavailable, "store_unavailable",
+      Fail(response, http_status::kUnavailable, "store_unavailable",
            error.message + "; nothing was changed");
       return;
     case ChangeErrorKind::kUnknown:
-      Answer(response, kAccepted,
+      Answer(response, http_status::kAccepted,
              {{"change", change_id},
               {"url", url},
               {"state", "unknown"},
@@ -404,7 +356,8 @@
 void OperatorApi::GetChange(const httplib::Request& request,
                             httplib::Response& response) {
   if (this->configuration == nullptr) {
-    Fail(response, kNotFound, "runs_alone", "this instance takes no changes");
+    Fail(response, http_status::kNotFound, "runs_alone",
+         "this instance takes no changes");
     return;
   }
   const std::string change_id = request.matches[1];
@@ -423,7 +376,7 @@
   if (this->peers != nullptr) {
     spread = this->peers->SpreadOf(*accepted);
   }
-  Answer(response, 200,
+  Answer(response, http_status::kOk,
          {{"change", change_id},
           {"revision", *accepted},
           {"state", spread.in_force ? "in_force" : "accepted"},
@@ -481,7 +434,7 @@
     state["tier"] = item.tier;
     status["classes"].push_back(state);
   }
-  Answer(response, 200, status);
+  Answer(response, http_status::kOk, status);
 }
 
 void OperatorApi::GetMetrics(const httplib::Request& /*request*/,
--- a/src/app/resource_document.cc
+++ b/src/app/resource_document.cc
@@ -242,16 +242,10 @@
 
 }  // namespace
 
-tl::expected<ResourceSet, SettingsErrors> ReadResources(
-    const toml::table& document, const std::string& file) {
-  return DocumentReader(document, file).Read();
-}
-
-tl::expected<ResourceSet, SettingsErrors> ParseResources(
-    std::string_view text, const std::string& file) {
-  toml::table document;
+tl::expected<toml::table, SettingsErrors> ParseToml(std::string_view text,
+                                                    const std::string& file) {
   try {
-    document = toml::parse(text, file);
+    return toml::parse(text, file);
   } catch (const toml::parse_error& error) {
     return tl::unexpected(
         SettingsErrors{{.file = file,
@@ -259,6 +253,21 @@
                         .key = "syntax",
                         .message = std::string(error.description())}});
   }
+}
+
+tl::expected<ResourceSet, SettingsErrors> ReadResources(
+    const toml::table& document, const std::string& file) {
+  return DocumentReader(document, file).Read();
+}
+
+tl::expected<ResourceSet, SettingsErrors> ParseResources(
+    std::string_view text, const std::string& file) {
+  const tl::expected<toml::table, SettingsErrors> parsed =
+      ParseToml(text, file);
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
+  }
+  const toml::table& document = *parsed;
   SettingsErrors errors;
   for (const auto& [key, node] : document) {
     bool known = false;
--- a/src/app/resource_document.h
+++ b/src/app/resource_document.h
@@ -17,6 +17,10 @@
 // The faults of a document; never empty in an error.
 using SettingsErrors = std::vector<SettingsError>;
 
+// Parses TOML text; the error names its line.
+tl::expected<toml::table, SettingsErrors> ParseToml(std::string_view text,
+                                                    const std::string& file);
+
 // The array tables and tables of a document that hold resources.
 inline constexpr std::string_view kResourceKeys[] = {
     "class", "customer", "service", "backend", "limits", "revision"};
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -251,17 +251,9 @@
 
 tl::expected<Settings, SettingsErrors> ParseSettings(std::string_view text,
                                                      const std::string& file) {
-  toml::table document;
-  try {
-    document = toml::parse(text, file);
-  } catch (const toml::parse_error& error) {
-    return tl::unexpected(
-        SettingsErrors{{.file = file,
-                        .line = static_cast<int>(error.source().begin.line),
-                        .key = "syntax",
-                        .message = std::string(error.description())}});
-  }
-  return SettingsReader(document, file).Read();
+  return ParseToml(text, file).and_then([&](const toml::table& document) {
+    return SettingsReader(document, file).Read();
+  });
 }
 
 tl::expected<Settings, SettingsErrors> LoadSettings(const std::string& file) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -161,6 +161,10 @@
   BackendEntry& entry(BackendIndex index) {
     return this->backends[static_cast<std::size_t>(index)];
   }
+  static std::string PoolName(const std::string& service,
+                              const std::string& model);
+  static std::string GroupName(const std::string& service,
+                               const std::string& model, std::uint32_t group);
   [[nodiscard]] bool InPool(const Backend& backend, const std::string& service,
                             const std::string& model) const;
   void RebuildPools(const ResourceSet& resources);
--- a/src/http/attempt_runner.cc
+++ b/src/http/attempt_runner.cc
@@ -22,6 +22,19 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
+// Whether a stream's event is part of an answer: a JSON object that reports no
+// error. Most events are only checked, not built.
+bool IsAnswerEvent(std::string_view data) {
+  if (data.empty() || data.front() != '{') {
+    return false;
+  }
+  if (data.find("\"error\"") == std::string_view::npos) {
+    return json::accept(data);
+  }
+  const json event = json::parse(data, nullptr, false);
+  return event.is_object() && !event.contains("error");
+}
+
 // One sending and its answer, as far as it has come.
 class Attempt : public AttemptCanceller {
  public:
@@ -105,8 +118,7 @@
       this->done = true;
       return true;
     }
-    const json event = json::parse(data, nullptr, false);
-    if (!event.is_object() || event.contains("error")) {
+    if (!IsAnswerEvent(data)) {
       return false;
     }
     ++this->token_count;
--- a/src/http/caller_front.cc
+++ b/src/http/caller_front.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http/http_status.h"
 #include "platform/digest.h"
 
 namespace rosemarycove {
@@ -14,17 +15,6 @@
 
 using nlohmann::json;
 
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kForbidden = 403;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kTooManyRequests = 429;
-constexpr int kClientClosed = 499;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-
 // How often a waiting caller's connection is looked at.
 constexpr auto kCallerCheck = std::chrono::milliseconds(250);
 // Bytes of text for a token, for prompt lengths.
@@ -37,25 +27,25 @@
   switch (finish.cause) {
     case EndCause::kUnknownModel:
     case EndCause::kUnknownService:
-      return kNotFound;
+      return http_status::kNotFound;
     case EndCause::kClassNotAllowed:
-      return kForbidden;
+      return http_status::kForbidden;
     case EndCause::kCustomerLimit:
     case EndCause::kClassLimit:
-      return kTooManyRequests;
+      return http_status::kTooManyRequests;
     case EndCause::kKeyTaken:
-      return kConflict;
+      return http_status::kConflict;
     case EndCause::kKeyReused:
-      return kUnprocessable;
+      return http_status::kUnprocessable;
     case EndCause::kCallerLeft:
-      return kClientClosed;
+      return http_status::kClientClosed;
     case EndCause::kBackendError:
     case EndCause::kAnswerLost:
     case EndCause::kAnswerMalformed:
     case EndCause::kAnswerCrossed:
-      return kBadGateway;
+      return http_status::kBadGateway;
     default:
-      return kUnavailable;
+      return http_status::kUnavailable;
   }
 }
 
@@ -188,7 +178,7 @@
   server.Get(
       "/readyz", [this](const httplib::Request&, httplib::Response& response) {
         const bool ready = this->host.ready();
-        response.status = ready ? 200 : kUnavailable;
+        response.status = ready ? http_status::kOk : http_status::kUnavailable;
         response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
       });
   server.set_error_handler(
@@ -217,10 +207,11 @@
   }
   if (!this->host.ready()) {
     response.set_header("Retry-After", "1");
-    Reject(response, kUnavailable, "the instance is not ready", "not_ready");
+    Reject(response, http_status::kUnavailable, "the instance is not ready",
+           "not_ready");
     return std::nullopt;
   }
-  Reject(response, kUnauthorized,
+  Reject(response, http_status::kUnauthorized,
          "a known key is required: Authorization: Bearer KEY", "wrong_key");
   return std::nullopt;
 }
@@ -246,7 +237,7 @@
   const json body = json::parse(request.body, nullptr, false);
   const std::string fault = FaultOf(body);
   if (!fault.empty()) {
-    Reject(response, kBadRequest, fault, "bad_request");
+    Reject(response, http_status::kBadRequest, fault, "bad_request");
     return;
   }
   const std::string prompt = PromptText(body);
@@ -263,7 +254,8 @@
       .fingerprint = {}};
   this->TakeHeaders(request, arrived);
   if (arrived.idempotency_key.size() > kMaxKeyLength) {
-    Reject(response, kBadRequest, "Idempotency-Key is too long", "bad_request");
+    Reject(response, http_status::kBadRequest, "Idempotency-Key is too long",
+           "bad_request");
     return;
   }
   UpstreamRequest upstream{.path = "/v1/chat/completions",
@@ -290,7 +282,8 @@
                          .fingerprint = {}};
   this->TakeHeaders(request, arrived);
   if (arrived.idempotency_key.size() > kMaxKeyLength) {
-    Reject(response, kBadRequest, "Idempotency-Key is too long", "bad_request");
+    Reject(response, http_status::kBadRequest, "Idempotency-Key is too long",
+           "bad_request");
     return;
   }
   const std::string path = request.matches[2];
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -88,15 +88,17 @@
   ssize_t write(const char* data, size_t size) override {
     std::size_t sent = 0;
     while (sent < size) {
-      if (!this->is_writable()) {
+      const ssize_t count = send(this->fd, data + sent, size - sent,
+                                 MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count >= 0) {
+        sent += static_cast<std::size_t>(count);
+      } else if (errno == EAGAIN) {
+        if (!this->is_writable()) {
+          return -1;
+        }
+      } else if (errno != EINTR) {
         return -1;
       }
-      const ssize_t count =
-          send(this->fd, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (count < 0 && errno != EAGAIN && errno != EINTR) {
-        return -1;
-      }
-      sent += count > 0 ? static_cast<std::size_t>(count) : 0;
     }
     return static_cast<ssize_t>(size);
   }
--- /dev/null
+++ b/src/http/http_status.h
@@ -0,0 +1,21 @@
+// HTTP status codes that the interfaces use.
+#pragma once
+
+namespace rosemarycove::http_status {
+
+inline constexpr int kOk = 200;
+inline constexpr int kAccepted = 202;
+inline constexpr int kFirstError = 300;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kForbidden = 403;
+inline constexpr int kNotFound = 404;
+inline constexpr int kConflict = 409;
+inline constexpr int kUnprocessable = 422;
+inline constexpr int kTooManyRequests = 429;
+// The caller closed its connection; seen in logs only.
+inline constexpr int kClientClosed = 499;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+
+}  // namespace rosemarycove::http_status
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -3,9 +3,6 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -58,15 +55,12 @@
   fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 }
 
-bool SameProof(const std::string& a, const std::string& b) {
-  return a.size() == b.size() && !a.empty() &&
-         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
-}
-
 }  // namespace
 
 PeerLinks::PeerLinks(PeerLinksOptions options, PeerListener& listener)
-    : options(std::move(options)), listener(listener) {}
+    : options(std::move(options)),
+      listener(listener),
+      proof(this->options.secret) {}
 
 PeerLinks::~PeerLinks() { this->Stop(); }
 
@@ -220,7 +214,7 @@
   }
   PrepareSocket(fd);
   auto connection = std::make_unique<PeerConnection>(fd, "", "accepted", Now());
-  connection->nonce = this->MakeNonce();
+  connection->nonce = this->proof.MakeNonce();
   this->SendFrame(*connection, PeerChallenge{.nonce = connection->nonce});
   this->connections.push_back(std::move(connection));
 }
@@ -254,7 +248,7 @@
     dial.pause = std::clamp(2 * dial.pause, kFirstPause, kLongestPause);
     // Half of the pause is drawn, so that peers don't come back in step.
     std::uniform_real_distribution<double> part(0.5, 1.0);
-    dial.next = now + FromSeconds(ToSeconds(dial.pause) * part(this->random));
+    dial.next = now + FromSeconds(ToSeconds(dial.pause) * part(this->jitter));
     const auto [host, port] = SplitAddress(dial.address);
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     PrepareSocket(fd);
@@ -354,25 +348,26 @@
     this->Close(connection, "an unexpected challenge or another version");
     return;
   }
-  connection.nonce = this->MakeNonce();
+  connection.nonce = this->proof.MakeNonce();
   std::uint64_t own_revision = 0;
   {
     const std::lock_guard lock(this->mutex);
     own_revision = this->revision;
   }
-  this->SendFrame(
-      connection,
-      PeerHello{.name = this->options.name,
-                .data_centre = this->options.data_centre,
-                .revision = own_revision,
-                .nonce = connection.nonce,
-                .proof = this->Proof("hello", item.nonce, this->options.name)});
+  this->SendFrame(connection,
+                  PeerHello{.name = this->options.name,
+                            .data_centre = this->options.data_centre,
+                            .revision = own_revision,
+                            .nonce = connection.nonce,
+                            .proof = this->proof.Make("hello", item.nonce,
+                                                      this->options.name)});
 }
 
 void PeerLinks::TakeHello(PeerConnection& connection, const PeerHello& item) {
-  const std::string wanted = this->Proof("hello", connection.nonce, item.name);
+  const std::string wanted =
+      this->proof.Make("hello", connection.nonce, item.name);
   if (!connection.dialled.empty() || connection.is_up ||
-      item.version != kPeerVersion || !SameProof(wanted, item.proof) ||
+      item.version != kPeerVersion || !PeerProof::Same(wanted, item.proof) ||
       item.name == this->options.name) {
     this->Close(connection,
                 "no proof of the shared secret, or another version");
@@ -390,17 +385,17 @@
                   PeerWelcome{.name = this->options.name,
                               .data_centre = this->options.data_centre,
                               .revision = own_revision,
-                              .proof = this->Proof("welcome", item.nonce,
-                                                   this->options.name)});
+                              .proof = this->proof.Make("welcome", item.nonce,
+                                                        this->options.name)});
   this->LinkUp(connection);
 }
 
 void PeerLinks::TakeWelcome(PeerConnection& connection,
                             const PeerWelcome& item) {
   const std::string wanted =
-      this->Proof("welcome", connection.nonce, item.name);
+      this->proof.Make("welcome", connection.nonce, item.name);
   if (connection.dialled.empty() || connection.is_up ||
-      item.name != connection.dialled || !SameProof(wanted, item.proof)) {
+      item.name != connection.dialled || !PeerProof::Same(wanted, item.proof)) {
     this->Close(connection, "no proof of the shared secret, or another name");
     return;
   }
@@ -500,24 +495,4 @@
                 [](const auto& item) { return item->is_closed; });
 }
 
-std::string PeerLinks::Proof(const std::string& role, const std::string& nonce,
-                             const std::string& name) const {
-  const std::string text = role + '\n' + nonce + '\n' + name;
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  HMAC(EVP_sha256(), this->options.secret.data(),
-       static_cast<int>(this->options.secret.size()),
-       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-       digest.data(), &size);
-  return {reinterpret_cast<const char*>(digest.data()), size};
-}
-
-std::string PeerLinks::MakeNonce() {
-  std::string nonce;
-  for (int i = 0; i < 4; ++i) {
-    nonce += std::to_string(this->random()) + ".";
-  }
-  return nonce;
-}
-
 }  // namespace rosemarycove
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -13,6 +13,7 @@
 
 #include "core/peer_messages.h"
 #include "core/types.h"
+#include "net/peer_proof.h"
 #include "wire/peer_codec.h"
 
 namespace rosemarycove {
@@ -117,20 +118,17 @@
   void Close(PeerConnection& connection, const std::string& reason);
   void RemoveClosed();
   [[nodiscard]] Duration HeartbeatOf(const PeerConnection& connection) const;
-  [[nodiscard]] std::string Proof(const std::string& role,
-                                  const std::string& nonce,
-                                  const std::string& name) const;
-  std::string MakeNonce();
   void SendFrame(PeerConnection& connection, const PeerFrame& frame);
 
   PeerLinksOptions options;
   PeerListener& listener;
+  PeerProof proof;
   int listen_fd = -1;
   int wake_read = -1;
   int wake_write = -1;
   std::vector<std::unique_ptr<PeerConnection>> connections;
   std::map<std::string, Dial> dials;
-  std::random_device random;
+  std::random_device jitter;
 
   mutable std::mutex mutex;
   bool stopping = false;
--- /dev/null
+++ b/src/net/peer_proof.cc
@@ -0,0 +1,44 @@
+#include "net/peer_proof.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+// Random numbers of 32 bits in a nonce.
+constexpr int kNonceNumbers = 4;
+
+}  // namespace
+
+PeerProof::PeerProof(std::string secret) : secret(std::move(secret)) {}
+
+std::string PeerProof::Make(const std::string& role, const std::string& nonce,
+                            const std::string& name) const {
+  const std::string text = role + '\n' + nonce + '\n' + name;
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), this->secret.data(), static_cast<int>(this->secret.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       digest.data(), &size);
+  return {reinterpret_cast<const char*>(digest.data()), size};
+}
+
+bool PeerProof::Same(const std::string& a, const std::string& b) {
+  return a.size() == b.size() && !a.empty() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string PeerProof::MakeNonce() {
+  std::string nonce;
+  for (int i = 0; i < kNonceNumbers; ++i) {
+    nonce += std::to_string(this->random()) + ".";
+  }
+  return nonce;
+}
+
+}  // namespace rosemarycove
