--- a/bench/load_main.cc
+++ b/bench/load_main.cc
@@ -123,6 +123,7 @@
     const ProcessUse before = UseOf(this->settings.pid);
     this->start = Clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(this->settings.streams));
     for (int i = 0; i < this->settings.streams; ++i) {
       threads.emplace_back([this] { this->Work(); });
     }
