Remove four pieces that nothing calls

Cause: reading the whole change again, WaitingRoom::SharedWaitingBelow and NextExpiry, the action observer of the virtual run and NodeDecider::core had no caller left. Conclusion: dead code only.

--- a/bench/decider.h
+++ b/bench/decider.h
@@ -27,7 +27,6 @@
   std::vector<Action> Handle(TimePoint now, const Event& event) override {
     return this->node.Handle(now, event);
   }
-  [[nodiscard]] const Node& core() const { return this->node; }
 
  private:
   Node node;
--- a/bench/virtual_run.cc
+++ b/bench/virtual_run.cc
@@ -61,9 +61,6 @@
   const std::vector<Action> actions =
       this->deciders[decider]->Handle(this->now, event);
   for (const Action& action : actions) {
-    if (this->observer) {
-      this->observer(this->now, action);
-    }
     std::visit([&](const auto& what) { this->Do(decider, what); }, action);
   }
 }
--- a/bench/virtual_run.h
+++ b/bench/virtual_run.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
@@ -72,9 +71,6 @@
   [[nodiscard]] double TotalAttainment() const;
 };
 
-// Called with each action as it is carried out.
-using ActionObserver = std::function<void(TimePoint, const Action&)>;
-
 // One run. Deciders share the engines; arrivals are spread over them.
 class VirtualRun {
  public:
@@ -83,7 +79,6 @@
              std::shared_ptr<const ResourceSet> resources, std::uint32_t seed);
 
   RunResult Run(const std::vector<Arrival>& arrivals);
-  void set_observer(ActionObserver value) { this->observer = std::move(value); }
 
  private:
   // A request and what really happened to it.
@@ -136,7 +131,6 @@
   RequestId next_request = 1;
   StreamId next_stream = 1;
   RunResult result;
-  ActionObserver observer;
 };
 
 }  // namespace rosemarycove::bench
--- a/src/core/waiting_room.cc
+++ b/src/core/waiting_room.cc
@@ -91,10 +91,6 @@
   return std::nullopt;
 }
 
-bool WaitingRoom::SharedWaitingBelow(int tier) const {
-  return this->Victim(tier).has_value();
-}
-
 TimePoint WaitingRoom::AdvanceFlow(const WaitingEntry& entry, TimePoint now) {
   Flow& flow = this->flows[entry.customer];
   if (flow.waiting == 0) {
@@ -301,11 +297,4 @@
   return cost;
 }
 
-std::optional<TimePoint> WaitingRoom::NextExpiry() const {
-  if (this->expiries.empty()) {
-    return std::nullopt;
-  }
-  return this->expiries.begin()->first;
-}
-
 }  // namespace rosemarycove
--- a/src/core/waiting_room.h
+++ b/src/core/waiting_room.h
@@ -86,12 +86,8 @@
   [[nodiscard]] std::size_t size() const { return this->slots.size(); }
   // Requests waiting above the tier given (smaller numbers).
   [[nodiscard]] std::size_t WaitingAbove(int tier) const;
-  // Whether a lower tier waits in the shared places.
-  [[nodiscard]] bool SharedWaitingBelow(int tier) const;
   // Tokens waiting in this tier and above.
   [[nodiscard]] double WaitingCost(int tier) const;
-  // The time at which Expire has something to do next.
-  [[nodiscard]] std::optional<TimePoint> NextExpiry() const;
 
  private:
   using OrderKey = std::pair<TimePoint, RequestId>;
