--- a/bench/configuration_main.cc
+++ b/bench/configuration_main.cc
@@ -9,7 +9,7 @@
 
 #include "app/configuration.h"
 #include "core/scheduler.h"
-#include "platform/digest.h"
+#include "store/digest.h"
 
 namespace rosemarycove::bench {
 namespace {
--- a/src/app/claim_keeper.cc
+++ b/src/app/claim_keeper.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/digest.h"
+#include "store/digest.h"
 
 namespace rosemarycove {
 namespace {
--- a/src/app/claim_keeper.h
+++ b/src/app/claim_keeper.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "core/events.h"
-#include "platform/key_value_store.h"
+#include "store/key_value_store.h"
 
 namespace rosemarycove {
 
--- a/src/app/command_line.cc
+++ b/src/app/command_line.cc
@@ -241,7 +241,7 @@
 
 }  // namespace
 
-int RunCommandLine(int argc, char** argv) {
+int RunCommandLine(int argc, char** argv, const AddCommands& add_commands) {
   CLI::App app("rosemarycove routes language-model traffic by service level");
   app.require_subcommand(1);
   app.footer(
@@ -290,6 +290,8 @@
   CLI::App* version = app.add_subcommand("version", "Print the version");
   version->callback([] { std::cout << "rosemarycove " << kVersion << "\n"; });
 
+  add_commands(app, status);
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/src/app/command_line.h
+++ b/src/app/command_line.h
@@ -1,6 +1,12 @@
 // The commands of the rosemarycove program.
 #pragma once
 
+#include <functional>
+
+namespace CLI {
+class App;
+}
+
 namespace rosemarycove {
 
 // Exit statuses, listed in docs/COMMANDS.md.
@@ -15,7 +21,10 @@
   kCutOff = 7,
 };
 
+// Adds commands to the program; one that runs sets the exit status.
+using AddCommands = std::function<void(CLI::App&, ExitStatus&)>;
+
 // Runs the command that the arguments name; returns the exit status.
-int RunCommandLine(int argc, char** argv);
+int RunCommandLine(int argc, char** argv, const AddCommands& add_commands);
 
 }  // namespace rosemarycove
--- a/src/app/configuration.h
+++ b/src/app/configuration.h
@@ -14,7 +14,7 @@
 #include "app/event_log.h"
 #include "app/resource_document.h"
 #include "core/resources.h"
-#include "platform/key_value_store.h"
+#include "store/key_value_store.h"
 
 namespace rosemarycove {
 
--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -17,10 +17,16 @@
     {LogEvent::kStopped, "stopped", LogLevel::kInfo},
     {LogEvent::kDrainCutOff, "drain_cut_off", LogLevel::kError},
     {LogEvent::kListenFailed, "listen_failed", LogLevel::kError},
+    {LogEvent::kSettingsReloaded, "settings_reloaded", LogLevel::kInfo},
+    {LogEvent::kSettingsRefused, "settings_refused", LogLevel::kError},
+    {LogEvent::kLinesDropped, "lines_dropped", LogLevel::kWarning},
     {LogEvent::kRequestEnded, "request_ended", LogLevel::kInfo},
+    {LogEvent::kCallEnded, "call_ended", LogLevel::kInfo},
     {LogEvent::kPlaced, "placed", LogLevel::kInfo},
     {LogEvent::kAttemptBroken, "attempt_broken", LogLevel::kWarning},
     {LogEvent::kSlotTaken, "slot_taken", LogLevel::kInfo},
+    {LogEvent::kCallPlaced, "call_placed", LogLevel::kInfo},
+    {LogEvent::kAttemptFailed, "attempt_failed", LogLevel::kWarning},
     {LogEvent::kPeerUp, "peer_up", LogLevel::kInfo},
     {LogEvent::kPeerDown, "peer_down", LogLevel::kWarning},
     {LogEvent::kPeerRefused, "peer_refused", LogLevel::kWarning},
@@ -32,6 +38,10 @@
     {LogEvent::kStoreAvailable, "store_available", LogLevel::kInfo},
     {LogEvent::kChangeAccepted, "change_accepted", LogLevel::kInfo},
     {LogEvent::kLoadReportMissing, "load_report_missing", LogLevel::kWarning},
+    {LogEvent::kServerChanged, "server_changed", LogLevel::kInfo},
+    {LogEvent::kServerEjected, "server_ejected", LogLevel::kWarning},
+    {LogEvent::kDataCentresSuspected, "data_centres_suspected",
+     LogLevel::kWarning},
 };
 
 constexpr std::size_t kQueuedLines = 8192;
@@ -93,7 +103,7 @@
   spdlog::init_thread_pool(kQueuedLines, 1);
   this->logger = std::make_shared<spdlog::async_logger>(
       "rosemarycove", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-      spdlog::thread_pool(), spdlog::async_overflow_policy::block);
+      spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
   this->logger->set_level(spdlog::level::from_str(level));
   this->logger->flush_on(spdlog::level::info);
   if (format == LogFormat::kJson) {
@@ -126,6 +136,10 @@
                     this->format == LogFormat::kJson ? line.substr(1) : line);
 }
 
+std::uint64_t EventLog::dropped() const {
+  return spdlog::thread_pool()->overrun_counter();
+}
+
 void EventLog::Flush() { this->logger->flush(); }
 
 }  // namespace rosemarycove
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -24,10 +24,16 @@
   kStopped = 1004,
   kDrainCutOff = 1005,
   kListenFailed = 1006,
+  kSettingsReloaded = 1007,
+  kSettingsRefused = 1008,
+  kLinesDropped = 1009,
   kRequestEnded = 2001,
+  kCallEnded = 2002,
   kPlaced = 3001,
   kAttemptBroken = 3002,
   kSlotTaken = 3003,
+  kCallPlaced = 3004,
+  kAttemptFailed = 3005,
   kPeerUp = 6001,
   kPeerDown = 6002,
   kPeerRefused = 6003,
@@ -37,6 +43,9 @@
   kStoreAvailable = 4004,
   kChangeAccepted = 4005,
   kLoadReportMissing = 5001,
+  kServerChanged = 5002,
+  kServerEjected = 5003,
+  kDataCentresSuspected = 5004,
 };
 
 // How severe an event is.
@@ -55,7 +64,9 @@
 // The fields of one line, in the order in which they are written.
 using LogFields = nlohmann::ordered_json;
 
-// Writes events to standard output, one line each, from any thread.
+// Writes events to standard output, one line each, from any thread. Lines wait
+// in a bounded queue; when it is full the oldest are dropped and counted, so
+// that writing never holds up a caller.
 class EventLog {
  public:
   EventLog(std::string instance, LogFormat format, const std::string& level);
@@ -65,6 +76,8 @@
 
   // Writes one event. Field values must never hold a customer's key.
   void Write(LogEvent event, const LogFields& fields);
+  // Lines that were given up because the queue was full.
+  [[nodiscard]] std::uint64_t dropped() const;
   // Writes out what is buffered.
   void Flush();
 
--- /dev/null
+++ b/src/app/gateway.cc
@@ -0,0 +1,436 @@
+#include "app/gateway.h"
+
+#include <csignal>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+using boost::system::error_code;
+
+// How often what depends on time is looked at: half of the shortest time
+// limit that has to be kept, a tenth of a second.
+constexpr Duration kTick = std::chrono::milliseconds(50);
+// The servers' entries are read when the copy is this old. With the pauses of
+// later readers, the reports between instances and a request's way this keeps
+// within the two seconds that a leaving server may still get requests.
+constexpr Duration kDirectoryAge = std::chrono::milliseconds(800);
+// The next instance reads when the copy grows older by this: longer than a
+// report takes, so that one reader is enough while it lives.
+constexpr Duration kNextReader = std::chrono::milliseconds(150);
+constexpr int kMostReaderRanks = 4;
+// The configuration changes seldom, and other instances pass it on.
+constexpr Duration kConfigurationWait = std::chrono::seconds(25);
+// A reading of the servers' changes does not wait for one.
+constexpr Duration kNoWait = std::chrono::milliseconds(1);
+// Callers are sent here for this long after the instance stopped being ready.
+constexpr Duration kStillSent = std::chrono::milliseconds(2600);
+// Left of the grace, to end in order.
+constexpr Duration kGraceMargin = std::chrono::milliseconds(500);
+// For the last bytes to leave the process.
+constexpr Duration kFlush = std::chrono::milliseconds(100);
+// Between two notes of dropped log lines.
+constexpr Duration kDropNotes = std::chrono::seconds(5);
+
+}  // namespace
+
+class Gateway::ConfigurationListener : public FeedListener {
+ public:
+  explicit ConfigurationListener(Gateway& gateway) : gateway(gateway) {}
+
+  void OnReading(const Reading& reading, bool /*whole*/,
+                 TimePoint /*read_at*/) override {
+    for (const SharedDocument& document : reading.documents) {
+      this->gateway.Adopt(document, "store");
+    }
+  }
+  void OnStoreLost(const std::string& why) override {
+    this->gateway.log.Write(LogEvent::kStoreUnavailable,
+                            {{"reader", "configuration"},
+                             {"why", why},
+                             {"revision",
+                              this->gateway.configuration_document.revision}});
+  }
+  void OnStoreRegained(Duration away) override {
+    this->gateway.log.Write(LogEvent::kStoreAvailable,
+                            {{"reader", "configuration"},
+                             {"away_ms", LogMilliseconds(away)},
+                             {"revision",
+                              this->gateway.configuration_document.revision}});
+  }
+
+ private:
+  Gateway& gateway;
+};
+
+class Gateway::DirectoryListener : public FeedListener {
+ public:
+  explicit DirectoryListener(Gateway& gateway) : gateway(gateway) {}
+
+  void OnReading(const Reading& reading, bool whole,
+                 TimePoint read_at) override {
+    const TimePoint now = std::chrono::steady_clock::now();
+    BackendDirectory& directory = this->gateway.directory;
+    this->gateway.LogNews(
+        whole ? directory.Replace(reading.documents, reading.as_of, read_at,
+                                  now)
+              : directory.Apply(reading.documents, reading.as_of, read_at, now),
+        "store");
+  }
+  void OnStoreLost(const std::string& why) override {
+    this->gateway.log.Write(
+        LogEvent::kStoreUnavailable,
+        {{"reader", "directory"},
+         {"why", why},
+         {"revision", this->gateway.directory.as_of()}});
+  }
+  void OnStoreRegained(Duration away) override {
+    this->gateway.log.Write(
+        LogEvent::kStoreAvailable,
+        {{"reader", "directory"},
+         {"away_ms", LogMilliseconds(away)},
+         {"revision", this->gateway.directory.as_of()}});
+  }
+
+ private:
+  Gateway& gateway;
+};
+
+Gateway::Gateway(boost::asio::io_context& io, GatewayOptions gateway_options,
+                 GatewayPlatform gateway_platform, EventLog& log)
+    : io(io),
+      options(std::move(gateway_options)),
+      platform(std::move(gateway_platform)),
+      log(log),
+      observer(log, this->metrics),
+      directory(this->platform.servers),
+      placer({.data_centre = this->options.data_centre}, this->directory),
+      budget(this->options.retries),
+      pool(io),
+      context{.io = io,
+              .dialect = this->platform.dialect,
+              .directory = this->directory,
+              .placer = this->placer,
+              .budget = this->budget,
+              .pool = this->pool,
+              .observer = this->observer,
+              .most_body_bytes = this->options.most_body_bytes},
+      callers({.address = this->options.callers_address,
+               .most_connections = this->options.most_connections},
+              this->context),
+      status(io),
+      metrics_server(io),
+      links(io,
+            {.self = {.instance = this->options.instance,
+                      .address = this->options.peers_address,
+                      .data_centre = this->options.data_centre},
+             .seeds = this->options.seeds},
+            *this),
+      configuration_listener(std::make_unique<ConfigurationListener>(*this)),
+      directory_listener(std::make_unique<DirectoryListener>(*this)),
+      configuration_feed({.wait = kConfigurationWait},
+                         this->platform.configuration_store,
+                         *this->configuration_listener),
+      directory_feed({.wait = kNoWait, .pause = kDirectoryAge},
+                     this->platform.server_store, *this->directory_listener),
+      timer(io),
+      signals(io) {}
+
+Gateway::~Gateway() = default;
+
+std::optional<std::string> Gateway::Start() {
+  this->status.AddPage("/readyz", [this] {
+    return StatusPage{.status = this->ready() ? status_code::kOk
+                                              : status_code::kUnavailable};
+  });
+  this->metrics_server.AddPage(
+      "/metrics", [this] { return StatusPage{.text = this->MetricsText()}; });
+  if (auto fault = this->status.Start(this->options.status_address)) {
+    return fault;
+  }
+  if (!this->options.metrics_address.empty()) {
+    if (auto fault =
+            this->metrics_server.Start(this->options.metrics_address)) {
+      return fault;
+    }
+  }
+  if (auto fault = this->links.Start()) {
+    return fault;
+  }
+  if (auto fault = this->callers.Start()) {
+    return fault;
+  }
+  this->log.Write(LogEvent::kStarted,
+                  {{"data_centre", this->options.data_centre},
+                   {"callers_at", this->callers.port()},
+                   {"operators_at", this->status.port()},
+                   {"peers_at", this->links.port()}});
+  this->AwaitSignals();
+  this->Tick(std::chrono::steady_clock::now());
+  this->AwaitTick();
+  return std::nullopt;
+}
+
+bool Gateway::Run() {
+  this->io.run();
+  this->log.Write(LogEvent::kStopped, {{"cut_off", this->cut_off}});
+  return !this->cut_off;
+}
+
+bool Gateway::ready() const {
+  return this->context.configuration != nullptr &&
+         this->directory.as_of() != 0 && !this->leaving_since;
+}
+
+void Gateway::AwaitSignals() {
+  error_code ignored;
+  this->signals.add(SIGTERM, ignored);
+  this->signals.add(SIGINT, ignored);
+  this->signals.add(SIGHUP, ignored);
+  this->signals.async_wait([this](error_code failure, int number) {
+    if (failure) {
+      return;
+    }
+    if (number == SIGHUP) {
+      this->Reload();
+    } else {
+      this->Leave();
+    }
+    this->AwaitSignals();
+  });
+}
+
+void Gateway::Reload() {
+  const auto fresh = this->platform.reload();
+  if (!fresh) {
+    this->log.Write(LogEvent::kSettingsRefused, {{"fault", fresh.error()}});
+    return;
+  }
+  // Addresses and names hold for the process's life; bounds may change.
+  this->options.retries = fresh->retries;
+  this->options.grace = fresh->grace;
+  this->budget.set_bounds(fresh->retries);
+  this->log.Write(LogEvent::kSettingsReloaded,
+                  {{"retry_ratio", fresh->retries.ratio},
+                   {"retry_slack", fresh->retries.slack},
+                   {"grace_ms", LogMilliseconds(fresh->grace)}});
+}
+
+void Gateway::Leave() {
+  if (this->leaving_since) {
+    return;
+  }
+  this->leaving_since = std::chrono::steady_clock::now();
+  this->context.leaving = true;
+  this->links.ReportSoon();
+  this->log.Write(LogEvent::kDrainStarted, {{"open", this->callers.busy()}});
+}
+
+void Gateway::AwaitTick() {
+  this->timer.expires_after(kTick);
+  this->timer.async_wait([this](error_code failure) {
+    if (failure || this->done) {
+      return;
+    }
+    this->Tick(std::chrono::steady_clock::now());
+    if (!this->done) {
+      this->AwaitTick();
+    }
+  });
+}
+
+void Gateway::Tick(TimePoint now) {
+  this->configuration_feed.Tick(now, {}, {});
+  this->directory_feed.SkipTo(this->directory.as_of());
+  this->directory_feed.Tick(
+      now, now - this->directory.read_at(),
+      kNextReader * std::min(this->links.Rank(), kMostReaderRanks));
+  this->LogNews(this->directory.Tick(now), "grace");
+  this->links.Tick(now);
+  this->budget.set_instances(1 + static_cast<int>(this->links.peers().size()));
+  this->NoteSuspicion(now);
+  this->callers.Tick(now);
+  this->pool.CloseIdle(now);
+  this->NoteDroppedLines(now);
+  if (!this->told_ready && this->ready()) {
+    this->told_ready = true;
+    this->log.Write(LogEvent::kReady,
+                    {{"revision", this->configuration_document.revision}});
+  }
+  this->LeaveWhenDone(now);
+}
+
+void Gateway::LeaveWhenDone(TimePoint now) {
+  if (!this->leaving_since) {
+    return;
+  }
+  if (this->closing_since) {
+    if (now - *this->closing_since >= kFlush) {
+      this->done = true;
+      this->io.stop();
+    }
+    return;
+  }
+  const Duration since = now - *this->leaving_since;
+  const std::size_t open = this->callers.busy();
+  const bool over = since >= this->options.grace - kGraceMargin;
+  if (over && open > 0) {
+    this->cut_off = true;
+    this->log.Write(LogEvent::kDrainCutOff, {{"lost", open}});
+  }
+  if (over || (open == 0 && since >= kStillSent)) {
+    this->callers.StopAccepting();
+    this->callers.CloseIdle();
+    this->closing_since = now;
+  }
+}
+
+void Gateway::Adopt(const SharedDocument& document, const std::string& from) {
+  if (document.removed ||
+      document.revision <= this->configuration_document.revision) {
+    return;
+  }
+  auto decoded = this->platform.configurations.Decode(document.value);
+  if (!decoded) {
+    if (document.revision > this->refused_revision) {
+      this->refused_revision = document.revision;
+      this->log.Write(LogEvent::kConfigurationRefused,
+                      {{"version", document.revision},
+                       {"fault", decoded.error()},
+                       {"from", from}});
+    }
+    return;
+  }
+  const std::uint64_t before = this->context.configuration
+                                   ? this->context.configuration->version
+                                   : 0;
+  if (this->context.configuration && decoded->version <= before) {
+    return;
+  }
+  this->configuration_document = document;
+  this->context.configuration =
+      std::make_shared<const RoutingConfiguration>(std::move(*decoded));
+  this->links.ReportSoon();
+  this->log.Write(LogEvent::kConfigurationInForce,
+                  {{"revision", document.revision},
+                   {"version", this->context.configuration->version},
+                   {"version_before", before},
+                   {"routes", this->context.configuration->routes.size()},
+                   {"from", from}});
+}
+
+void Gateway::LogNews(const std::vector<DirectoryNews>& news,
+                      const std::string& from) {
+  for (const DirectoryNews& item : news) {
+    if (item.change == DirectoryChange::kRestarted ||
+        item.change == DirectoryChange::kGone) {
+      this->placer.Forget(item.server.id);
+      this->pool.Forget(item.server.id);
+    }
+    this->log.Write(LogEvent::kServerChanged,
+                    {{"server", item.server.id},
+                     {"change", ToString(item.change)},
+                     {"service", item.server.service},
+                     {"address", item.server.address},
+                     {"data_centre", item.server.data_centre},
+                     {"revision", item.revision},
+                     {"from", from}});
+  }
+}
+
+void Gateway::NoteSuspicion(TimePoint /*now*/) {
+  std::set<std::string> silent = this->links.SilentDataCentres();
+  if (silent == this->placer.suspected_data_centres()) {
+    return;
+  }
+  this->log.Write(LogEvent::kDataCentresSuspected,
+                  {{"silent", silent},
+                   {"before", this->placer.suspected_data_centres()},
+                   {"peers", this->links.live_peers()}});
+  this->placer.SetSuspected(std::move(silent));
+}
+
+void Gateway::NoteDroppedLines(TimePoint now) {
+  const std::uint64_t dropped = this->log.dropped();
+  if (dropped == this->dropped_noted ||
+      now - this->last_drop_note < kDropNotes) {
+    return;
+  }
+  this->log.Write(LogEvent::kLinesDropped,
+                  {{"since_last", dropped - this->dropped_noted},
+                   {"all", dropped}});
+  this->dropped_noted = dropped;
+  this->last_drop_note = now;
+}
+
+FleetReport Gateway::MakeReport(std::uint64_t configuration_revision,
+                                std::uint64_t directory_revision) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  FleetReport report{
+      .leaving = this->context.leaving,
+      .configuration_revision = this->configuration_document.revision,
+      .directory_revision = this->directory.as_of(),
+      .directory_age = now - this->directory.read_at(),
+      .shares = this->placer.ledger().OwnShare(),
+      .servers_since = directory_revision};
+  if (this->configuration_document.revision > configuration_revision) {
+    report.configuration = this->configuration_document;
+  }
+  if (this->directory.as_of() > directory_revision) {
+    report.servers = this->directory.ChangedSince(directory_revision);
+  }
+  return report;
+}
+
+void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  this->placer.ledger().SetPeer(peer.identity.instance, report.shares, now);
+  if (report.configuration) {
+    this->Adopt(*report.configuration, peer.identity.instance);
+  }
+  // Complete only for one that knew everything up to where the list begins.
+  const bool complete = this->directory.as_of() >= report.servers_since;
+  if (complete && report.directory_revision >= this->directory.as_of() &&
+      report.directory_revision != 0) {
+    this->LogNews(
+        this->directory.Apply(report.servers, report.directory_revision,
+                              now - report.directory_age, now),
+        peer.identity.instance);
+  }
+}
+
+void Gateway::OnPeerNews(const FleetPeer& peer, PeerNews news) {
+  if (news != PeerNews::kUp) {
+    this->placer.ledger().RemovePeer(peer.identity.instance);
+  }
+  this->log.Write(
+      news == PeerNews::kUp ? LogEvent::kPeerUp : LogEvent::kPeerDown,
+      {{"peer", peer.identity.instance},
+       {"data_centre", peer.identity.data_centre},
+       {"reason", ToString(news)},
+       {"leaving", peer.leaving},
+       {"live", this->links.live_peers()}});
+}
+
+std::string Gateway::MetricsText() const {
+  std::string text = this->metrics.ToPrometheus(
+      std::chrono::steady_clock::now(), 0, this->callers.busy());
+  const auto add = [&text](const char* name, std::uint64_t value) {
+    text += std::string("# TYPE ") + name + " gauge\n" + name + " " +
+            std::to_string(value) + "\n";
+  };
+  add("rosemarycove_caller_connections", this->callers.connections());
+  add("rosemarycove_idle_backend_connections", this->pool.idle());
+  add("rosemarycove_backend_servers", this->directory.servers().size());
+  add("rosemarycove_peers", static_cast<std::uint64_t>(
+                                this->links.live_peers()));
+  add("rosemarycove_configuration_version",
+      this->context.configuration ? this->context.configuration->version : 0);
+  add("rosemarycove_store_readings_total",
+      this->configuration_feed.calls() + this->directory_feed.calls());
+  add("rosemarycove_peer_bytes_sent_total", this->links.traffic().bytes_sent);
+  add("rosemarycove_log_lines_dropped_total", this->log.dropped());
+  return text;
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/gateway.h
@@ -0,0 +1,135 @@
+// An instance whose resources and servers come from a platform's store.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "app/event_log.h"
+#include "app/gateway_observer.h"
+#include "app/metrics.h"
+#include "core/backend_directory.h"
+#include "net/fleet_links.h"
+#include "proxy/proxy_context.h"
+#include "proxy/proxy_server.h"
+#include "proxy/status_server.h"
+#include "store/document_feed.h"
+
+namespace rosemarycove {
+
+// Reads the value of the configuration document.
+class ConfigurationDecoder {
+ public:
+  virtual ~ConfigurationDecoder() = default;
+  // The configuration, or what is wrong with the value.
+  [[nodiscard]] virtual tl::expected<RoutingConfiguration, std::string> Decode(
+      const std::string& value) const = 0;
+};
+
+// What a gateway learns from its settings.
+struct GatewayOptions {
+  std::string instance;
+  std::string data_centre;
+  // IP numbers and ports.
+  std::string callers_address;
+  std::string status_address;
+  std::string peers_address;
+  // Empty for no metrics beside the status address.
+  std::string metrics_address;
+  std::vector<std::string> seeds;
+  RetryBounds retries;
+  // After SIGTERM the process is killed at the end of this.
+  Duration grace = std::chrono::seconds(8);
+  std::size_t most_connections = 1000;
+  std::size_t most_body_bytes = std::size_t{64} << 20U;
+};
+
+// The parts that know the platform.
+struct GatewayPlatform {
+  const CallDialect& dialect;
+  const ServerDecoder& servers;
+  const ConfigurationDecoder& configurations;
+  DocumentStore& configuration_store;
+  DocumentStore& server_store;
+  // Reads the settings again after SIGHUP; the fault, or the new options.
+  std::function<tl::expected<GatewayOptions, std::string>()> reload;
+};
+
+// Runs the data path, the links and the feeds in one event loop.
+class Gateway : private FleetHost {
+ public:
+  Gateway(boost::asio::io_context& io, GatewayOptions options,
+          GatewayPlatform platform, EventLog& log);
+  ~Gateway() override;
+
+  // Binds all addresses; returns the fault, or nothing.
+  std::optional<std::string> Start();
+  // Returns once the process may end: true when nothing was cut off.
+  bool Run();
+  // Begins to leave, as SIGTERM does.
+  void Leave();
+  [[nodiscard]] bool ready() const;
+  [[nodiscard]] int callers_port() const { return this->callers.port(); }
+  [[nodiscard]] int status_port() const { return this->status.port(); }
+  [[nodiscard]] int peers_port() const { return this->links.port(); }
+
+ private:
+  // Takes what the feed of the configuration brings.
+  class ConfigurationListener;
+  class DirectoryListener;
+
+  FleetReport MakeReport(std::uint64_t configuration_revision,
+                         std::uint64_t directory_revision) override;
+  void OnReport(const FleetPeer& peer, const FleetReport& report) override;
+  void OnPeerNews(const FleetPeer& peer, PeerNews news) override;
+
+  void AwaitSignals();
+  void Reload();
+  void AwaitTick();
+  void Tick(TimePoint now);
+  void LeaveWhenDone(TimePoint now);
+  void Adopt(const SharedDocument& document, const std::string& from);
+  void LogNews(const std::vector<DirectoryNews>& news, const std::string& from);
+  void NoteSuspicion(TimePoint now);
+  void NoteDroppedLines(TimePoint now);
+  [[nodiscard]] std::string MetricsText() const;
+
+  boost::asio::io_context& io;
+  GatewayOptions options;
+  GatewayPlatform platform;
+  EventLog& log;
+  Metrics metrics;
+  GatewayObserver observer;
+  BackendDirectory directory;
+  Placer placer;
+  FleetRetryBudget budget;
+  ConnectionPool pool;
+  ProxyContext context;
+  ProxyServer callers;
+  StatusServer status;
+  StatusServer metrics_server;
+  FleetLinks links;
+  std::unique_ptr<ConfigurationListener> configuration_listener;
+  std::unique_ptr<DirectoryListener> directory_listener;
+  DocumentFeed configuration_feed;
+  DocumentFeed directory_feed;
+  boost::asio::steady_timer timer;
+  boost::asio::signal_set signals;
+  // As it stands in the store, for other instances.
+  SharedDocument configuration_document;
+  std::uint64_t refused_revision = 0;
+  std::optional<TimePoint> leaving_since;
+  std::optional<TimePoint> closing_since;
+  bool cut_off = false;
+  bool done = false;
+  bool told_ready = false;
+  TimePoint last_drop_note;
+  std::uint64_t dropped_noted = 0;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/app/gateway_observer.cc
@@ -0,0 +1,94 @@
+#include "app/gateway_observer.h"
+
+#include <cmath>
+
+namespace rosemarycove {
+
+double LogMilliseconds(Duration duration) {
+  constexpr double kTenths = 10;
+  constexpr double kPerSecond = 1000;
+  return std::round(ToSeconds(duration) * kPerSecond * kTenths) / kTenths;
+}
+
+void GatewayObserver::OnPlaced(const PlacedRecord& record) {
+  const ServerChoice& choice = record.choice;
+  this->log.Write(
+      LogEvent::kCallPlaced,
+      {{"request", record.request},
+       {"route", record.route},
+       {"customer", record.customer},
+       {"tier", record.tier},
+       {"attempt", record.attempt},
+       {"server", choice.server.id},
+       {"why", ToString(choice.reason)},
+       {"candidates", choice.candidates},
+       {"predicted_ms", LogMilliseconds(choice.predicted_first)},
+       {"running", choice.inputs.running},
+       {"unread_ahead", choice.inputs.unread_ahead},
+       {"unread_tokens", choice.inputs.unread_tokens},
+       {"cached_tokens", choice.cached_tokens},
+       {"ledger_age_ms", LogMilliseconds(record.ledger_age)},
+       {"directory_age_ms", LogMilliseconds(record.directory_age)},
+       {"directory_revision", record.directory_revision},
+       {"configuration", record.configuration_version},
+       {"reused", record.reused_connection}});
+}
+
+void GatewayObserver::OnAttemptFailed(const AttemptFailedRecord& record) {
+  this->log.Write(
+      LogEvent::kAttemptFailed,
+      {{"request", record.request},
+       {"attempt", record.attempt},
+       {"server", record.server},
+       {"result", record.result},
+       {"why", record.why},
+       {"elapsed_ms", LogMilliseconds(record.elapsed)},
+       {"may_have_run", record.may_have_run},
+       {"next", record.next == AfterFailure::kAnotherServer ? "another_server"
+                                                            : "given_up"},
+       {"next_why", record.next_why}});
+}
+
+void GatewayObserver::OnEnded(const EndedRecord& record) {
+  this->log.Write(LogEvent::kCallEnded,
+                  {{"request", record.request},
+                   {"route", record.route},
+                   {"service", record.service},
+                   {"customer", record.customer},
+                   {"tier", record.tier},
+                   {"outcome", ToString(record.outcome)},
+                   {"cause", ToString(record.cause)},
+                   {"ran", ToString(record.ran)},
+                   {"status", record.status},
+                   {"attempts", record.attempts},
+                   {"server", record.server},
+                   {"first_event_ms", LogMilliseconds(record.first_event)},
+                   {"whole_ms", LogMilliseconds(record.whole)},
+                   {"events", record.events},
+                   {"retry_after_ms", LogMilliseconds(record.retry_after)},
+                   {"on_target", record.on_target},
+                   {"configuration", record.configuration_version}});
+  this->metrics.Observe({.outcome = record.outcome,
+                         .cause = record.cause,
+                         .ran = record.ran,
+                         .retry_after = record.retry_after,
+                         .customer = record.customer,
+                         .class_name = record.route,
+                         .tier = record.tier,
+                         .on_target = record.on_target,
+                         .first_token = record.first_event,
+                         .whole = record.whole,
+                         .tokens = record.events,
+                         .attempts = record.attempts},
+                        std::chrono::steady_clock::now());
+}
+
+void GatewayObserver::OnEjected(const EjectedRecord& record) {
+  this->log.Write(LogEvent::kServerEjected,
+                  {{"server", record.server},
+                   {"service", record.service},
+                   {"after", record.result},
+                   {"for_ms", LogMilliseconds(record.length)}});
+}
+
+}  // namespace rosemarycove
--- a/src/app/instance.cc
+++ b/src/app/instance.cc
@@ -15,8 +15,8 @@
 #include "app/peer_service.h"
 #include "http/caller_front.h"
 #include "http/http_server.h"
-#include "platform/http_instance_list.h"
-#include "platform/http_key_value_store.h"
+#include "store/http_instance_list.h"
+#include "store/http_key_value_store.h"
 
 namespace rosemarycove {
 namespace {
--- a/src/app/peer_service.h
+++ b/src/app/peer_service.h
@@ -11,7 +11,7 @@
 #include "app/event_log.h"
 #include "app/node_host.h"
 #include "net/peer_links.h"
-#include "platform/instance_list.h"
+#include "store/instance_list.h"
 
 namespace rosemarycove {
 
--- a/src/app/resource_document.cc
+++ b/src/app/resource_document.cc
@@ -5,7 +5,7 @@
 #include <tuple>
 
 #include "app/table_writer.h"
-#include "platform/digest.h"
+#include "store/digest.h"
 
 namespace rosemarycove {
 namespace {
--- a/src/core/actions.cc
+++ b/src/core/actions.cc
@@ -6,14 +6,15 @@
 namespace {
 
 // In the order of EndCause.
-constexpr std::array<std::string_view, 21> kCauseNames = {
+constexpr std::array<std::string_view, 24> kCauseNames = {
     "answered",          "unknown_model",  "unknown_service",
     "class_not_allowed", "customer_limit", "class_limit",
     "queue_full",        "evicted",        "late",
     "max_wait",          "draining",       "not_ready",
     "no_backend",        "backend_error",  "answer_lost",
     "answer_malformed",  "answer_crossed", "caller_left",
-    "key_taken",         "key_reused",     "store_unavailable"};
+    "key_taken",         "key_reused",     "store_unavailable",
+    "unknown_route",     "unknown_key",    "ambiguous"};
 
 }  // namespace
 
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -58,6 +58,9 @@
   kKeyTaken,
   kKeyReused,
   kStoreUnavailable,
+  kUnknownRoute,
+  kUnknownKey,
+  kAmbiguous,
 };
 
 // A request's one outcome.
--- /dev/null
+++ b/src/core/backend_directory.h
@@ -0,0 +1,124 @@
+// The backend servers that registered themselves in the platform's store.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/shared_document.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// What a backend server says of itself.
+struct RegisteredServer {
+  std::string id;
+  // Milliseconds since 1970 of its start; another one is another process that
+  // knows nothing of what the one before was sent.
+  std::uint64_t incarnation = 0;
+  std::string service;
+  // IP number and port.
+  std::string address;
+  std::string data_centre;
+  // Requests that it works on at once.
+  int slots = 1;
+  // Takes no new requests; its process ends soon.
+  bool leaving = false;
+
+  bool operator==(const RegisteredServer&) const = default;
+};
+
+// Reads the value under a key; nothing when it names no server to use.
+class ServerDecoder {
+ public:
+  virtual ~ServerDecoder() = default;
+  [[nodiscard]] virtual std::optional<RegisteredServer> Decode(
+      const SharedDocument& document) const = 0;
+};
+
+// What a change of the directory meant for one server.
+enum class DirectoryChange : std::uint8_t {
+  kAppeared,
+  kChanged,
+  kRestarted,  // The same id with another incarnation.
+  kLeaving,
+  kGone,
+  kUnreadable,
+};
+
+// Returns the lower-case word that logs use.
+std::string_view ToString(DirectoryChange change);
+
+// A change of one server, for the log.
+struct DirectoryNews {
+  DirectoryChange change = DirectoryChange::kAppeared;
+  RegisteredServer server;
+  std::uint64_t revision = 0;
+};
+
+// Mirrors the servers' entries and says which servers may be used.
+//
+// An instance learns of entries by reading the store or from another instance
+// that did; both bring documents with revisions, and the higher one wins. How
+// old the knowledge is travels with it, so that one reader is enough for all.
+class BackendDirectory {
+ public:
+  // `decoder` must outlive the directory.
+  explicit BackendDirectory(const ServerDecoder& decoder) : decoder(decoder) {}
+
+  // Takes changed documents. `as_of` is the store's revision up to which they
+  // are complete, `read_at` when the reading began; 0 leaves both as they are.
+  std::vector<DirectoryNews> Apply(
+      const std::vector<SharedDocument>& documents, std::uint64_t as_of,
+      TimePoint read_at, TimePoint now);
+  // Takes a whole reading: what it does not name is gone.
+  std::vector<DirectoryNews> Replace(
+      const std::vector<SharedDocument>& documents, std::uint64_t as_of,
+      TimePoint read_at, TimePoint now);
+  // Ends the grace of entries that lapsed while the store was away.
+  std::vector<DirectoryNews> Tick(TimePoint now);
+
+  // Servers by id, those that leave included.
+  [[nodiscard]] const std::map<std::string, RegisteredServer>& servers() const {
+    return this->usable;
+  }
+  // The server, or null when it is gone.
+  [[nodiscard]] const RegisteredServer* Find(const std::string& id) const;
+
+  // Revision up to which every change is known; 0 before the first reading.
+  [[nodiscard]] std::uint64_t as_of() const { return this->known_to; }
+  // When the reading that led to `as_of` began.
+  [[nodiscard]] TimePoint read_at() const { return this->last_read; }
+  // Documents whose meaning changed after `revision`, for another instance.
+  [[nodiscard]] std::vector<SharedDocument> ChangedSince(
+      std::uint64_t revision) const;
+
+ private:
+  struct Entry {
+    SharedDocument document;
+    // The last revision at which what it says changed, beside its sequence.
+    std::uint64_t changed_at = 0;
+    std::optional<RegisteredServer> server;
+    // Set while a lapsed entry may still come back.
+    std::optional<TimePoint> gone_at;
+    TimePoint removed_at;
+  };
+
+  void ApplyOne(const SharedDocument& document, TimePoint now,
+                std::vector<DirectoryNews>& news);
+  void Remove(Entry& entry, const SharedDocument& document, TimePoint now,
+              std::vector<DirectoryNews>& news);
+  void NoteReading(std::uint64_t as_of, TimePoint read_at, TimePoint now);
+
+  const ServerDecoder& decoder;
+  std::map<std::string, Entry> entries;
+  std::map<std::string, RegisteredServer> usable;
+  std::uint64_t known_to = 0;
+  TimePoint last_read;
+  // Until when entries that are missing may have lapsed only for an outage.
+  TimePoint lapse_grace_until;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/fleet_report.h
@@ -0,0 +1,44 @@
+// What an instance tells the others of itself and of what it knows.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/load_ledger.h"
+#include "core/shared_document.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// Who sends a report.
+struct FleetIdentity {
+  std::string instance;
+  // IP number and port where it takes reports.
+  std::string address;
+  std::string data_centre;
+
+  bool operator==(const FleetIdentity&) const = default;
+};
+
+// One report. What it leaves out of a list is not there any more, except for
+// neighbours and documents, which are sent as needed.
+struct FleetReport {
+  std::optional<FleetIdentity> identity;
+  bool leaving = false;
+  // The store's revision of the configuration in force; 0 is none.
+  std::uint64_t configuration_revision = 0;
+  // Up to which revision the sender's directory is complete, and how long ago
+  // it was read.
+  std::uint64_t directory_revision = 0;
+  Duration directory_age{};
+  std::vector<NumberedLoad> shares;
+  std::vector<std::string> neighbours;
+  std::optional<SharedDocument> configuration;
+  // All entries of the directory that changed after `servers_since`.
+  std::uint64_t servers_since = 0;
+  std::vector<SharedDocument> servers;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/fleet_retry_budget.cc
@@ -0,0 +1,56 @@
+#include "core/fleet_retry_budget.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace rosemarycove {
+namespace {
+
+// Part of the allowance that is kept back for slices' edges and for instances
+// that come up before the others know of them.
+constexpr double kKeptBack = 0.2;
+
+}  // namespace
+
+void FleetRetryBudget::set_instances(int count) {
+  this->instances = std::max(1, count);
+}
+
+FleetRetryBudget::Tally& FleetRetryBudget::Advance(const std::string& service,
+                                                   TimePoint now) {
+  Tally& tally = this->tallies[service];
+  const std::int64_t slice =
+      now.time_since_epoch() / (this->bounds.window / kSlices);
+  const std::int64_t passed =
+      std::min<std::int64_t>(slice - tally.slice, kSlices);
+  for (std::int64_t i = 1; i <= passed; ++i) {
+    const auto index = static_cast<std::size_t>((slice - passed + i) % kSlices);
+    tally.requests[index] = 0;
+    tally.repeats[index] = 0;
+  }
+  tally.slice = std::max(tally.slice, slice);
+  return tally;
+}
+
+void FleetRetryBudget::NoteRequest(const std::string& service, TimePoint now) {
+  Tally& tally = this->Advance(service, now);
+  ++tally.requests[static_cast<std::size_t>(tally.slice % kSlices)];
+}
+
+bool FleetRetryBudget::Spend(const std::string& service, TimePoint now) {
+  Tally& tally = this->Advance(service, now);
+  const int requests =
+      std::accumulate(tally.requests.begin(), tally.requests.end(), 0);
+  const int repeats =
+      std::accumulate(tally.repeats.begin(), tally.repeats.end(), 0);
+  const double allowed =
+      (1 - kKeptBack) * (this->bounds.ratio * requests +
+                         this->bounds.slack / this->instances);
+  if (repeats + 1 > allowed) {
+    return false;
+  }
+  ++tally.repeats[static_cast<std::size_t>(tally.slice % kSlices)];
+  return true;
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/placer.cc
@@ -0,0 +1,359 @@
+#include "core/placer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+constexpr double kThousand = 1000;
+// Costs in milliseconds of the request's own delay.
+// Delay beyond the latency target, for each millisecond.
+constexpr double kLateWeight = 3;
+// Shared tokens read again, for each thousand: a little above the time that
+// the engine needs for them, since it is lost to every other request too.
+constexpr double kReadAgainPerThousand = 60;
+// A server in another data centre.
+constexpr double kFarServer = 4;
+// Each stream with a short gap target that a long prompt would pause.
+constexpr double kBrittleStream = 25;
+// Unread long-prompt tokens ahead of a stream with a short gap target, for
+// each thousand.
+constexpr double kLongAheadPerThousand = 20;
+// A data centre that seems cut off.
+constexpr double kSuspectedDataCentre = 2000;
+// An engine whose memory would be full.
+constexpr double kMemoryFull = 400;
+// Each request beyond a server's slots, relative to its predicted time.
+constexpr double kQueuedRequest = 0.15;
+
+// Share of an engine's memory that is filled before it counts as full; the
+// answers' lengths are estimates.
+constexpr double kMemoryBound = 0.85;
+// Prompts above this pause streams beside them when they are read.
+constexpr int kLongPromptTokens = 12000;
+// Gap targets up to this make a stream brittle.
+constexpr Duration kBrittleGap = std::chrono::milliseconds(400);
+// Share of the target that is aimed at, for what the prediction misses.
+constexpr double kAimedShare = 0.8;
+// Requests that may wait at a server for each of its slots before it counts
+// as full for this service.
+constexpr double kMostQueuedPerSlot = 1.5;
+// A server's own report of its load is used for this long.
+constexpr Duration kReportLife = std::chrono::milliseconds(400);
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+int SharedTokens(const PlacementQuery& query) {
+  int tokens = 0;
+  for (std::size_t i = 0; i + 1 < query.parts.size(); ++i) {
+    tokens += query.parts[i].tokens;
+  }
+  return tokens;
+}
+
+bool IsBrittle(const Route& route) {
+  return route.gap_target && *route.gap_target <= kBrittleGap;
+}
+
+}  // namespace
+
+std::string_view ToString(ChoiceReason reason) {
+  switch (reason) {
+    case ChoiceReason::kCheapest:
+      return "cheapest";
+    case ChoiceReason::kHomeOfPrompt:
+      return "home_of_prompt";
+    case ChoiceReason::kTrial:
+      return "trial";
+    case ChoiceReason::kOnlyEjected:
+      return "only_ejected";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(NoChoice reason) {
+  switch (reason) {
+    case NoChoice::kNoServer:
+      return "no_server";
+    case NoChoice::kUnreachable:
+      return "unreachable";
+    case NoChoice::kFull:
+      return "full";
+  }
+  return "unknown";
+}
+
+Placer::Placer(PlacerOptions options, const BackendDirectory& directory)
+    : options(std::move(options)), directory(directory) {}
+
+const SpeedModel& Placer::SpeedOf(const std::string& service) const {
+  static const SpeedModel kUnknown;
+  const auto found = this->speeds.find(service);
+  return found == this->speeds.end() ? kUnknown : found->second;
+}
+
+ServerLoad Placer::LoadOf(const std::string& server, TimePoint now) const {
+  ServerLoad load = this->loads.Total(server, now);
+  const auto found = this->reported.find(server);
+  if (found != this->reported.end() &&
+      now - found->second.at <= kReportLife) {
+    load.running = std::max(
+        load.running, found->second.running + found->second.waiting);
+  }
+  return load;
+}
+
+const RegisteredServer* Placer::HomeOf(const PlacementQuery& query) const {
+  if (query.parts.size() < 2) {
+    return nullptr;
+  }
+  const std::uint64_t part = query.parts[query.parts.size() - 2].id;
+  const RegisteredServer* home = nullptr;
+  std::uint64_t best = 0;
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (server.service != query.service->name || server.leaving) {
+      continue;
+    }
+    const std::uint64_t rank = HomeRank(part, id);
+    if (home == nullptr || rank > best) {
+      home = &server;
+      best = rank;
+    }
+  }
+  return home;
+}
+
+std::vector<Placer::Candidate> Placer::Candidates(const PlacementQuery& query,
+                                                  TimePoint now,
+                                                  NoChoice& why_not) const {
+  why_not = NoChoice::kNoServer;
+  std::vector<Candidate> candidates;
+  const RegisteredServer* home = this->HomeOf(query);
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (server.service != query.service->name || server.leaving) {
+      continue;
+    }
+    if (std::find(query.tried.begin(), query.tried.end(), id) !=
+        query.tried.end()) {
+      why_not = NoChoice::kUnreachable;
+      continue;
+    }
+    const ServerFitness fit = this->fitness.FitnessOf(id, now);
+    if (fit == ServerFitness::kEjected) {
+      why_not = NoChoice::kUnreachable;
+      continue;
+    }
+    Candidate candidate{.server = &server,
+                        .load = this->LoadOf(id, now),
+                        .home = &server == home,
+                        .trial = fit == ServerFitness::kTrial};
+    const double waiting = candidate.load.running - server.slots;
+    if (waiting >= kMostQueuedPerSlot * server.slots) {
+      why_not = NoChoice::kFull;
+      continue;
+    }
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+void Placer::Weigh(const PlacementQuery& query, Candidate& candidate,
+                   TimePoint now) const {
+  const RegisteredServer& server = *candidate.server;
+  const SpeedModel& speed = this->SpeedOf(query.service->name);
+  const int shared = SharedTokens(query);
+  candidate.cached_tokens =
+      std::min(shared, this->caches.CachedTokens(server.id, query.parts, now));
+  const int unread = std::max(0, query.prompt_tokens - candidate.cached_tokens);
+  candidate.inputs = {
+      .unread_tokens = static_cast<double>(unread),
+      .unread_ahead = static_cast<double>(candidate.load.unread_tokens),
+      .running = static_cast<double>(
+          std::min(candidate.load.running, server.slots))};
+  candidate.predicted = speed.Predict(server.id, candidate.inputs);
+  double first = Milliseconds(candidate.predicted);
+  const double queued =
+      std::max(0, candidate.load.running + 1 - server.slots);
+  first *= 1 + kQueuedRequest * queued;
+  candidate.predicted = FromSeconds(first / kThousand);
+  double cost = first;
+  const double aim = kAimedShare * Milliseconds(query.route->target);
+  cost += kLateWeight * std::max(0.0, first - aim);
+  if (!candidate.home) {
+    cost += kReadAgainPerThousand * (shared - candidate.cached_tokens) /
+            kThousand;
+  }
+  if (server.data_centre != this->options.data_centre) {
+    cost += kFarServer;
+  }
+  if (this->suspected.contains(server.data_centre)) {
+    cost += kSuspectedDataCentre;
+  }
+  if (unread >= kLongPromptTokens) {
+    cost += kBrittleStream * candidate.load.brittle_streams;
+  }
+  if (IsBrittle(*query.route)) {
+    cost += kLongAheadPerThousand * candidate.load.long_unread_tokens /
+            kThousand;
+  }
+  if (query.service->memory_tokens > 0) {
+    const double held = candidate.load.held_tokens + query.prompt_tokens +
+                        query.answer_tokens;
+    if (held > kMemoryBound * query.service->memory_tokens) {
+      cost += kMemoryFull;
+    }
+  }
+  candidate.cost = cost;
+}
+
+std::optional<ServerChoice> Placer::Choose(const PlacementQuery& query,
+                                           TimePoint now, NoChoice& why_not) {
+  std::vector<Candidate> candidates = this->Candidates(query, now, why_not);
+  if (candidates.empty()) {
+    return why_not == NoChoice::kUnreachable ? this->ChooseEjected(query, now)
+                                             : std::nullopt;
+  }
+  Candidate* best = nullptr;
+  for (Candidate& candidate : candidates) {
+    this->Weigh(query, candidate, now);
+    // A request that may run once is no trial while there are others.
+    if (candidate.trial && !query.route->MayRepeat() && candidates.size() > 1) {
+      candidate.cost += kSuspectedDataCentre;
+    }
+    if (candidate.trial && query.route->MayRepeat()) {
+      best = &candidate;
+      break;
+    }
+    if (best == nullptr || candidate.cost < best->cost) {
+      best = &candidate;
+    }
+  }
+  ChoiceReason reason = ChoiceReason::kCheapest;
+  if (best->trial) {
+    reason = ChoiceReason::kTrial;
+    this->fitness.NoteTrial(best->server->id, now);
+  } else if (best->home) {
+    reason = ChoiceReason::kHomeOfPrompt;
+  }
+  return ServerChoice{
+      .server = *best->server,
+      .reason = reason,
+      .predicted_first = best->predicted,
+      .footprint = FootprintOf(
+          query, static_cast<int>(best->inputs.unread_tokens)),
+      .inputs = best->inputs,
+      .cached_tokens = best->cached_tokens,
+      .candidates = static_cast<int>(candidates.size())};
+}
+
+std::optional<ServerChoice> Placer::ChooseEjected(const PlacementQuery& query,
+                                                  TimePoint now) const {
+  const RegisteredServer* best = nullptr;
+  for (const auto& [id, server] : this->directory.servers()) {
+    const bool tried = std::find(query.tried.begin(), query.tried.end(), id) !=
+                       query.tried.end();
+    if (server.service != query.service->name || server.leaving || tried) {
+      continue;
+    }
+    if (best == nullptr || this->fitness.EjectedUntil(id) <
+                               this->fitness.EjectedUntil(best->id)) {
+      best = &server;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  Candidate candidate{.server = best, .load = this->LoadOf(best->id, now)};
+  this->Weigh(query, candidate, now);
+  return ServerChoice{
+      .server = *best,
+      .reason = ChoiceReason::kOnlyEjected,
+      .predicted_first = candidate.predicted,
+      .footprint = FootprintOf(
+          query, static_cast<int>(candidate.inputs.unread_tokens)),
+      .inputs = candidate.inputs,
+      .cached_tokens = candidate.cached_tokens,
+      .candidates = 1};
+}
+
+ServerLoad Placer::FootprintOf(const PlacementQuery& query, int unread_tokens) {
+  return {.running = 1,
+          .unread_tokens = unread_tokens,
+          .held_tokens = query.prompt_tokens + query.answer_tokens,
+          .long_unread_tokens =
+              unread_tokens >= kLongPromptTokens ? unread_tokens : 0,
+          .brittle_streams = IsBrittle(*query.route) ? 1 : 0};
+}
+
+void Placer::Begin(const PlacementQuery& query, const ServerChoice& choice,
+                   TimePoint now) {
+  this->loads.Add(choice.server.id, choice.footprint);
+  this->caches.Note(choice.server.id, query.parts, now);
+}
+
+void Placer::FirstEvent(const PlacementQuery& query, ServerChoice& choice,
+                        Duration elapsed) {
+  const ServerLoad read{
+      .unread_tokens = choice.footprint.unread_tokens,
+      .long_unread_tokens = choice.footprint.long_unread_tokens};
+  this->loads.Subtract(choice.server.id, read);
+  choice.footprint.unread_tokens = 0;
+  choice.footprint.long_unread_tokens = 0;
+  this->speeds[query.service->name].Observe(choice.server.id, choice.inputs,
+                                            elapsed);
+}
+
+void Placer::End(const ServerChoice& choice) {
+  this->loads.Subtract(choice.server.id, choice.footprint);
+}
+
+bool Placer::Observe(const ServerChoice& choice, SendResult result,
+                     TimePoint now) {
+  return this->fitness.Observe(choice.server.id, result, now);
+}
+
+void Placer::ObserveSilence(const PlacementQuery& query,
+                            const ServerChoice& choice, Duration silence) {
+  this->speeds[query.service->name].ObserveSilence(choice.server.id,
+                                                   choice.inputs, silence);
+}
+
+Duration Placer::RoomIn(const PlacementQuery& query, TimePoint now) const {
+  // The least loaded server's queue, worked off at the service's speed.
+  double least = 0;
+  bool first = true;
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (server.service != query.service->name || server.leaving) {
+      continue;
+    }
+    const ServerLoad load = this->LoadOf(id, now);
+    const double over =
+        static_cast<double>(load.running) / std::max(1, server.slots);
+    least = first ? over : std::min(least, over);
+    first = false;
+  }
+  constexpr Duration kLeast = std::chrono::milliseconds(200);
+  constexpr Duration kMost = std::chrono::seconds(3);
+  const Duration wait = FromSeconds(ToSeconds(query.route->target) * least);
+  return std::clamp(wait, kLeast, kMost);
+}
+
+void Placer::Forget(const std::string& server) {
+  this->caches.Forget(server);
+  this->fitness.Forget(server);
+  this->reported.erase(server);
+  for (auto& [name, speed] : this->speeds) {
+    speed.Forget(server);
+  }
+}
+
+void Placer::ReportLoad(const std::string& server, int running, int waiting,
+                        TimePoint now) {
+  this->reported[server] = {.running = running, .waiting = waiting, .at = now};
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/placer.h
@@ -0,0 +1,159 @@
+// Chooses the backend server for a request.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/backend_directory.h"
+#include "core/load_ledger.h"
+#include "core/prompt_cache_map.h"
+#include "core/routing_configuration.h"
+#include "core/server_health.h"
+#include "core/speed_model.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// What placement needs to know of a request.
+struct PlacementQuery {
+  const Route* route = nullptr;
+  const RoutedService* service = nullptr;
+  int tier = 0;
+  // In order; the last one is the request's own.
+  std::vector<PromptPart> parts;
+  int prompt_tokens = 0;
+  int answer_tokens = 0;
+  // Ids of servers that this request was sent to or could not reach.
+  std::vector<std::string> tried;
+  // What its caller still waits.
+  Duration remaining{};
+};
+
+// Why the server was chosen.
+enum class ChoiceReason : std::uint8_t {
+  kCheapest,
+  kHomeOfPrompt,  // The server that holds the request's shared parts.
+  kTrial,         // To see whether the server has recovered.
+  kOnlyEjected,   // Every server is ejected; the one due first.
+};
+
+// Returns the lower-case word that logs use.
+std::string_view ToString(ChoiceReason reason);
+
+// A chosen server with the inputs of the decision.
+struct ServerChoice {
+  RegisteredServer server;
+  ChoiceReason reason = ChoiceReason::kCheapest;
+  Duration predicted_first{};
+  // What the request adds to the server's load.
+  ServerLoad footprint;
+  SpeedInputs inputs;
+  int cached_tokens = 0;
+  int candidates = 0;
+};
+
+// Why no server was chosen.
+enum class NoChoice : std::uint8_t {
+  kNoServer,     // None is registered and staying.
+  kUnreachable,  // All were tried.
+  kFull,         // None has room.
+};
+
+std::string_view ToString(NoChoice reason);
+
+// How a placer is set up.
+struct PlacerOptions {
+  std::string data_centre;
+};
+
+// Sends a request where the sum of its own delay, the delay that it causes to
+// others, and the prompt tokens read again is least.
+class Placer {
+ public:
+  // The directory must outlive the placer.
+  Placer(PlacerOptions options, const BackendDirectory& directory);
+
+  // Chooses; nothing is counted until Begin.
+  [[nodiscard]] std::optional<ServerChoice> Choose(const PlacementQuery& query,
+                                                   TimePoint now,
+                                                   NoChoice& why_not);
+  // The request is sent to the server chosen.
+  void Begin(const PlacementQuery& query, const ServerChoice& choice,
+             TimePoint now);
+  // Its prompt was read: the first event came.
+  void FirstEvent(const PlacementQuery& query, ServerChoice& choice,
+                  Duration elapsed);
+  // It ended. `read` tells whether FirstEvent came before.
+  void End(const ServerChoice& choice);
+  // Returns true when this ejected the server.
+  bool Observe(const ServerChoice& choice, SendResult result, TimePoint now);
+  // Nothing came for this long.
+  void ObserveSilence(const PlacementQuery& query, const ServerChoice& choice,
+                      Duration silence);
+
+  // When a refused request would find room.
+  [[nodiscard]] Duration RoomIn(const PlacementQuery& query,
+                                TimePoint now) const;
+  // A server restarted or left.
+  void Forget(const std::string& server);
+  // A data centre whose servers are avoided while there are others.
+  void SetSuspected(std::set<std::string> data_centres) {
+    this->suspected = std::move(data_centres);
+  }
+  [[nodiscard]] const std::set<std::string>& suspected_data_centres() const {
+    return this->suspected;
+  }
+  // A server told its own running and waiting requests.
+  void ReportLoad(const std::string& server, int running, int waiting,
+                  TimePoint now);
+
+  [[nodiscard]] LoadLedger& ledger() { return this->loads; }
+  [[nodiscard]] const ServerHealth& health() const { return this->fitness; }
+
+ private:
+  // A server that may be chosen, with its cost in milliseconds.
+  struct Candidate {
+    const RegisteredServer* server = nullptr;
+    ServerLoad load;
+    int cached_tokens = 0;
+    bool home = false;
+    bool trial = false;
+    SpeedInputs inputs;
+    Duration predicted{};
+    double cost = 0;
+  };
+  struct ReportedLoad {
+    int running = 0;
+    int waiting = 0;
+    TimePoint at;
+  };
+
+  [[nodiscard]] std::vector<Candidate> Candidates(const PlacementQuery& query,
+                                                  TimePoint now,
+                                                  NoChoice& why_not) const;
+  [[nodiscard]] const RegisteredServer* HomeOf(
+      const PlacementQuery& query) const;
+  void Weigh(const PlacementQuery& query, Candidate& candidate,
+             TimePoint now) const;
+  [[nodiscard]] ServerLoad LoadOf(const std::string& server,
+                                  TimePoint now) const;
+  [[nodiscard]] const SpeedModel& SpeedOf(const std::string& service) const;
+  [[nodiscard]] std::optional<ServerChoice> ChooseEjected(
+      const PlacementQuery& query, TimePoint now) const;
+  [[nodiscard]] static ServerLoad FootprintOf(const PlacementQuery& query,
+                                              int unread_tokens);
+
+  PlacerOptions options;
+  const BackendDirectory& directory;
+  LoadLedger loads;
+  PromptCacheMap caches;
+  ServerHealth fitness;
+  std::map<std::string, SpeedModel> speeds;
+  std::map<std::string, ReportedLoad> reported;
+  std::set<std::string> suspected;
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/speed_model.cc
@@ -0,0 +1,122 @@
+#include "core/speed_model.h"
+
+#include <algorithm>
+
+namespace rosemarycove {
+namespace {
+
+// Starting coefficients in milliseconds: an answer, 1,000 own unread tokens,
+// 1,000 unread tokens ahead, one running request. Typical of an engine on one
+// accelerator; a few dozen answers replace them.
+constexpr std::array<double, 4> kStart = {30, 10, 8, 1};
+// Uncertainty of the starting coefficients.
+constexpr double kStartVariance = 50;
+// Share of what was learned that an answer leaves in place: half of it is
+// forgotten in about 700 answers.
+constexpr double kMemory = 0.999;
+// Weight of one answer in a server's factor.
+constexpr double kSlownessStep = 0.15;
+// A server's factor stays in these bounds; beyond, it is ejected instead.
+constexpr double kLeastSlowness = 0.3;
+constexpr double kMostSlowness = 20;
+// An answer's time beyond this many times the prediction teaches the factor
+// of its server and leaves the service's coefficients alone.
+constexpr double kOutlier = 4;
+constexpr double kLeastPrediction = 1;  // Milliseconds.
+constexpr double kThousand = 1000;
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+SpeedModel::SpeedModel() : weights(kStart) {
+  for (int i = 0; i < kTerms; ++i) {
+    this->covariance[i][i] = kStartVariance;
+  }
+}
+
+SpeedModel::Vector SpeedModel::Features(const SpeedInputs& inputs) {
+  return {1, inputs.unread_tokens / kThousand, inputs.unread_ahead / kThousand,
+          inputs.running};
+}
+
+double SpeedModel::Base(const Vector& features) const {
+  double sum = 0;
+  for (int i = 0; i < kTerms; ++i) {
+    sum += std::max(0.0, this->weights[i]) * features[i];
+  }
+  return std::max(sum, kLeastPrediction);
+}
+
+Duration SpeedModel::Predict(const std::string& server,
+                             const SpeedInputs& inputs) const {
+  const double milliseconds =
+      this->Base(Features(inputs)) * this->Slowness(server);
+  return FromSeconds(milliseconds / kThousand);
+}
+
+void SpeedModel::Observe(const std::string& server, const SpeedInputs& inputs,
+                         Duration first_event) {
+  const Vector features = Features(inputs);
+  const double base = this->Base(features);
+  const double seen = Milliseconds(first_event);
+  double& factor = this->slowness.try_emplace(server, 1).first->second;
+  factor += kSlownessStep *
+            (std::clamp(seen / base, kLeastSlowness, kMostSlowness) - factor);
+  if (seen > kOutlier * base * factor) {
+    return;
+  }
+  // The service's coefficients learn what is left once the server's own
+  // factor is taken out.
+  const double target = seen / std::max(1.0, factor);
+  Vector gain{};
+  double denominator = kMemory;
+  for (int i = 0; i < kTerms; ++i) {
+    for (int j = 0; j < kTerms; ++j) {
+      gain[i] += this->covariance[i][j] * features[j];
+    }
+    denominator += features[i] * gain[i];
+  }
+  double linear = 0;
+  for (int i = 0; i < kTerms; ++i) {
+    linear += this->weights[i] * features[i];
+  }
+  const double error = target - linear;
+  const Vector reach = gain;
+  for (int i = 0; i < kTerms; ++i) {
+    this->weights[i] += gain[i] / denominator * error;
+    for (int j = 0; j < kTerms; ++j) {
+      this->covariance[i][j] =
+          (this->covariance[i][j] - gain[i] / denominator * reach[j]) / kMemory;
+    }
+    // Forgetting inflates directions that no answer shows; bound them.
+    this->covariance[i][i] = std::min(this->covariance[i][i], kStartVariance);
+  }
+}
+
+void SpeedModel::ObserveSilence(const std::string& server,
+                                const SpeedInputs& inputs, Duration silence) {
+  const double base = this->Base(Features(inputs));
+  const double bound = Milliseconds(silence) / base;
+  double& factor = this->slowness.try_emplace(server, 1).first->second;
+  if (bound > factor) {
+    factor += kSlownessStep * (std::min(bound, kMostSlowness) - factor);
+  }
+}
+
+void SpeedModel::Forget(const std::string& server) {
+  this->slowness.erase(server);
+}
+
+double SpeedModel::Slowness(const std::string& server) const {
+  const auto found = this->slowness.find(server);
+  return found == this->slowness.end() ? 1 : found->second;
+}
+
+double SpeedModel::ReadMillisecondsPerThousand() const {
+  return std::max(0.1, this->weights[1]);
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/core/speed_model.h
@@ -0,0 +1,59 @@
+// How fast the backend servers of one service answer, learned from answers.
+#pragma once
+
+#include <array>
+#include <string>
+#include <unordered_map>
+
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// What an answer's time to the first event depends on.
+struct SpeedInputs {
+  // Prompt tokens that the server has to read for this request.
+  double unread_tokens = 0;
+  // Prompt tokens of others that were sent before and are unread.
+  double unread_ahead = 0;
+  // Requests that run beside it.
+  double running = 0;
+};
+
+// Predicts the time to the first event (or to the answer of a plain service)
+// as a linear function of its inputs, with a factor for each server.
+//
+// The coefficients are fitted by recursive least squares that forgets slowly,
+// so they follow a service whose servers change; nothing is known beforehand.
+class SpeedModel {
+ public:
+  SpeedModel();
+
+  // Predicted time at a server that has not been heard of is the service's.
+  [[nodiscard]] Duration Predict(const std::string& server,
+                                 const SpeedInputs& inputs) const;
+  // Learns from one answer.
+  void Observe(const std::string& server, const SpeedInputs& inputs,
+               Duration first_event);
+  // A lower bound only: the server has not answered for this long.
+  void ObserveSilence(const std::string& server, const SpeedInputs& inputs,
+                      Duration silence);
+  void Forget(const std::string& server);
+
+  // How many times as long as its service's other servers it takes.
+  [[nodiscard]] double Slowness(const std::string& server) const;
+  // Milliseconds that reading 1,000 prompt tokens takes.
+  [[nodiscard]] double ReadMillisecondsPerThousand() const;
+
+ private:
+  static constexpr int kTerms = 4;
+  using Vector = std::array<double, kTerms>;
+
+  static Vector Features(const SpeedInputs& inputs);
+  [[nodiscard]] double Base(const Vector& features) const;
+
+  Vector weights;
+  std::array<Vector, kTerms> covariance{};
+  std::unordered_map<std::string, double> slowness;
+};
+
+}  // namespace rosemarycove
--- a/src/http/caller_front.cc
+++ b/src/http/caller_front.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "http/http_status.h"
-#include "platform/digest.h"
+#include "store/digest.h"
 
 namespace rosemarycove {
 namespace {
--- /dev/null
+++ b/src/proxy/caller_connection.cc
@@ -0,0 +1,282 @@
+#include "proxy/caller_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "proxy/socket_options.h"
+
+namespace rosemarycove {
+namespace {
+
+using boost::system::error_code;
+
+// Bytes read at once.
+constexpr std::size_t kReadBlock = 16 * 1024;
+// Bytes of further requests that are read while one is answered.
+constexpr std::size_t kMostAhead = 64 * 1024;
+// Unacknowledged response bytes break a caller's connection after this; a
+// caller may be slow, so it is longer than towards servers.
+constexpr Duration kUnacknowledged = std::chrono::seconds(10);
+// How long a refused caller may go on sending before the connection closes;
+// closing with unread bytes would reset it and lose the response.
+constexpr Duration kLinger = std::chrono::seconds(1);
+
+}  // namespace
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
+                                   ProxyContext& context)
+    : socket(std::move(socket)),
+      context(context),
+      waiting_since(std::chrono::steady_clock::now()),
+      last_read(this->waiting_since),
+      last_write(this->waiting_since) {
+  SetLivenessOptions(this->socket, kUnacknowledged);
+}
+
+CallerLimits CallerConnection::Limits() const {
+  return this->context.configuration ? this->context.configuration->limits
+                                     : CallerLimits{};
+}
+
+void CallerConnection::Start() { this->Read(); }
+
+void CallerConnection::Read() {
+  if (this->reading || this->is_closed ||
+      (this->exchange && this->received.size() > kMostAhead)) {
+    return;
+  }
+  this->reading = true;
+  this->block.resize(kReadBlock);
+  this->socket.async_read_some(
+      boost::asio::buffer(this->block),
+      [self = this->shared_from_this()](error_code failure, std::size_t count) {
+        self->reading = false;
+        if (self->is_closed) {
+          return;
+        }
+        if (failure) {
+          if (self->exchange) {
+            self->exchange->CallerLeft();
+          }
+          self->Close();
+          return;
+        }
+        self->TakeBytes(count);
+      });
+}
+
+void CallerConnection::TakeBytes(std::size_t count) {
+  this->last_read = std::chrono::steady_clock::now();
+  if (!this->ending) {
+    this->received.append(this->block.data(), count);
+    this->Advance();
+  }
+  this->Read();
+}
+
+void CallerConnection::Advance() {
+  if (this->exchange || this->ending || this->is_closed ||
+      this->received.empty()) {
+    return;
+  }
+  if (!this->reader) {
+    const CallerLimits limits = this->Limits();
+    this->reader.emplace(RequestBounds{.header = limits.max_header_bytes,
+                                       .body = limits.max_body_bytes});
+    this->waiting_since = std::chrono::steady_clock::now();
+  }
+  switch (this->reader->Feed(this->received)) {
+    case RequestReader::Progress::kNeedMore:
+      return;
+    case RequestReader::Progress::kHead:
+      if (this->context.body_bytes > this->context.most_body_bytes) {
+        this->Refuse(status_code::kUnavailable);
+      } else if (this->reader->ExpectsContinue()) {
+        this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    case RequestReader::Progress::kWhole:
+      this->Begin();
+      return;
+    case RequestReader::Progress::kRefused:
+      this->Refuse(this->reader->refusal());
+      return;
+  }
+}
+
+void CallerConnection::Begin() {
+  RequestHead head = this->reader->head();
+  std::string body = this->reader->TakeBody();
+  this->reader.reset();
+  this->exchange = std::make_unique<Exchange>(
+      this->context, std::move(head), std::move(body), *this,
+      std::chrono::steady_clock::now());
+  this->exchange->Start();
+}
+
+void CallerConnection::Refuse(int status) {
+  std::optional<Duration> retry;
+  if (status == status_code::kUnavailable) {
+    retry = kLinger;
+  }
+  this->Write(WriteOwnResponse({.status = status,
+                                .retry_after = retry,
+                                .body = std::string(ReasonPhrase(status)) + "\n",
+                                .close = true}));
+  this->reader.reset();
+  this->EndAfterFlush();
+}
+
+void CallerConnection::Write(std::string bytes) {
+  if (this->is_closed) {
+    return;
+  }
+  if (this->outgoing.empty()) {
+    this->outgoing = std::move(bytes);
+  } else {
+    this->outgoing.append(bytes);
+  }
+  this->Flush();
+}
+
+void CallerConnection::Flush() {
+  if (!this->sending.empty() || this->outgoing.empty() || this->is_closed) {
+    return;
+  }
+  this->sending.swap(this->outgoing);
+  this->last_write = std::chrono::steady_clock::now();
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->sending),
+      [self = this->shared_from_this()](error_code failure, std::size_t) {
+        self->sending.clear();
+        if (self->is_closed) {
+          return;
+        }
+        if (failure) {
+          if (self->exchange) {
+            self->exchange->CallerLeft();
+          }
+          self->Close();
+          return;
+        }
+        self->Flush();
+        if (self->exchange && !self->finishing) {
+          self->exchange->CallerDrained();
+        }
+        if (self->ending && self->unsent() == 0) {
+          error_code ignored;
+          self->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                                ignored);
+        }
+      });
+}
+
+void CallerConnection::Finish(bool keep) {
+  if (this->is_closed || this->finishing) {
+    return;
+  }
+  this->finishing = true;
+  // The exchange is on the stack now.
+  boost::asio::post(this->context.io, [self = this->shared_from_this(), keep] {
+    self->finishing = false;
+    self->exchange.reset();
+    if (self->is_closed) {
+      return;
+    }
+    self->waiting_since = std::chrono::steady_clock::now();
+    self->last_read = self->waiting_since;
+    if (!keep) {
+      self->EndAfterFlush();
+      return;
+    }
+    self->Advance();
+    self->Read();
+  });
+}
+
+void CallerConnection::EndAfterFlush() {
+  this->ending = true;
+  this->received.clear();
+  this->end_by = std::chrono::steady_clock::now() + kLinger;
+  if (this->unsent() == 0) {
+    error_code ignored;
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+  this->Read();
+}
+
+void CallerConnection::Break(bool reset) {
+  if (reset) {
+    error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
+  this->Close();
+}
+
+void CallerConnection::Tick(TimePoint now) {
+  if (this->is_closed) {
+    return;
+  }
+  if (this->exchange) {
+    if (!this->finishing) {
+      this->exchange->Tick(now);
+    }
+    if (!this->sending.empty() &&
+        now - this->last_write > this->Limits().idle_timeout) {
+      if (this->exchange) {
+        this->exchange->CallerLeft();
+      }
+      this->Close();
+    }
+    return;
+  }
+  if (this->ending) {
+    const bool stuck =
+        now - this->last_write > this->Limits().idle_timeout;
+    if (this->unsent() == 0 ? now >= *this->end_by : stuck) {
+      this->Close();
+    }
+    return;
+  }
+  const CallerLimits limits = this->Limits();
+  if (this->reader && !this->reader->head_done()) {
+    if (now - this->waiting_since > limits.header_timeout) {
+      this->Refuse(status_code::kRequestTimeout);
+    }
+    return;
+  }
+  if (now - this->last_read > limits.idle_timeout) {
+    if (this->reader) {
+      this->Refuse(status_code::kRequestTimeout);
+    } else {
+      this->Close();
+    }
+  }
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!this->exchange && !this->reader && this->received.empty() &&
+      this->unsent() == 0) {
+    this->Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (this->is_closed) {
+    return;
+  }
+  this->is_closed = true;
+  // Whatever closing reports, the descriptor is released.
+  error_code ignored;
+  this->socket.close(ignored);
+  if (!this->finishing && this->exchange) {
+    this->finishing = true;
+    boost::asio::post(this->context.io, [self = this->shared_from_this()] {
+      self->exchange.reset();
+    });
+  }
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/connection_pool.cc
@@ -0,0 +1,84 @@
+#include "proxy/connection_pool.h"
+
+#include <charconv>
+#include <utility>
+
+#include "proxy/endpoint.h"
+
+namespace rosemarycove {
+namespace {
+
+// Idle connections kept for each server; more than that were a burst.
+constexpr std::size_t kMostIdle = 24;
+
+}  // namespace
+
+std::optional<PooledConnection> ConnectionPool::Take(
+    const RegisteredServer& server, TimePoint now) {
+  std::vector<std::shared_ptr<BackendConnection>>& idle =
+      this->idle_by_server[server.id];
+  while (!idle.empty()) {
+    std::shared_ptr<BackendConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->Reusable() &&
+        now - connection->idle_since() < connection->idle_limit()) {
+      return PooledConnection{.connection = std::move(connection),
+                              .reused = true};
+    }
+    connection->Abort();
+  }
+  const auto endpoint = ParseTcpEndpoint(server.address);
+  if (!endpoint) {
+    return std::nullopt;
+  }
+  return PooledConnection{
+      .connection = std::make_shared<BackendConnection>(this->io, *endpoint)};
+}
+
+void ConnectionPool::Return(const RegisteredServer& server,
+                            std::shared_ptr<BackendConnection> connection) {
+  std::vector<std::shared_ptr<BackendConnection>>& idle =
+      this->idle_by_server[server.id];
+  if (connection->closed() || idle.size() >= kMostIdle) {
+    connection->Abort();
+    return;
+  }
+  idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::CloseIdle(TimePoint now) {
+  for (auto& [id, idle] : this->idle_by_server) {
+    std::erase_if(idle, [now](const auto& connection) {
+      const bool over =
+          connection->closed() ||
+          now - connection->idle_since() >= connection->idle_limit();
+      if (over) {
+        connection->Abort();
+      }
+      return over;
+    });
+  }
+  std::erase_if(this->idle_by_server,
+                [](const auto& item) { return item.second.empty(); });
+}
+
+void ConnectionPool::Forget(const std::string& server_id) {
+  const auto found = this->idle_by_server.find(server_id);
+  if (found == this->idle_by_server.end()) {
+    return;
+  }
+  for (const auto& connection : found->second) {
+    connection->Abort();
+  }
+  this->idle_by_server.erase(found);
+}
+
+std::size_t ConnectionPool::idle() const {
+  std::size_t count = 0;
+  for (const auto& [id, idle] : this->idle_by_server) {
+    count += idle.size();
+  }
+  return count;
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/exchange.cc
@@ -0,0 +1,672 @@
+#include "proxy/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+// Responses up to this size are passed on once they are whole, so that one
+// that breaks off can be had from another server.
+constexpr std::size_t kMostBuffered = 64 * 1024;
+// Reading from a server stops while its caller leaves this much unread.
+constexpr std::size_t kMostUnsent = 256 * 1024;
+// A connection to a server within a deployment stands after a few
+// milliseconds; a lost opening packet is sent again after a second.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+// Servers that may be asked after others that certainly did not run it.
+constexpr int kMostRejections = 3;
+// Less time than this is of no use to another server.
+constexpr Duration kLeastUseful = std::chrono::milliseconds(30);
+// A repeatable request without an answer goes to another server after this
+// many times its target or its predicted time.
+constexpr int kPatienceInTargets = 4;
+constexpr int kPatienceInPredictions = 4;
+constexpr Duration kLeastPatience = std::chrono::milliseconds(300);
+// A resumable stream goes on elsewhere after a pause of this many times its
+// gap target; callers give up at about eight times.
+constexpr int kPatienceInGaps = 4;
+// The same when the server's whole data centre seems cut off.
+constexpr Duration kSuspectedPatience = std::chrono::milliseconds(250);
+// When to come back to an instance that has no configuration yet.
+constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
+constexpr int kFirstServerError = 500;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+// Status codes that tell a caller that its request did not run.
+bool PromisesNotRun(int status) {
+  return status == status_code::kRequestTimeout ||
+         status == status_code::kMisdirected ||
+         status == status_code::kTooManyRequests ||
+         status == status_code::kUnavailable;
+}
+
+bool HasNoBody(const RequestHead& request, const ResponseHead& response) {
+  return request.method == "HEAD" || response.status == kNoContent ||
+         response.status == kNotModified;
+}
+
+}  // namespace
+
+Exchange::Exchange(ProxyContext& context, RequestHead head, std::string body,
+                   ResponseSink& sink, TimePoint arrival)
+    : context(context),
+      request(std::move(head)),
+      body(std::move(body)),
+      sink(sink),
+      arrival(arrival),
+      configuration(context.configuration) {
+  this->context.body_bytes += this->body.size();
+}
+
+Exchange::~Exchange() {
+  this->EndAttempt();
+  this->context.body_bytes -= this->body.size();
+}
+
+void Exchange::Start() {
+  this->call = this->context.dialect.ReadCall(this->request);
+  if (this->call.ambiguous) {
+    this->AnswerOwn(status_code::kBadRequest, EndCause::kAmbiguous, {});
+    return;
+  }
+  if (!this->configuration) {
+    this->RefuseNotRun(EndCause::kNotReady, kNotReadyRetry);
+    return;
+  }
+  if (!this->FindRoute()) {
+    return;
+  }
+  this->PickService();
+  this->Place();
+}
+
+bool Exchange::FindRoute() {
+  const Route* route = this->configuration->FindRoute(
+      this->request.fields.Find("host").value_or(""), this->request.Path());
+  if (route == nullptr) {
+    this->AnswerOwn(status_code::kNotFound, EndCause::kUnknownRoute, {});
+    return false;
+  }
+  this->query.route = route;
+  this->query.tier = route->tier;
+  if (!this->CheckKey(*route)) {
+    this->AnswerOwn(status_code::kUnauthorized, EndCause::kUnknownKey, {});
+    return false;
+  }
+  this->deadline =
+      this->arrival +
+      std::min(route->timeout, this->call.patience.value_or(route->timeout));
+  return true;
+}
+
+bool Exchange::CheckKey(const Route& route) {
+  if (!this->configuration->has_customers) {
+    return true;
+  }
+  const auto found =
+      this->call.key ? this->configuration->holder_by_key.find(*this->call.key)
+                     : this->configuration->holder_by_key.end();
+  if (found == this->configuration->holder_by_key.end()) {
+    return route.open;
+  }
+  this->customer = found->second.customer;
+  this->query.tier = found->second.tier.value_or(route.tier);
+  return true;
+}
+
+void Exchange::PickService() {
+  const std::vector<RouteShare>& shares = this->query.route->shares;
+  int total = 0;
+  for (const RouteShare& share : shares) {
+    total += share.weight;
+  }
+  int left = total <= 0 ? 0
+                        : static_cast<int>(this->context.random() %
+                                           static_cast<unsigned>(total));
+  for (const RouteShare& share : shares) {
+    this->service_name = share.service;
+    left -= share.weight;
+    if (left < 0) {
+      break;
+    }
+  }
+  this->query.service = this->configuration->FindService(this->service_name);
+  this->query.parts = this->call.parts;
+  this->query.prompt_tokens = this->call.prompt_tokens;
+  this->query.answer_tokens = this->call.answer_tokens;
+  this->context.budget.NoteRequest(this->service_name, this->arrival);
+}
+
+Duration Exchange::Remaining(TimePoint now) const {
+  return this->deadline - now;
+}
+
+void Exchange::Place() {
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (this->query.service == nullptr) {
+    this->GiveUpForWantOfServer(NoChoice::kNoServer);
+    return;
+  }
+  this->query.remaining = this->Remaining(now);
+  NoChoice why_not = NoChoice::kNoServer;
+  const std::optional<ServerChoice> picked =
+      this->context.placer.Choose(this->query, now, why_not);
+  if (!picked) {
+    this->GiveUpForWantOfServer(why_not);
+    return;
+  }
+  this->Send(*picked);
+}
+
+void Exchange::Send(const ServerChoice& picked) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  std::optional<PooledConnection> taken =
+      this->context.pool.Take(picked.server, now);
+  if (!taken) {
+    this->query.tried.push_back(picked.server.id);
+    this->Place();
+    return;
+  }
+  this->choice = picked;
+  this->connection = std::move(taken->connection);
+  this->reused = taken->reused;
+  this->sent = false;
+  this->sent_at = now;
+  this->last_progress = now;
+  this->first_event_seen = false;
+  this->taking = Taking::kNothing;
+  this->discarded_for.reset();
+  this->buffered.clear();
+  this->splitter.DropRest();
+  ++this->attempts;
+  this->context.placer.Begin(this->query, picked, now);
+  this->context.observer.OnPlaced(
+      {.request = this->call.request_id,
+       .route = this->query.route->name,
+       .customer = this->customer,
+       .tier = this->query.tier,
+       .attempt = this->attempts,
+       .choice = picked,
+       .ledger_age = this->context.placer.ledger().Age(now),
+       .directory_age = now - this->context.directory.read_at(),
+       .directory_revision = this->context.directory.as_of(),
+       .configuration_version = this->configuration->version,
+       .reused_connection = this->reused});
+  const std::string resume_from = this->splitter.last_id().empty()
+                                      ? this->call.last_event_id
+                                      : this->splitter.last_id();
+  std::string bytes = WriteRequestHead(
+      this->request, this->body.size(), this->context.dialect, this->call,
+      {.remaining = this->Remaining(now),
+       .server_id = picked.server.id,
+       .customer = this->customer,
+       .tier = this->query.tier,
+       .last_event_id = resume_from});
+  bytes.append(this->body);
+  this->connection->Send(std::move(bytes), this->request.method == "HEAD",
+                         *this);
+}
+
+void Exchange::OnSendBegun() {
+  this->sent = true;
+  ++this->arrivals;
+}
+
+HeadVerdict Exchange::OnHead(const ResponseHead& head) {
+  const AnswerInfo answer = this->context.dialect.ReadAnswer(head);
+  if (!answer.request_id.empty() &&
+      answer.request_id != this->call.request_id) {
+    return HeadVerdict::kSkip;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  this->last_progress = now;
+  this->response = head;
+  if (answer.load) {
+    this->context.placer.ReportLoad(this->choice->server.id,
+                                    answer.load->running, answer.load->waiting,
+                                    now);
+  }
+  if (answer.not_run) {
+    this->taking = Taking::kDiscarded;
+    this->discarded_for = Failure{
+        .result = answer.other_server ? SendResult::kUnreachable
+                                      : SendResult::kFull,
+        .may_have_run = false,
+        .why = "status " + std::to_string(head.status) + ", not run"};
+    return HeadVerdict::kTake;
+  }
+  const bool foreign = head.IsSuccess() && !answer.proven;
+  const bool failed = head.status >= kFirstServerError ||
+                      PromisesNotRun(head.status) || foreign;
+  if (failed) {
+    this->discarded_for = Failure{
+        .result = foreign ? SendResult::kMalformed : SendResult::kError,
+        .may_have_run = true,
+        .why = "status " + std::to_string(head.status)};
+    // Kept, to be passed on if no other server may be asked.
+    this->taking = Taking::kBuffered;
+    return HeadVerdict::kTake;
+  }
+  if (this->query.route->kind == RouteKind::kStream && head.IsSuccess() &&
+      !HasNoBody(this->request, head)) {
+    this->taking = Taking::kStream;
+    if (!this->head_passed_on) {
+      this->PassHeadOn(head, this->request.http_1_0 ? BodyFraming::kUntilClose
+                                                    : BodyFraming::kChunked);
+    }
+    return HeadVerdict::kTake;
+  }
+  this->taking = Taking::kBuffered;
+  return HeadVerdict::kTake;
+}
+
+void Exchange::PassHeadOn(const ResponseHead& head, BodyFraming how) {
+  this->head_passed_on = true;
+  this->framing = how;
+  this->sink.Write(WriteResponseHead(head, how, !this->CallerKeeps()));
+}
+
+bool Exchange::CallerKeeps() const {
+  return this->request.KeepsAlive() && !this->context.leaving;
+}
+
+void Exchange::NoteFirstEvent() {
+  if (this->first_event_seen) {
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  this->first_event_seen = true;
+  this->context.placer.FirstEvent(this->query, *this->choice,
+                                  now - this->sent_at);
+  if (this->first_event_at == TimePoint{}) {
+    this->first_event_at = now;
+    this->last_event_at = now;
+  }
+  this->context.placer.Observe(*this->choice, SendResult::kAnswered, now);
+}
+
+void Exchange::OnBody(std::string bytes) {
+  this->last_progress = std::chrono::steady_clock::now();
+  switch (this->taking) {
+    case Taking::kNothing:
+    case Taking::kDiscarded:
+      return;
+    case Taking::kBuffered:
+      this->buffered.append(bytes);
+      if (this->buffered.size() > kMostBuffered && !this->discarded_for) {
+        this->taking = Taking::kPassedOn;
+        this->PassHeadOn(this->response, this->response.length
+                                             ? BodyFraming::kLength
+                                             : BodyFraming::kChunked);
+        this->PassBufferedOn();
+      }
+      return;
+    case Taking::kPassedOn:
+      this->buffered = std::move(bytes);
+      this->PassBufferedOn();
+      return;
+    case Taking::kStream:
+      this->PassEventsOn(this->splitter.Take(bytes));
+      return;
+  }
+}
+
+void Exchange::PassBufferedOn() {
+  if (this->buffered.empty()) {
+    return;
+  }
+  this->sink.Write(this->framing == BodyFraming::kChunked
+                       ? WriteChunk(this->buffered)
+                       : std::move(this->buffered));
+  this->buffered.clear();
+  if (this->connection && this->sink.unsent() > kMostUnsent) {
+    this->connection->PauseReading();
+  }
+}
+
+void Exchange::PassEventsOn(std::string events) {
+  if (events.empty()) {
+    return;
+  }
+  this->NoteFirstEvent();
+  const TimePoint now = std::chrono::steady_clock::now();
+  this->longest_gap = std::max(this->longest_gap, now - this->last_event_at);
+  this->last_event_at = now;
+  this->buffered = std::move(events);
+  this->PassBufferedOn();
+}
+
+void Exchange::CallerDrained() {
+  if (this->connection && this->sink.unsent() <= kMostUnsent) {
+    this->connection->ResumeReading();
+  }
+}
+
+void Exchange::OnWhole() {
+  const std::shared_ptr<BackendConnection> done = std::move(this->connection);
+  this->context.pool.Return(this->choice->server, done);
+  if (this->discarded_for) {
+    this->FailAttempt(*std::exchange(this->discarded_for, std::nullopt));
+    return;
+  }
+  this->NoteFirstEvent();
+  switch (this->taking) {
+    case Taking::kNothing:
+    case Taking::kDiscarded:
+      return;
+    case Taking::kBuffered:
+      // A body without a length is whole now and gets one.
+      if (!HasNoBody(this->request, this->response)) {
+        this->response.length = this->buffered.size();
+      }
+      this->PassHeadOn(this->response, this->response.length
+                                           ? BodyFraming::kLength
+                                           : BodyFraming::kNone);
+      break;
+    case Taking::kPassedOn:
+      break;
+    case Taking::kStream:
+      this->buffered = this->splitter.TakeRest();
+      break;
+  }
+  this->PassBufferedOn();
+  if (this->framing == BodyFraming::kChunked) {
+    this->sink.Write(std::string(kLastChunk));
+  }
+  const bool ran_well = this->response.IsSuccess();
+  this->End(ran_well ? Outcome::kCompleted : Outcome::kFailed,
+            ran_well ? EndCause::kAnswered : EndCause::kBackendError,
+            this->response.status);
+}
+
+void Exchange::OnBroken(BrokenWhen when, const std::string& why) {
+  this->connection.reset();
+  if (this->discarded_for) {
+    Failure failure = *std::exchange(this->discarded_for, std::nullopt);
+    this->buffered.clear();
+    this->response = {};
+    this->FailAttempt(failure);
+    return;
+  }
+  Failure failure{.why = why};
+  switch (when) {
+    case BrokenWhen::kNotSent:
+      // An idle connection that the server closed says nothing of the server.
+      failure.avoid_server = !this->reused;
+      break;
+    case BrokenWhen::kUnanswered:
+      failure.may_have_run = true;
+      break;
+    case BrokenWhen::kMalformed:
+    case BrokenWhen::kInAnswer:
+      failure.result = SendResult::kMalformed;
+      failure.may_have_run = true;
+      break;
+  }
+  this->response = {};
+  this->buffered.clear();
+  this->FailAttempt(failure);
+}
+
+void Exchange::EndAttempt() {
+  if (this->connection) {
+    this->connection->Abort();
+    this->connection.reset();
+  }
+  if (this->choice) {
+    this->context.placer.End(*this->choice);
+    this->choice.reset();
+  }
+}
+
+void Exchange::FailAttempt(const Failure& failure) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  const ServerChoice failed = *this->choice;
+  const bool quiet = failure.result == SendResult::kUnreachable &&
+                     !failure.avoid_server;
+  if (!quiet &&
+      this->context.placer.Observe(failed, failure.result, now)) {
+    this->context.observer.OnEjected(
+        {.server = failed.server.id,
+         .service = failed.server.service,
+         .result = std::string(ToString(failure.result)),
+         .length = this->context.placer.health().EjectedUntil(
+                       failed.server.id) -
+                   now});
+  }
+  this->EndAttempt();
+  if (failure.avoid_server) {
+    this->query.tried.push_back(failed.server.id);
+  }
+  if (failure.may_have_run) {
+    ++this->ran_at;
+  } else {
+    ++this->rejections;
+  }
+  std::string why_not;
+  const bool again = this->MayTryAgain(why_not);
+  this->context.observer.OnAttemptFailed(
+      {.request = this->call.request_id,
+       .attempt = this->attempts,
+       .server = failed.server.id,
+       .result = std::string(ToString(failure.result)),
+       .why = failure.why,
+       .elapsed = now - this->sent_at,
+       .may_have_run = failure.may_have_run,
+       .next = again ? AfterFailure::kAnotherServer : AfterFailure::kGivenUp,
+       .next_why = why_not});
+  if (again) {
+    this->response = {};
+    this->buffered.clear();
+    this->Place();
+    return;
+  }
+  if (failure.result == SendResult::kError && this->response.status != 0 &&
+      !this->head_passed_on && !PromisesNotRun(this->response.status)) {
+    this->response.length = this->buffered.size();
+    this->PassHeadOn(this->response, BodyFraming::kLength);
+    this->PassBufferedOn();
+    this->End(Outcome::kFailed, EndCause::kBackendError, this->response.status);
+    return;
+  }
+  this->GiveUp(failure.may_have_run ? EndCause::kAnswerLost
+                                    : EndCause::kNoBackend);
+}
+
+bool Exchange::MayTryAgain(std::string& why_not) {
+  const Route& route = *this->query.route;
+  if (this->Remaining(std::chrono::steady_clock::now()) < kLeastUseful) {
+    why_not = "no time left";
+    return false;
+  }
+  if (this->ran_at > 0 && !route.MayRepeat()) {
+    why_not = "may have run and must not run twice";
+    return false;
+  }
+  if (this->ran_at >= std::max(1, route.attempts)) {
+    why_not = "attempts of the route used up";
+    return false;
+  }
+  if (this->rejections > kMostRejections) {
+    why_not = "rejected too often";
+    return false;
+  }
+  if (this->head_passed_on &&
+      (route.kind != RouteKind::kStream || !route.resumable)) {
+    why_not = "part of the answer was passed on";
+    return false;
+  }
+  if (this->arrivals > 0 &&
+      !this->context.budget.Spend(this->service_name,
+                                  std::chrono::steady_clock::now())) {
+    why_not = "retry budget spent";
+    return false;
+  }
+  return true;
+}
+
+void Exchange::GiveUpForWantOfServer(NoChoice why) {
+  const EndCause cause =
+      why == NoChoice::kFull ? EndCause::kQueueFull : EndCause::kNoBackend;
+  this->GiveUp(cause);
+}
+
+void Exchange::GiveUp(EndCause cause) {
+  if (this->head_passed_on) {
+    this->sink.Break(this->framing == BodyFraming::kUntilClose);
+    this->End(Outcome::kFailed, cause, this->response.status);
+    return;
+  }
+  if (this->ran_at > 0) {
+    this->AnswerOwn(cause == EndCause::kMaxWait ? status_code::kGatewayTimeout
+                                                : status_code::kBadGateway,
+                    cause, {});
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  this->RefuseNotRun(cause, this->query.service == nullptr
+                                ? kNotReadyRetry
+                                : this->context.placer.RoomIn(this->query, now));
+}
+
+void Exchange::RefuseNotRun(EndCause cause, Duration least) {
+  // Spread, so that callers refused together do not come back together.
+  std::uniform_real_distribution<double> spread(1.0, 1.6);
+  this->retry_after = FromSeconds(ToSeconds(least) *
+                                  spread(this->context.random));
+  this->AnswerOwn(status_code::kUnavailable, cause, this->retry_after);
+}
+
+void Exchange::AnswerOwn(int status, EndCause cause,
+                         std::optional<Duration> retry) {
+  this->sink.Write(
+      WriteOwnResponse({.status = status,
+                        .retry_after = retry,
+                        .body = std::string(ToString(cause)) + "\n",
+                        .close = !this->CallerKeeps(),
+                        .head_only = this->request.method == "HEAD"}));
+  this->End(this->ran_at > 0 ? Outcome::kUnknown : Outcome::kRefused, cause,
+            status);
+}
+
+bool Exchange::ServerSuspected() const {
+  return this->choice &&
+         this->context.placer.suspected_data_centres().contains(
+             this->choice->server.data_centre);
+}
+
+void Exchange::Tick(TimePoint now) {
+  if (this->is_ended || !this->choice) {
+    return;
+  }
+  if (now >= this->deadline) {
+    if (this->sent) {
+      ++this->ran_at;
+    }
+    this->context.placer.ObserveSilence(this->query, *this->choice,
+                                        now - this->sent_at);
+    this->EndAttempt();
+    this->GiveUp(EndCause::kMaxWait);
+    return;
+  }
+  if (!this->connection->connected() && !this->sent &&
+      now - this->sent_at > kConnectTimeout) {
+    this->connection->Abort();
+    this->OnBroken(BrokenWhen::kNotSent, "connection timed out");
+    return;
+  }
+  this->Watch(now);
+}
+
+void Exchange::Watch(TimePoint now) {
+  const Route& route = *this->query.route;
+  if (!route.MayRepeat() || !this->sent || this->discarded_for ||
+      this->ran_at + 1 >= route.attempts) {
+    return;
+  }
+  const Duration silence = now - this->last_progress;
+  Duration patience{};
+  if (!this->first_event_seen) {
+    patience = std::max({kPatienceInTargets * route.target,
+                         kPatienceInPredictions * this->choice->predicted_first,
+                         kLeastPatience});
+  } else if (route.kind == RouteKind::kStream && route.gap_target) {
+    patience = std::max(kPatienceInGaps * *route.gap_target, kLeastPatience);
+  } else {
+    return;
+  }
+  if (this->ServerSuspected()) {
+    patience = std::min(patience, kSuspectedPatience +
+                                      this->choice->predicted_first);
+  }
+  if (silence <= patience) {
+    return;
+  }
+  this->context.placer.ObserveSilence(this->query, *this->choice, silence);
+  this->connection->Abort();
+  this->connection.reset();
+  this->response = {};
+  this->buffered.clear();
+  this->FailAttempt({.result = SendResult::kSilent,
+                     .may_have_run = true,
+                     .why = "silent"});
+}
+
+void Exchange::CallerLeft() {
+  if (this->is_ended) {
+    return;
+  }
+  if (this->sent) {
+    ++this->ran_at;
+  }
+  this->EndAttempt();
+  this->End(Outcome::kCancelled, EndCause::kCallerLeft, 0);
+}
+
+void Exchange::End(Outcome outcome, EndCause cause, int status) {
+  if (this->is_ended) {
+    return;
+  }
+  this->is_ended = true;
+  const TimePoint now = std::chrono::steady_clock::now();
+  const std::string server = this->choice ? this->choice->server.id : "";
+  const Route* route = this->query.route;
+  const bool answered = this->first_event_at != TimePoint{};
+  const bool on_target =
+      outcome == Outcome::kCompleted && route != nullptr && answered &&
+      this->first_event_at - this->arrival <= route->target &&
+      (!route->gap_target || this->longest_gap <= *route->gap_target);
+  Ran ran = this->ran_at > 0 ? Ran::kUnknown : Ran::kNo;
+  if (answered) {
+    ran = Ran::kYes;
+  }
+  this->context.observer.OnEnded(
+      {.request = this->call.request_id,
+       .route = route == nullptr ? "" : route->name,
+       .service = this->service_name,
+       .customer = this->customer,
+       .tier = this->query.tier,
+       .outcome = outcome,
+       .cause = cause,
+       .ran = ran,
+       .status = status,
+       .attempts = this->attempts,
+       .server = server,
+       .first_event = answered ? this->first_event_at - this->arrival
+                               : Duration{},
+       .whole = now - this->arrival,
+       .events = this->splitter.events(),
+       .retry_after = this->retry_after,
+       .on_target = on_target,
+       .configuration_version =
+           this->configuration ? this->configuration->version : 0});
+  this->EndAttempt();
+  if (outcome != Outcome::kCancelled) {
+    this->sink.Finish(this->CallerKeeps() &&
+                      this->framing != BodyFraming::kUntilClose);
+  }
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/http_head.cc
@@ -0,0 +1,115 @@
+#include "proxy/http_head.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace rosemarycove {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHop = {
+    "connection", "keep-alive", "proxy-connection",
+    "te",         "trailer",    "transfer-encoding",
+    "upgrade",    "expect",     "proxy-authorization"};
+
+std::string_view Trim(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+bool SameToken(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) {
+                      return std::tolower(x) == std::tolower(y);
+                    });
+}
+
+bool ListsToken(std::string_view list, std::string_view token) {
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    if (SameToken(Trim(list.substr(0, comma)), token)) {
+      return true;
+    }
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    list.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+std::optional<std::string_view> HeaderFields::Find(
+    std::string_view name) const {
+  for (const HeaderField& field : this->fields) {
+    if (SameToken(field.name, name)) {
+      return field.value;
+    }
+  }
+  return std::nullopt;
+}
+
+int HeaderFields::Count(std::string_view name) const {
+  return static_cast<int>(std::count_if(
+      this->fields.begin(), this->fields.end(),
+      [&](const HeaderField& field) { return SameToken(field.name, name); }));
+}
+
+bool HeaderFields::IsHopByHop(std::string_view name) const {
+  if (std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                  [&](std::string_view hop) { return SameToken(hop, name); })) {
+    return true;
+  }
+  return std::any_of(this->fields.begin(), this->fields.end(),
+                     [&](const HeaderField& field) {
+                       return SameToken(field.name, "connection") &&
+                              ListsToken(field.value, name);
+                     });
+}
+
+std::string_view RequestHead::Path() const {
+  return std::string_view(this->target).substr(0, this->target.find('?'));
+}
+
+bool RequestHead::KeepsAlive() const {
+  const auto connection = this->fields.Find("connection");
+  return !this->http_1_0 && !(connection && ListsToken(*connection, "close"));
+}
+
+bool ResponseHead::KeepsAlive() const {
+  const auto connection = this->fields.Find("connection");
+  return !this->http_1_0 && !(connection && ListsToken(*connection, "close"));
+}
+
+std::string_view ReasonPhrase(int status) {
+  switch (status) {
+    case status_code::kOk:
+      return "OK";
+    case status_code::kBadRequest:
+      return "Bad Request";
+    case status_code::kUnauthorized:
+      return "Unauthorized";
+    case status_code::kNotFound:
+      return "Not Found";
+    case status_code::kRequestTimeout:
+      return "Request Timeout";
+    case status_code::kPayloadTooLarge:
+      return "Payload Too Large";
+    case status_code::kHeadersTooLarge:
+      return "Request Header Fields Too Large";
+    case status_code::kBadGateway:
+      return "Bad Gateway";
+    case status_code::kUnavailable:
+      return "Service Unavailable";
+    case status_code::kGatewayTimeout:
+      return "Gateway Timeout";
+    default:
+      return "Error";
+  }
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/http_head.h
@@ -0,0 +1,95 @@
+// Heads of HTTP messages as they were received.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemarycove {
+
+// One header field; the name keeps its case.
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+// Whether two field names or tokens are the same, in any case.
+bool SameToken(std::string_view a, std::string_view b);
+// Whether a comma-separated list names the token, in any case.
+bool ListsToken(std::string_view list, std::string_view token);
+
+// The fields of one message, in order.
+class HeaderFields {
+ public:
+  void Add(std::string name, std::string value) {
+    this->fields.push_back({std::move(name), std::move(value)});
+  }
+  // The first value of the name, or nothing.
+  [[nodiscard]] std::optional<std::string_view> Find(
+      std::string_view name) const;
+  [[nodiscard]] int Count(std::string_view name) const;
+  [[nodiscard]] const std::vector<HeaderField>& all() const {
+    return this->fields;
+  }
+
+  // Whether the field concerns one connection only and is not passed on. A
+  // field that `Connection` names counts as such.
+  [[nodiscard]] bool IsHopByHop(std::string_view name) const;
+
+ private:
+  std::vector<HeaderField> fields;
+};
+
+// The start line and fields of a request.
+struct RequestHead {
+  std::string method;
+  // Path and query.
+  std::string target;
+  bool http_1_0 = false;
+  HeaderFields fields;
+
+  // The target without its query.
+  [[nodiscard]] std::string_view Path() const;
+  [[nodiscard]] bool KeepsAlive() const;
+};
+
+// The start line and fields of a response.
+struct ResponseHead {
+  int status = 0;
+  std::string reason;
+  bool http_1_0 = false;
+  HeaderFields fields;
+  // Length of the body; without one it is chunked or ends with the connection.
+  std::optional<std::uint64_t> length;
+  bool chunked = false;
+
+  [[nodiscard]] bool IsSuccess() const {
+    return this->status >= 200 && this->status < 300;
+  }
+  [[nodiscard]] bool KeepsAlive() const;
+};
+
+// Status codes that this program sends or reads.
+namespace status_code {
+inline constexpr int kContinue = 100;
+inline constexpr int kOk = 200;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kPayloadTooLarge = 413;
+inline constexpr int kMisdirected = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kHeadersTooLarge = 431;
+inline constexpr int kInternalError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+}  // namespace status_code
+
+// The reason phrase of a status code that this program sends.
+std::string_view ReasonPhrase(int status);
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/proxy_context.h
@@ -0,0 +1,38 @@
+// What the requests of one instance share.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+#include <random>
+
+#include "core/backend_directory.h"
+#include "core/fleet_retry_budget.h"
+#include "core/placer.h"
+#include "core/routing_configuration.h"
+#include "proxy/call_dialect.h"
+#include "proxy/connection_pool.h"
+#include "proxy/proxy_observer.h"
+
+namespace rosemarycove {
+
+// Everything is used from the event loop's thread only.
+struct ProxyContext {
+  boost::asio::io_context& io;
+  const CallDialect& dialect;
+  BackendDirectory& directory;
+  Placer& placer;
+  FleetRetryBudget& budget;
+  ConnectionPool& pool;
+  ProxyObserver& observer;
+  // Null before the first one is known. Requests keep the one they began with.
+  std::shared_ptr<const RoutingConfiguration> configuration;
+  // Being stopped: callers are told to close.
+  bool leaving = false;
+  // Request bodies held in memory, and the bound on them, in bytes.
+  std::size_t body_bytes = 0;
+  std::size_t most_body_bytes = std::size_t{64} << 20U;
+  std::mt19937_64 random{std::random_device()()};
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/proxy_server.cc
@@ -0,0 +1,109 @@
+#include "proxy/proxy_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/endpoint.h"
+
+namespace rosemarycove {
+
+using boost::system::error_code;
+
+std::optional<std::string> Listen(boost::asio::ip::tcp::acceptor& acceptor,
+                                  const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  const bool any_port = colon != std::string::npos &&
+                        address.substr(colon + 1) == "0";
+  // Port 0 asks the system for a free one.
+  auto endpoint = ParseTcpEndpoint(any_port ? address.substr(0, colon) + ":1"
+                                         : address);
+  if (!endpoint) {
+    return address + " is not an IP number and a port";
+  }
+  if (any_port) {
+    endpoint->port(0);
+  }
+  error_code error;
+  acceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return address + ": " + error.message();
+  }
+  return std::nullopt;
+}
+
+ProxyServer::ProxyServer(ProxyServerOptions options, ProxyContext& context)
+    : options(std::move(options)), context(context), acceptor(context.io) {}
+
+std::optional<std::string> ProxyServer::Start() {
+  if (auto fault = Listen(this->acceptor, this->options.address)) {
+    return fault;
+  }
+  this->accepting = true;
+  this->Accept();
+  return std::nullopt;
+}
+
+void ProxyServer::Accept() {
+  if (!this->accepting || this->accept_pending ||
+      this->callers.size() >= this->options.most_connections) {
+    return;
+  }
+  this->accept_pending = true;
+  this->acceptor.async_accept(
+      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
+        this->accept_pending = false;
+        if (failure) {
+          // Out of descriptors or a caller that left; the tick goes on.
+          return;
+        }
+        auto caller = std::make_shared<CallerConnection>(std::move(socket),
+                                                         this->context);
+        this->callers.push_back(caller);
+        caller->Start();
+        this->Accept();
+      });
+}
+
+void ProxyServer::StopAccepting() {
+  this->accepting = false;
+  error_code ignored;
+  this->acceptor.close(ignored);
+}
+
+void ProxyServer::CloseIdle() {
+  for (const auto& caller : this->callers) {
+    caller->CloseIfIdle();
+  }
+}
+
+void ProxyServer::Tick(TimePoint now) {
+  this->callers.remove_if(
+      [](const auto& caller) { return caller->closed(); });
+  // A tick may close connections but never adds any.
+  for (const auto& caller : this->callers) {
+    caller->Tick(now);
+  }
+  this->Accept();
+}
+
+std::size_t ProxyServer::busy() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->callers.begin(), this->callers.end(),
+                    [](const auto& caller) { return caller->busy(); }));
+}
+
+int ProxyServer::port() const {
+  error_code ignored;
+  return this->acceptor.local_endpoint(ignored).port();
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/proxy/status_server.cc
@@ -0,0 +1,123 @@
+#include "proxy/status_server.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "proxy/http_reader.h"
+#include "proxy/message_writer.h"
+#include "proxy/proxy_server.h"
+
+namespace rosemarycove {
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::size_t kReadBlock = 2048;
+// A question about status has no body to speak of.
+constexpr RequestBounds kBounds{.header = 8192, .body = 1024};
+
+}  // namespace
+
+// One connection; shared because it lives while an operation is pending.
+class StatusServer::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(boost::asio::ip::tcp::socket socket, const StatusServer& server)
+      : socket(std::move(socket)), server(server) {}
+
+  void Read() {
+    this->block.resize(kReadBlock);
+    this->socket.async_read_some(
+        boost::asio::buffer(this->block),
+        [self = this->shared_from_this()](error_code failure,
+                                          std::size_t count) {
+          if (failure) {
+            return;
+          }
+          self->received.append(self->block.data(), count);
+          self->Advance();
+        });
+  }
+
+ private:
+  void Advance() {
+    switch (this->reader->Feed(this->received)) {
+      case RequestReader::Progress::kNeedMore:
+      case RequestReader::Progress::kHead:
+        this->Read();
+        return;
+      case RequestReader::Progress::kWhole:
+        this->keep = this->reader->head().KeepsAlive();
+        this->Write(
+            this->server.Answer(std::string(this->reader->head().Path())));
+        return;
+      case RequestReader::Progress::kRefused:
+        this->keep = false;
+        this->Write(WriteOwnResponse(
+            {.status = this->reader->refusal(), .close = true}));
+        return;
+    }
+  }
+
+  void Write(std::string bytes) {
+    this->answer = std::move(bytes);
+    boost::asio::async_write(
+        this->socket, boost::asio::buffer(this->answer),
+        [self = this->shared_from_this()](error_code failure, std::size_t) {
+          if (failure || !self->keep) {
+            return;
+          }
+          self->reader.emplace(kBounds);
+          if (self->received.empty()) {
+            self->Read();
+          } else {
+            self->Advance();
+          }
+        });
+  }
+
+  boost::asio::ip::tcp::socket socket;
+  const StatusServer& server;
+  std::string block;
+  std::string received;
+  std::string answer;
+  std::optional<RequestReader> reader{std::in_place, kBounds};
+  bool keep = false;
+};
+
+std::optional<std::string> StatusServer::Start(const std::string& address) {
+  if (auto fault = Listen(this->acceptor, address)) {
+    return fault;
+  }
+  this->Accept();
+  return std::nullopt;
+}
+
+int StatusServer::port() const {
+  error_code ignored;
+  return this->acceptor.local_endpoint(ignored).port();
+}
+
+void StatusServer::Accept() {
+  this->acceptor.async_accept(
+      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
+        if (failure == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (!failure) {
+          std::make_shared<Connection>(std::move(socket), *this)->Read();
+        }
+        this->Accept();
+      });
+}
+
+std::string StatusServer::Answer(const std::string& path) const {
+  const auto found = this->pages.find(path);
+  if (found == this->pages.end()) {
+    return WriteOwnResponse({.status = status_code::kNotFound});
+  }
+  const StatusPage page = found->second();
+  return WriteOwnResponse({.status = page.status, .body = page.text});
+}
+
+}  // namespace rosemarycove
--- a/src/platform/digest.cc
+++ b/src/store/digest.cc
@@ -1,4 +1,4 @@
-#include "platform/digest.h"
+#include "store/digest.h"
 
 #include <openssl/evp.h>
 
--- /dev/null
+++ b/src/store/document_feed.cc
@@ -0,0 +1,80 @@
+#include "store/document_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarycove {
+namespace {
+
+// The pause after a failed call doubles between these: an outage costs few
+// calls, and its end is noticed within a fraction of a second more.
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
+constexpr Duration kLongestBackoff = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+DocumentFeed::DocumentFeed(DocumentFeedOptions options, DocumentStore& store,
+                           FeedListener& listener)
+    : options(options), store(store), listener(listener) {}
+
+void DocumentFeed::SkipTo(std::uint64_t revision) {
+  this->known_to = std::max(this->known_to, revision);
+}
+
+void DocumentFeed::Tick(TimePoint now, Duration age, Duration delay) {
+  this->store.Tick(now);
+  const bool due = this->known_to == 0 || this->options.pause == Duration{} ||
+                   age >= this->options.pause + delay;
+  if (!this->store.busy() && due && now >= this->next_try) {
+    this->Begin(now);
+  }
+}
+
+void DocumentFeed::Begin(TimePoint now) {
+  ++this->call_count;
+  if (this->known_to == 0) {
+    this->store.ReadAll([this, now](const auto& result) {
+      this->Take(result, true, now);
+    });
+    return;
+  }
+  this->store.ReadChanges(
+      this->known_to, this->options.wait,
+      [this, now](const auto& result) { this->Take(result, false, now); });
+}
+
+void DocumentFeed::Take(const tl::expected<Reading, ReadingError>& result,
+                        bool whole, TimePoint began) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (!result) {
+    if (result.error().kind == ReadingErrorKind::kHistoryGone) {
+      this->known_to = 0;
+      return;
+    }
+    this->Fail(result.error().message, now);
+    return;
+  }
+  this->backoff = {};
+  if (!this->reachable) {
+    this->reachable = true;
+    this->listener.OnStoreRegained(now - this->lost_at);
+  }
+  this->known_to = std::max(this->known_to, result->as_of);
+  this->listener.OnReading(*result, whole, began);
+}
+
+void DocumentFeed::Fail(const std::string& why, TimePoint now) {
+  if (this->reachable) {
+    this->reachable = false;
+    this->lost_at = now;
+    this->listener.OnStoreLost(why);
+  }
+  this->backoff = this->backoff == Duration{}
+                      ? kFirstBackoff
+                      : std::min(this->backoff * 2, kLongestBackoff);
+  std::uniform_real_distribution<double> spread(0.5, 1.0);
+  this->next_try =
+      now + FromSeconds(ToSeconds(this->backoff) * spread(this->random));
+}
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/store/document_feed.h
@@ -0,0 +1,67 @@
+// Keeps a copy of one part of the platform's store up to date.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+
+#include "core/types.h"
+#include "store/document_store.h"
+
+namespace rosemarycove {
+
+// How a feed reads.
+struct DocumentFeedOptions {
+  // How long a reading waits for a change.
+  Duration wait = std::chrono::seconds(30);
+  // A reading may begin when the copy is at least this old; zero reads on
+  // without a pause.
+  Duration pause{};
+};
+
+// Takes what a feed brings.
+class FeedListener {
+ public:
+  virtual ~FeedListener() = default;
+  // `whole`: the reading names every document there is.
+  virtual void OnReading(const Reading& reading, bool whole,
+                         TimePoint read_at) = 0;
+  virtual void OnStoreLost(const std::string& why) = 0;
+  virtual void OnStoreRegained(Duration away) = 0;
+};
+
+// Reads everything once, then the changes, and everything anew when the store
+// dropped its history. Backs off with a spread while the store fails.
+class DocumentFeed {
+ public:
+  DocumentFeed(DocumentFeedOptions options, DocumentStore& store,
+               FeedListener& listener);
+
+  // Begins a reading when one is due. `age` is that of the copy, which may
+  // have been refreshed by others; `delay` is added to the pause.
+  void Tick(TimePoint now, Duration age, Duration delay);
+  // The copy is complete up to this revision by other means.
+  void SkipTo(std::uint64_t revision);
+  [[nodiscard]] bool available() const { return this->reachable; }
+  [[nodiscard]] std::uint64_t calls() const { return this->call_count; }
+
+ private:
+  void Begin(TimePoint now);
+  void Take(const tl::expected<Reading, ReadingError>& result, bool whole,
+            TimePoint began);
+  void Fail(const std::string& why, TimePoint now);
+
+  DocumentFeedOptions options;
+  DocumentStore& store;
+  FeedListener& listener;
+  std::uint64_t known_to = 0;
+  bool reachable = true;
+  TimePoint lost_at;
+  TimePoint next_try;
+  Duration backoff{};
+  std::uint64_t call_count = 0;
+  std::mt19937_64 random{std::random_device()()};
+};
+
+}  // namespace rosemarycove
--- /dev/null
+++ b/src/store/document_store.h
@@ -0,0 +1,49 @@
+// The platform's store as a source of documents that others write.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "core/shared_document.h"
+#include "core/types.h"
+
+namespace rosemarycove {
+
+// Why a reading gave nothing.
+enum class ReadingErrorKind : std::uint8_t {
+  kUnavailable,  // The store refused, failed or did not answer.
+  kHistoryGone,  // The changes asked for are no longer kept: read it all.
+};
+
+struct ReadingError {
+  ReadingErrorKind kind = ReadingErrorKind::kUnavailable;
+  std::string message;
+};
+
+// Documents with the revision up to which they are complete.
+struct Reading {
+  std::vector<SharedDocument> documents;
+  std::uint64_t as_of = 0;
+};
+
+// Reads the documents of one part of the store, without blocking. One call at
+// a time; `done` is called once, from the event loop.
+class DocumentStore {
+ public:
+  using Done = std::function<void(tl::expected<Reading, ReadingError>)>;
+
+  virtual ~DocumentStore() = default;
+  // Reads all documents as they are now.
+  virtual void ReadAll(Done done) = 0;
+  // Reads what changed after `revision`; waits up to `wait` for a change.
+  virtual void ReadChanges(std::uint64_t revision, Duration wait,
+                           Done done) = 0;
+  [[nodiscard]] virtual bool busy() const = 0;
+  // Ends calls whose time is over.
+  virtual void Tick(TimePoint now) = 0;
+};
+
+}  // namespace rosemarycove
--- a/src/platform/http_instance_list.cc
+++ b/src/store/http_instance_list.cc
@@ -1,4 +1,4 @@
-#include "platform/http_instance_list.h"
+#include "store/http_instance_list.h"
 
 #include <httplib.h>
 
--- a/src/platform/http_instance_list.h
+++ b/src/store/http_instance_list.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/instance_list.h"
+#include "store/instance_list.h"
 
 namespace rosemarycove {
 
--- a/src/platform/http_key_value_store.cc
+++ b/src/store/http_key_value_store.cc
@@ -1,4 +1,4 @@
-#include "platform/http_key_value_store.h"
+#include "store/http_key_value_store.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/platform/http_key_value_store.h
+++ b/src/store/http_key_value_store.h
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <string>
 
-#include "platform/key_value_store.h"
+#include "store/key_value_store.h"
 
 namespace rosemarycove {
 
--- a/src/platform/instance_list.h
+++ b/src/store/instance_list.h
@@ -5,7 +5,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
-#include "platform/key_value_store.h"
+#include "store/key_value_store.h"
 
 namespace rosemarycove {
 
--- /dev/null
+++ b/src/wire/fleet_codec.cc
@@ -0,0 +1,170 @@
+#include "wire/fleet_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+#include <limits>
+#include <utility>
+
+#include "wire/fleet_generated.h"
+
+namespace rosemarycove {
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr std::size_t kLengthBytes = 4;
+
+template <typename T>
+T Saturate(int value) {
+  return static_cast<T>(std::clamp<std::int64_t>(
+      value, 0, std::numeric_limits<T>::max()));
+}
+
+std::string Text(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+Offset<wire::Document> Put(FlatBufferBuilder& builder,
+                           const SharedDocument& document) {
+  const auto key = builder.CreateString(document.key);
+  const auto value = builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(document.value.data()),
+      document.value.size());
+  return wire::CreateDocument(builder, key, document.revision,
+                              document.removed, value);
+}
+
+SharedDocument Get(const wire::Document& document) {
+  SharedDocument result{.key = Text(document.key()),
+                        .revision = document.revision(),
+                        .removed = document.removed()};
+  if (document.value() != nullptr) {
+    result.value.assign(
+        reinterpret_cast<const char*>(document.value()->data()),
+        document.value()->size());
+  }
+  return result;
+}
+
+FleetReport Get(const wire::FleetReport& frame) {
+  FleetReport report{
+      .leaving = frame.leaving(),
+      .configuration_revision = frame.configuration_revision(),
+      .directory_revision = frame.directory_revision(),
+      .directory_age = std::chrono::milliseconds(frame.directory_age_ms()),
+      .servers_since = frame.servers_since()};
+  if (const auto* identity = frame.identity()) {
+    report.identity = FleetIdentity{.instance = Text(identity->instance()),
+                                    .address = Text(identity->address()),
+                                    .data_centre =
+                                        Text(identity->data_centre())};
+  }
+  if (frame.shares() != nullptr) {
+    for (const wire::ServerShare* share : *frame.shares()) {
+      report.shares.push_back(
+          {.server = share->server(),
+           .load = {.running = share->running(),
+                    .unread_tokens = static_cast<int>(share->unread_tokens()),
+                    .held_tokens = static_cast<int>(share->held_tokens()),
+                    .long_unread_tokens =
+                        static_cast<int>(share->long_unread_tokens()),
+                    .brittle_streams = share->brittle_streams()}});
+    }
+  }
+  if (frame.neighbours() != nullptr) {
+    for (const flatbuffers::String* address : *frame.neighbours()) {
+      report.neighbours.push_back(Text(address));
+    }
+  }
+  if (frame.configuration() != nullptr) {
+    report.configuration = Get(*frame.configuration());
+  }
+  if (frame.servers() != nullptr) {
+    for (const wire::Document* document : *frame.servers()) {
+      report.servers.push_back(Get(*document));
+    }
+  }
+  return report;
+}
+
+}  // namespace
+
+std::string EncodeFleetFrame(const FleetReport& report) {
+  FlatBufferBuilder builder(512);
+  Offset<wire::Identity> identity;
+  if (report.identity) {
+    const auto instance = builder.CreateString(report.identity->instance);
+    const auto address = builder.CreateString(report.identity->address);
+    const auto centre = builder.CreateString(report.identity->data_centre);
+    identity = wire::CreateIdentity(builder, instance, address, centre);
+  }
+  std::vector<wire::ServerShare> shares;
+  shares.reserve(report.shares.size());
+  for (const NumberedLoad& item : report.shares) {
+    const ServerLoad& load = item.load;
+    shares.emplace_back(item.server,
+                        Saturate<std::uint32_t>(load.unread_tokens),
+                        Saturate<std::uint32_t>(load.held_tokens),
+                        Saturate<std::uint32_t>(load.long_unread_tokens),
+                        Saturate<std::uint16_t>(load.running),
+                        Saturate<std::uint16_t>(load.brittle_streams));
+  }
+  Offset<flatbuffers::Vector<Offset<flatbuffers::String>>> neighbours;
+  if (!report.neighbours.empty()) {
+    neighbours = builder.CreateVectorOfStrings(report.neighbours);
+  }
+  Offset<wire::Document> configuration;
+  if (report.configuration) {
+    configuration = Put(builder, *report.configuration);
+  }
+  std::vector<Offset<wire::Document>> servers;
+  for (const SharedDocument& document : report.servers) {
+    servers.push_back(Put(builder, document));
+  }
+  const auto share_vector = builder.CreateVectorOfStructs(shares);
+  Offset<flatbuffers::Vector<Offset<wire::Document>>> server_vector;
+  if (!servers.empty()) {
+    server_vector = builder.CreateVector(servers);
+  }
+  builder.Finish(wire::CreateFleetReport(
+      builder, kFleetVersion, identity, report.leaving,
+      report.configuration_revision, report.directory_revision,
+      static_cast<std::uint32_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              report.directory_age)
+              .count()),
+      report.servers_since, share_vector, neighbours, configuration, server_vector));
+  const auto size = static_cast<std::uint32_t>(builder.GetSize());
+  std::string frame(kLengthBytes, '\0');
+  flatbuffers::WriteScalar(frame.data(), size);
+  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
+  return frame;
+}
+
+tl::expected<std::optional<FleetReport>, FrameError> TakeFleetFrame(
+    std::string& bytes) {
+  if (bytes.size() < kLengthBytes) {
+    return std::nullopt;
+  }
+  const auto size = flatbuffers::ReadScalar<std::uint32_t>(bytes.data());
+  if (size > kMaxFleetFrame) {
+    return tl::unexpected(FrameError::kTooLong);
+  }
+  if (bytes.size() < kLengthBytes + size) {
+    return std::nullopt;
+  }
+  const auto* data =
+      reinterpret_cast<const std::uint8_t*>(bytes.data() + kLengthBytes);
+  flatbuffers::Verifier verifier(data, size);
+  if (!wire::VerifyFleetReportBuffer(verifier) ||
+      wire::GetFleetReport(data)->version() != kFleetVersion) {
+    return tl::unexpected(FrameError::kMalformed);
+  }
+  FleetReport report = Get(*wire::GetFleetReport(data));
+  bytes.erase(0, kLengthBytes + size);
+  return report;
+}
+
+}  // namespace rosemarycove
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <utility>
 
-#include "platform/key_value_store.h"
+#include "store/key_value_store.h"
 
 namespace rosemarycove {
 
--- a/tests/http_fixture.cc
+++ b/tests/http_fixture.cc
@@ -10,7 +10,7 @@
 #include <thread>
 #include <utility>
 
-#include "platform/digest.h"
+#include "store/digest.h"
 #include "tests/resource_fixtures.h"
 
 namespace rosemarycove {
