Hold lower tiers back where a tier above would be late; end the re-reading loop

Cause, leaving: requests on kept connections were taken until the end of the grace. Cause, tiers: engines were filled to their slots by all tiers, so memory ran out and steps grew beyond the first tier's target.

A feed that needs everything is not told of revisions any more. A lower tier takes an engine only while slots, memory and the predicted first event of the tier above leave room; otherwise it waits up to 0.4 of its target, or is refused at once when the line is longer than that.

Ruled out: missing priorities towards the engines (they are sent).

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -45,18 +45,18 @@
     }
   }
   void OnStoreLost(const std::string& why) override {
-    this->gateway.log.Write(LogEvent::kStoreUnavailable,
-                            {{"reader", "configuration"},
-                             {"why", why},
-                             {"revision",
-                              this->gateway.configuration_document.revision}});
+    this->gateway.log.Write(
+        LogEvent::kStoreUnavailable,
+        {{"reader", "configuration"},
+         {"why", why},
+         {"revision", this->gateway.configuration_document.revision}});
   }
   void OnStoreRegained(Duration away) override {
-    this->gateway.log.Write(LogEvent::kStoreAvailable,
-                            {{"reader", "configuration"},
-                             {"away_ms", LogMilliseconds(away)},
-                             {"revision",
-                              this->gateway.configuration_document.revision}});
+    this->gateway.log.Write(
+        LogEvent::kStoreAvailable,
+        {{"reader", "configuration"},
+         {"away_ms", LogMilliseconds(away)},
+         {"revision", this->gateway.configuration_document.revision}});
   }
 
  private:
@@ -72,24 +72,22 @@
     const TimePoint now = std::chrono::steady_clock::now();
     BackendDirectory& directory = this->gateway.directory;
     this->gateway.LogNews(
-        whole ? directory.Replace(reading.documents, reading.as_of, read_at,
-                                  now)
-              : directory.Apply(reading.documents, reading.as_of, read_at, now),
+        whole
+            ? directory.Replace(reading.documents, reading.as_of, read_at, now)
+            : directory.Apply(reading.documents, reading.as_of, read_at, now),
         "store");
   }
   void OnStoreLost(const std::string& why) override {
-    this->gateway.log.Write(
-        LogEvent::kStoreUnavailable,
-        {{"reader", "directory"},
-         {"why", why},
-         {"revision", this->gateway.directory.as_of()}});
+    this->gateway.log.Write(LogEvent::kStoreUnavailable,
+                            {{"reader", "directory"},
+                             {"why", why},
+                             {"revision", this->gateway.directory.as_of()}});
   }
   void OnStoreRegained(Duration away) override {
-    this->gateway.log.Write(
-        LogEvent::kStoreAvailable,
-        {{"reader", "directory"},
-         {"away_ms", LogMilliseconds(away)},
-         {"revision", this->gateway.directory.as_of()}});
+    this->gateway.log.Write(LogEvent::kStoreAvailable,
+                            {{"reader", "directory"},
+                             {"away_ms", LogMilliseconds(away)},
+                             {"revision", this->gateway.directory.as_of()}});
   }
 
  private:
@@ -249,6 +247,7 @@
   this->links.Tick(now);
   this->budget.set_instances(1 + static_cast<int>(this->links.peers().size()));
   this->NoteSuspicion(now);
+  AdmitWaiting(this->context);
   this->callers.Tick(now);
   this->pool.CloseIdle(now);
   this->NoteDroppedLines(now);
@@ -278,9 +277,12 @@
     this->cut_off = true;
     this->log.Write(LogEvent::kDrainCutOff, {{"lost", open}});
   }
-  if (over || (open == 0 && since >= kStillSent)) {
+  if (since >= kStillSent) {
+    // What comes later could not be finished within the grace.
     this->callers.StopAccepting();
     this->callers.CloseIdle();
+  }
+  if (over || (open == 0 && since >= kStillSent)) {
     this->closing_since = now;
   }
 }
@@ -301,9 +303,8 @@
     }
     return;
   }
-  const std::uint64_t before = this->context.configuration
-                                   ? this->context.configuration->version
-                                   : 0;
+  const std::uint64_t before =
+      this->context.configuration ? this->context.configuration->version : 0;
   if (this->context.configuration && decoded->version <= before) {
     return;
   }
@@ -356,9 +357,9 @@
       now - this->last_drop_note < kDropNotes) {
     return;
   }
-  this->log.Write(LogEvent::kLinesDropped,
-                  {{"since_last", dropped - this->dropped_noted},
-                   {"all", dropped}});
+  this->log.Write(
+      LogEvent::kLinesDropped,
+      {{"since_last", dropped - this->dropped_noted}, {"all", dropped}});
   this->dropped_noted = dropped;
   this->last_drop_note = now;
 }
@@ -422,8 +423,8 @@
   add("rosemarycove_caller_connections", this->callers.connections());
   add("rosemarycove_idle_backend_connections", this->pool.idle());
   add("rosemarycove_backend_servers", this->directory.servers().size());
-  add("rosemarycove_peers", static_cast<std::uint64_t>(
-                                this->links.live_peers()));
+  add("rosemarycove_peers",
+      static_cast<std::uint64_t>(this->links.live_peers()));
   add("rosemarycove_configuration_version",
       this->context.configuration ? this->context.configuration->version : 0);
   add("rosemarycove_store_readings_total",
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -12,26 +12,25 @@
 
 void GatewayObserver::OnPlaced(const PlacedRecord& record) {
   const ServerChoice& choice = record.choice;
-  this->log.Write(
-      LogEvent::kCallPlaced,
-      {{"request", record.request},
-       {"route", record.route},
-       {"customer", record.customer},
-       {"tier", record.tier},
-       {"attempt", record.attempt},
-       {"server", choice.server.id},
-       {"why", ToString(choice.reason)},
-       {"candidates", choice.candidates},
-       {"predicted_ms", LogMilliseconds(choice.predicted_first)},
-       {"running", choice.inputs.running},
-       {"unread_ahead", choice.inputs.unread_ahead},
-       {"unread_tokens", choice.inputs.unread_tokens},
-       {"cached_tokens", choice.cached_tokens},
-       {"ledger_age_ms", LogMilliseconds(record.ledger_age)},
-       {"directory_age_ms", LogMilliseconds(record.directory_age)},
-       {"directory_revision", record.directory_revision},
-       {"configuration", record.configuration_version},
-       {"reused", record.reused_connection}});
+  this->log.Write(LogEvent::kCallPlaced,
+                  {{"request", record.request},
+                   {"route", record.route},
+                   {"customer", record.customer},
+                   {"tier", record.tier},
+                   {"attempt", record.attempt},
+                   {"server", choice.server.id},
+                   {"why", ToString(choice.reason)},
+                   {"candidates", choice.candidates},
+                   {"predicted_ms", LogMilliseconds(choice.predicted_first)},
+                   {"running", choice.inputs.running},
+                   {"unread_ahead", choice.inputs.unread_ahead},
+                   {"unread_tokens", choice.inputs.unread_tokens},
+                   {"cached_tokens", choice.cached_tokens},
+                   {"ledger_age_ms", LogMilliseconds(record.ledger_age)},
+                   {"directory_age_ms", LogMilliseconds(record.directory_age)},
+                   {"directory_revision", record.directory_revision},
+                   {"configuration", record.configuration_version},
+                   {"reused", record.reused_connection}});
 }
 
 void GatewayObserver::OnAttemptFailed(const AttemptFailedRecord& record) {
--- a/src/core/backend_directory.cc
+++ b/src/core/backend_directory.cc
@@ -112,9 +112,8 @@
   }
   this->usable[document.key] = *server;
   if (server != before) {
-    news.push_back({.change = change,
-                    .server = *server,
-                    .revision = document.revision});
+    news.push_back(
+        {.change = change, .server = *server, .revision = document.revision});
   }
 }
 
--- a/src/core/backend_directory.h
+++ b/src/core/backend_directory.h
@@ -70,9 +70,9 @@
 
   // Takes changed documents. `as_of` is the store's revision up to which they
   // are complete, `read_at` when the reading began; 0 leaves both as they are.
-  std::vector<DirectoryNews> Apply(
-      const std::vector<SharedDocument>& documents, std::uint64_t as_of,
-      TimePoint read_at, TimePoint now);
+  std::vector<DirectoryNews> Apply(const std::vector<SharedDocument>& documents,
+                                   std::uint64_t as_of, TimePoint read_at,
+                                   TimePoint now);
   // Takes a whole reading: what it does not name is gone.
   std::vector<DirectoryNews> Replace(
       const std::vector<SharedDocument>& documents, std::uint64_t as_of,
--- a/src/core/fleet_retry_budget.cc
+++ b/src/core/fleet_retry_budget.cc
@@ -44,8 +44,8 @@
   const int repeats =
       std::accumulate(tally.repeats.begin(), tally.repeats.end(), 0);
   const double allowed =
-      (1 - kKeptBack) * (this->bounds.ratio * requests +
-                         this->bounds.slack / this->instances);
+      (1 - kKeptBack) *
+      (this->bounds.ratio * requests + this->bounds.slack / this->instances);
   if (repeats + 1 > allowed) {
     return false;
   }
--- a/src/core/load_ledger.cc
+++ b/src/core/load_ledger.cc
@@ -36,12 +36,11 @@
   if (found == this->own.end()) {
     return;
   }
-  found->second +=
-      ServerLoad{.running = -change.running,
-                 .unread_tokens = -change.unread_tokens,
-                 .held_tokens = -change.held_tokens,
-                 .long_unread_tokens = -change.long_unread_tokens,
-                 .brittle_streams = -change.brittle_streams};
+  found->second += ServerLoad{.running = -change.running,
+                              .unread_tokens = -change.unread_tokens,
+                              .held_tokens = -change.held_tokens,
+                              .long_unread_tokens = -change.long_unread_tokens,
+                              .brittle_streams = -change.brittle_streams};
   if (found->second == ServerLoad{}) {
     this->own.erase(found);
   }
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -28,9 +28,16 @@
 // Each request beyond a server's slots, relative to its predicted time.
 constexpr double kQueuedRequest = 0.15;
 
-// Share of an engine's memory that is filled before it counts as full; the
-// answers' lengths are estimates.
-constexpr double kMemoryBound = 0.85;
+// Share of an engine's memory and of its slots that the first tier may fill;
+// the answers' lengths are estimates. Each tier below leaves this much more for
+// those above it.
+constexpr double kMemoryBound = 0.9;
+constexpr double kSlotBound = 1.0;
+constexpr double kLeftByTier = 0.08;
+constexpr int kLastTier = 4;
+// A request of the tighter class that the others must leave on time: its
+// unread prompt tokens.
+constexpr double kUsualPromptTokens = 600;
 // Prompts above this pause streams beside them when they are read.
 constexpr int kLongPromptTokens = 12000;
 // Gap targets up to this make a stream brittle.
@@ -83,6 +90,8 @@
       return "unreachable";
     case NoChoice::kFull:
       return "full";
+    case NoChoice::kHeldBack:
+      return "held_back";
   }
   return "unknown";
 }
@@ -99,10 +108,9 @@
 ServerLoad Placer::LoadOf(const std::string& server, TimePoint now) const {
   ServerLoad load = this->loads.Total(server, now);
   const auto found = this->reported.find(server);
-  if (found != this->reported.end() &&
-      now - found->second.at <= kReportLife) {
-    load.running = std::max(
-        load.running, found->second.running + found->second.waiting);
+  if (found != this->reported.end() && now - found->second.at <= kReportLife) {
+    load.running =
+        std::max(load.running, found->second.running + found->second.waiting);
   }
   return load;
 }
@@ -172,20 +180,19 @@
   candidate.inputs = {
       .unread_tokens = static_cast<double>(unread),
       .unread_ahead = static_cast<double>(candidate.load.unread_tokens),
-      .running = static_cast<double>(
-          std::min(candidate.load.running, server.slots))};
+      .running =
+          static_cast<double>(std::min(candidate.load.running, server.slots))};
   candidate.predicted = speed.Predict(server.id, candidate.inputs);
   double first = Milliseconds(candidate.predicted);
-  const double queued =
-      std::max(0, candidate.load.running + 1 - server.slots);
+  const double queued = std::max(0, candidate.load.running + 1 - server.slots);
   first *= 1 + kQueuedRequest * queued;
   candidate.predicted = FromSeconds(first / kThousand);
   double cost = first;
   const double aim = kAimedShare * Milliseconds(query.route->target);
   cost += kLateWeight * std::max(0.0, first - aim);
   if (!candidate.home) {
-    cost += kReadAgainPerThousand * (shared - candidate.cached_tokens) /
-            kThousand;
+    cost +=
+        kReadAgainPerThousand * (shared - candidate.cached_tokens) / kThousand;
   }
   if (server.data_centre != this->options.data_centre) {
     cost += kFarServer;
@@ -197,17 +204,46 @@
     cost += kBrittleStream * candidate.load.brittle_streams;
   }
   if (IsBrittle(*query.route)) {
-    cost += kLongAheadPerThousand * candidate.load.long_unread_tokens /
-            kThousand;
+    cost +=
+        kLongAheadPerThousand * candidate.load.long_unread_tokens / kThousand;
   }
   if (query.service->memory_tokens > 0) {
-    const double held = candidate.load.held_tokens + query.prompt_tokens +
-                        query.answer_tokens;
+    const double held =
+        candidate.load.held_tokens + query.prompt_tokens + query.answer_tokens;
     if (held > kMemoryBound * query.service->memory_tokens) {
       cost += kMemoryFull;
     }
   }
   candidate.cost = cost;
+  candidate.room = this->HasRoom(query, candidate);
+}
+
+bool Placer::HasRoom(const PlacementQuery& query,
+                     const Candidate& candidate) const {
+  if (!query.service->IsModel() || query.tier == 0) {
+    return true;
+  }
+  const ServerLoad& load = candidate.load;
+  const int tier = std::min(query.tier, kLastTier);
+  const double slots =
+      (kSlotBound - kLeftByTier * tier) * candidate.server->slots;
+  if (load.running + 1 > slots) {
+    return false;
+  }
+  if (query.service->memory_tokens > 0 &&
+      load.held_tokens + query.prompt_tokens + query.answer_tokens >
+          (kMemoryBound - kLeftByTier * tier) * query.service->memory_tokens &&
+      load.running > 0) {
+    return false;
+  }
+  if (!query.tighter_target) {
+    return true;
+  }
+  const SpeedModel& speed = this->SpeedOf(query.service->name);
+  const Duration tight = speed.Predict(
+      candidate.server->id, {.unread_tokens = kUsualPromptTokens,
+                             .running = static_cast<double>(load.running + 1)});
+  return Milliseconds(tight) <= Milliseconds(*query.tighter_target);
 }
 
 std::optional<ServerChoice> Placer::Choose(const PlacementQuery& query,
@@ -220,6 +256,9 @@
   Candidate* best = nullptr;
   for (Candidate& candidate : candidates) {
     this->Weigh(query, candidate, now);
+    if (!candidate.room) {
+      continue;
+    }
     // A request that may run once is no trial while there are others.
     if (candidate.trial && !query.route->MayRepeat() && candidates.size() > 1) {
       candidate.cost += kSuspectedDataCentre;
@@ -232,6 +271,10 @@
       best = &candidate;
     }
   }
+  if (best == nullptr) {
+    why_not = NoChoice::kHeldBack;
+    return std::nullopt;
+  }
   ChoiceReason reason = ChoiceReason::kCheapest;
   if (best->trial) {
     reason = ChoiceReason::kTrial;
@@ -239,15 +282,14 @@
   } else if (best->home) {
     reason = ChoiceReason::kHomeOfPrompt;
   }
-  return ServerChoice{
-      .server = *best->server,
-      .reason = reason,
-      .predicted_first = best->predicted,
-      .footprint = FootprintOf(
-          query, static_cast<int>(best->inputs.unread_tokens)),
-      .inputs = best->inputs,
-      .cached_tokens = best->cached_tokens,
-      .candidates = static_cast<int>(candidates.size())};
+  return ServerChoice{.server = *best->server,
+                      .reason = reason,
+                      .predicted_first = best->predicted,
+                      .footprint = FootprintOf(
+                          query, static_cast<int>(best->inputs.unread_tokens)),
+                      .inputs = best->inputs,
+                      .cached_tokens = best->cached_tokens,
+                      .candidates = static_cast<int>(candidates.size())};
 }
 
 std::optional<ServerChoice> Placer::ChooseEjected(const PlacementQuery& query,
@@ -259,8 +301,8 @@
     if (server.service != query.service->name || server.leaving || tried) {
       continue;
     }
-    if (best == nullptr || this->fitness.EjectedUntil(id) <
-                               this->fitness.EjectedUntil(best->id)) {
+    if (best == nullptr ||
+        this->fitness.EjectedUntil(id) < this->fitness.EjectedUntil(best->id)) {
       best = &server;
     }
   }
@@ -273,8 +315,8 @@
       .server = *best,
       .reason = ChoiceReason::kOnlyEjected,
       .predicted_first = candidate.predicted,
-      .footprint = FootprintOf(
-          query, static_cast<int>(candidate.inputs.unread_tokens)),
+      .footprint =
+          FootprintOf(query, static_cast<int>(candidate.inputs.unread_tokens)),
       .inputs = candidate.inputs,
       .cached_tokens = candidate.cached_tokens,
       .candidates = 1};
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -28,6 +28,8 @@
   int answer_tokens = 0;
   // Ids of servers that this request was sent to or could not reach.
   std::vector<std::string> tried;
+  // The shortest target of the service's streams in tiers before this one.
+  std::optional<Duration> tighter_target;
   // What its caller still waits.
   Duration remaining{};
 };
@@ -60,6 +62,7 @@
   kNoServer,     // None is registered and staying.
   kUnreachable,  // All were tried.
   kFull,         // None has room.
+  kHeldBack,     // Room is left, but kept for higher tiers.
 };
 
 std::string_view ToString(NoChoice reason);
@@ -121,6 +124,8 @@
     int cached_tokens = 0;
     bool home = false;
     bool trial = false;
+    // Taking the request leaves enough for higher tiers.
+    bool room = true;
     SpeedInputs inputs;
     Duration predicted{};
     double cost = 0;
@@ -138,6 +143,8 @@
       const PlacementQuery& query) const;
   void Weigh(const PlacementQuery& query, Candidate& candidate,
              TimePoint now) const;
+  [[nodiscard]] bool HasRoom(const PlacementQuery& query,
+                             const Candidate& candidate) const;
   [[nodiscard]] ServerLoad LoadOf(const std::string& server,
                                   TimePoint now) const;
   [[nodiscard]] const SpeedModel& SpeedOf(const std::string& service) const;
--- a/src/core/prompt_cache_map.cc
+++ b/src/core/prompt_cache_map.cc
@@ -16,8 +16,7 @@
 }  // namespace
 
 void PromptCacheMap::Note(const std::string& server,
-                          const std::vector<PromptPart>& parts,
-                          TimePoint now) {
+                          const std::vector<PromptPart>& parts, TimePoint now) {
   const std::uint64_t number = ServerNumber(server);
   for (const PromptPart& part : parts) {
     const PartAtServer key{.part = part.id, .server = number};
@@ -40,8 +39,7 @@
   const std::uint64_t number = ServerNumber(server);
   int tokens = 0;
   for (const PromptPart& part : parts) {
-    const auto found =
-        this->sent.find({.part = part.id, .server = number});
+    const auto found = this->sent.find({.part = part.id, .server = number});
     if (found == this->sent.end() || now - found->second > kLikelyKept) {
       break;
     }
--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -6,18 +6,12 @@
 namespace rosemarycove {
 namespace {
 
-// Drops the port, if any.
-std::string_view HostName(std::string_view host) {
-  const std::size_t colon = host.rfind(':');
-  return colon == std::string_view::npos ? host : host.substr(0, colon);
-}
-
-// Whether `text` equals `lower`, which is in lower case, in any case.
-bool EqualsLower(std::string_view text, std::string_view lower) {
-  return std::equal(text.begin(), text.end(), lower.begin(), lower.end(),
-                    [](unsigned char a, unsigned char b) {
-                      return std::tolower(a) == b;
-                    });
+// The host without its port, in lower case.
+std::string LowerHostName(std::string_view host) {
+  std::string name(host.substr(0, host.rfind(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char letter) { return std::tolower(letter); });
+  return name;
 }
 
 }  // namespace
@@ -34,26 +28,65 @@
   return "unknown";
 }
 
+void RoutingConfiguration::Index() {
+  for (std::size_t i = 0; i < this->services.size(); ++i) {
+    this->service_by_name.emplace(this->services[i].name, i);
+  }
+  for (std::size_t i = 0; i < this->routes.size(); ++i) {
+    const Route& route = this->routes[i];
+    this->routes_by_host[route.host].push_back(i);
+    if (route.kind != RouteKind::kStream) {
+      continue;
+    }
+    for (const RouteShare& share : route.shares) {
+      auto& targets = this->stream_targets[share.service];
+      const auto [item, added] = targets.emplace(route.tier, route.target);
+      item->second = std::min(item->second, route.target);
+    }
+  }
+  for (auto& [host, indices] : this->routes_by_host) {
+    std::stable_sort(indices.begin(), indices.end(),
+                     [this](std::size_t a, std::size_t b) {
+                       return this->routes[a].path_prefix.size() >
+                              this->routes[b].path_prefix.size();
+                     });
+  }
+}
+
 const Route* RoutingConfiguration::FindRoute(std::string_view host,
                                              std::string_view path) const {
-  const std::string_view name = HostName(host);
-  const Route* best = nullptr;
-  for (const Route& route : this->routes) {
-    if (path.starts_with(route.path_prefix) && EqualsLower(name, route.host) &&
-        (best == nullptr ||
-         route.path_prefix.size() > best->path_prefix.size())) {
-      best = &route;
+  const auto found = this->routes_by_host.find(LowerHostName(host));
+  if (found == this->routes_by_host.end()) {
+    return nullptr;
+  }
+  for (const std::size_t index : found->second) {
+    if (path.starts_with(this->routes[index].path_prefix)) {
+      return &this->routes[index];
     }
   }
-  return best;
+  return nullptr;
 }
 
 const RoutedService* RoutingConfiguration::FindService(
     std::string_view name) const {
-  const auto found =
-      std::find_if(this->services.begin(), this->services.end(),
-                   [&](const RoutedService& item) { return item.name == name; });
-  return found == this->services.end() ? nullptr : &*found;
+  const auto found = this->service_by_name.find(std::string(name));
+  return found == this->service_by_name.end() ? nullptr
+                                              : &this->services[found->second];
+}
+
+std::optional<Duration> RoutingConfiguration::TightestTargetBefore(
+    const std::string& service, int tier) const {
+  const auto found = this->stream_targets.find(service);
+  if (found == this->stream_targets.end()) {
+    return std::nullopt;
+  }
+  std::optional<Duration> tightest;
+  for (const auto& [of_tier, target] : found->second) {
+    if (of_tier < tier) {
+      tightest = std::min(tightest.value_or(target), target);
+    }
+  }
+  return tightest;
 }
 
 }  // namespace rosemarycove
--- a/src/core/routing_configuration.h
+++ b/src/core/routing_configuration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -100,11 +101,25 @@
   bool has_customers = false;
   std::unordered_map<std::string, KeyHolder> holder_by_key;
 
+  // Builds what the look-ups below need; call once, when all is filled in.
+  void Index();
+
   // The route of the host with the longest prefix of the path, or null.
   [[nodiscard]] const Route* FindRoute(std::string_view host,
                                        std::string_view path) const;
   // The named service, or null.
   [[nodiscard]] const RoutedService* FindService(std::string_view name) const;
+  // The shortest target of the service's streams in tiers before `tier`;
+  // nothing when there are none.
+  [[nodiscard]] std::optional<Duration> TightestTargetBefore(
+      const std::string& service, int tier) const;
+
+ private:
+  // Indices of routes, the longest prefix first.
+  std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
+  std::unordered_map<std::string, std::size_t> service_by_name;
+  // By service, the shortest target of its streams in each tier.
+  std::unordered_map<std::string, std::map<int, Duration>> stream_targets;
 };
 
 }  // namespace rosemarycove
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -120,25 +120,24 @@
     this->state = State::kConnecting;
     this->began = now;
     const std::uint64_t attempt = ++this->attempts;
-    this->socket.async_connect(
-        this->endpoint,
-        [self = this->shared_from_this(), attempt](error_code failure) {
-          if (self->stopped || attempt != self->attempts) {
-            return;
-          }
-          const TimePoint at = std::chrono::steady_clock::now();
-          if (failure) {
-            self->refused = failure == boost::asio::error::connection_refused;
-            self->Reset(at);
-            return;
-          }
-          self->state = State::kStands;
-          self->refused = false;
-          self->sent = 0;
-          self->pause = kFirstPause;
-          self->stood_at = at;
-          self->WatchForEnd();
-        });
+    this->socket.async_connect(this->endpoint, [self = this->shared_from_this(),
+                                                attempt](error_code failure) {
+      if (self->stopped || attempt != self->attempts) {
+        return;
+      }
+      const TimePoint at = std::chrono::steady_clock::now();
+      if (failure) {
+        self->refused = failure == boost::asio::error::connection_refused;
+        self->Reset(at);
+        return;
+      }
+      self->state = State::kStands;
+      self->refused = false;
+      self->sent = 0;
+      self->pause = kFirstPause;
+      self->stood_at = at;
+      self->WatchForEnd();
+    });
   }
 
   // Nothing comes back on this connection but its end.
@@ -198,18 +197,18 @@
 
   void Read() {
     this->block.resize(kReadBlock);
-    this->socket.async_read_some(
-        boost::asio::buffer(this->block),
-        [self = this->shared_from_this()](error_code failure,
-                                          std::size_t count) {
-          if (failure) {
-            return;
-          }
-          self->received.append(self->block.data(), count);
-          if (self->TakeFrames()) {
-            self->Read();
-          }
-        });
+    this->socket.async_read_some(boost::asio::buffer(this->block),
+                                 [self = this->shared_from_this()](
+                                     error_code failure, std::size_t count) {
+                                   if (failure) {
+                                     return;
+                                   }
+                                   self->received.append(self->block.data(),
+                                                         count);
+                                   if (self->TakeFrames()) {
+                                     self->Read();
+                                   }
+                                 });
   }
 
  private:
@@ -292,8 +291,8 @@
   const auto& seeds = this->options.seeds;
   const bool is_seed =
       std::find(seeds.begin(), seeds.end(), address) != seeds.end();
-  this->senders.emplace(
-      address, std::make_shared<Sender>(this->io, *endpoint, is_seed));
+  this->senders.emplace(address,
+                        std::make_shared<Sender>(this->io, *endpoint, is_seed));
 }
 
 Duration FleetLinks::Interval() const {
@@ -394,8 +393,8 @@
     return gone;
   });
   std::erase_if(this->senders, [&](const auto& item) {
-    const bool gone = !item.second->is_seed &&
-                      now - item.second->last_stood() > kForgotten;
+    const bool gone =
+        !item.second->is_seed && now - item.second->last_stood() > kForgotten;
     if (gone) {
       item.second->Stop();
     }
@@ -404,11 +403,9 @@
 }
 
 int FleetLinks::live_peers() const {
-  return static_cast<int>(
-      std::count_if(this->by_name.begin(), this->by_name.end(),
-                    [&](const auto& item) {
-                      return !this->down.contains(item.first);
-                    }));
+  return static_cast<int>(std::count_if(
+      this->by_name.begin(), this->by_name.end(),
+      [&](const auto& item) { return !this->down.contains(item.first); }));
 }
 
 int FleetLinks::Rank() const {
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -176,9 +176,9 @@
     const ResponseReader::Progress progress =
         this->reader->Feed(this->received);
     if (progress == ResponseReader::Progress::kMalformed) {
-      this->Break(this->head_told ? BrokenWhen::kInAnswer
-                                  : BrokenWhen::kMalformed,
-                  "bytes that are no response");
+      this->Break(
+          this->head_told ? BrokenWhen::kInAnswer : BrokenWhen::kMalformed,
+          "bytes that are no response");
       return;
     }
     if (this->reader->head_done() && !this->head_told && !this->skipping) {
@@ -237,10 +237,9 @@
   }
   // Bytes or an end that arrived and were not read yet.
   char byte = 0;
-  const ssize_t waiting =
-      ::recv(const_cast<boost::asio::ip::tcp::socket&>(this->socket)
-                 .native_handle(),
-             &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t waiting = ::recv(
+      const_cast<boost::asio::ip::tcp::socket&>(this->socket).native_handle(),
+      &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return waiting < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -110,9 +110,9 @@
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
-  this->exchange = std::make_unique<Exchange>(
-      this->context, std::move(head), std::move(body), *this,
-      std::chrono::steady_clock::now());
+  this->exchange = std::make_unique<Exchange>(this->context, std::move(head),
+                                              std::move(body), *this,
+                                              std::chrono::steady_clock::now());
   this->exchange->Start();
 }
 
@@ -121,10 +121,11 @@
   if (status == status_code::kUnavailable) {
     retry = kLinger;
   }
-  this->Write(WriteOwnResponse({.status = status,
-                                .retry_after = retry,
-                                .body = std::string(ReasonPhrase(status)) + "\n",
-                                .close = true}));
+  this->Write(
+      WriteOwnResponse({.status = status,
+                        .retry_after = retry,
+                        .body = std::string(ReasonPhrase(status)) + "\n",
+                        .close = true}));
   this->reader.reset();
   this->EndAfterFlush();
 }
@@ -233,8 +234,7 @@
     return;
   }
   if (this->ending) {
-    const bool stuck =
-        now - this->last_write > this->Limits().idle_timeout;
+    const bool stuck = now - this->last_write > this->Limits().idle_timeout;
     if (this->unsent() == 0 ? now >= *this->end_by : stuck) {
       this->Close();
     }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -30,6 +30,12 @@
 constexpr Duration kSuspectedPatience = std::chrono::milliseconds(250);
 // When to come back to an instance that has no configuration yet.
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
+// Share of its target that a request may wait for room: what is left still has
+// to hold the time to the first event.
+constexpr double kWaitShare = 0.4;
+// Waiting requests that are tried without success before the others of the
+// line are left for later; they differ in size only.
+constexpr int kMostFailedTries = 3;
 constexpr int kFirstServerError = 500;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -61,6 +67,7 @@
 }
 
 Exchange::~Exchange() {
+  this->StopWaiting(false);
   this->EndAttempt();
   this->context.body_bytes -= this->body.size();
 }
@@ -136,6 +143,8 @@
   this->query.parts = this->call.parts;
   this->query.prompt_tokens = this->call.prompt_tokens;
   this->query.answer_tokens = this->call.answer_tokens;
+  this->query.tighter_target = this->configuration->TightestTargetBefore(
+      this->service_name, this->query.tier);
   this->context.budget.NoteRequest(this->service_name, this->arrival);
 }
 
@@ -153,6 +162,10 @@
   NoChoice why_not = NoChoice::kNoServer;
   const std::optional<ServerChoice> picked =
       this->context.placer.Choose(this->query, now, why_not);
+  if (!picked && why_not == NoChoice::kHeldBack) {
+    this->WaitForRoom();
+    return;
+  }
   if (!picked) {
     this->GiveUpForWantOfServer(why_not);
     return;
@@ -160,6 +173,60 @@
   this->Send(*picked);
 }
 
+void Exchange::WaitForRoom() {
+  const TimePoint now = std::chrono::steady_clock::now();
+  const Duration longest =
+      FromSeconds(kWaitShare * ToSeconds(this->query.route->target));
+  const Duration expected =
+      this->context.line.ExpectedWait(this->query.tier, now);
+  if (expected > longest) {
+    this->GiveUpForWantOfServer(NoChoice::kHeldBack);
+    return;
+  }
+  this->wait_until = this->arrival + longest;
+  this->waiting_as = this->context.next_request++;
+  this->context.line.Add(*this->waiting_as, this->query.tier, this->wait_until);
+  this->context.waiting.emplace(*this->waiting_as, this);
+}
+
+void Exchange::StopWaiting(bool admitted) {
+  if (this->waiting_as) {
+    this->context.line.Remove(*this->waiting_as, admitted,
+                              std::chrono::steady_clock::now());
+    this->context.waiting.erase(*this->waiting_as);
+    this->waiting_as.reset();
+  }
+}
+
+bool Exchange::TryAdmit(TimePoint now) {
+  this->query.remaining = this->Remaining(now);
+  NoChoice why_not = NoChoice::kNoServer;
+  const std::optional<ServerChoice> picked =
+      this->context.placer.Choose(this->query, now, why_not);
+  if (!picked && why_not == NoChoice::kHeldBack) {
+    return false;
+  }
+  this->StopWaiting(picked.has_value());
+  if (picked) {
+    this->Send(*picked);
+  } else {
+    this->GiveUpForWantOfServer(why_not);
+  }
+  return picked.has_value();
+}
+
+void AdmitWaiting(ProxyContext& context) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  int failed = 0;
+  for (const RequestId id : context.line.InOrder()) {
+    const auto found = context.waiting.find(id);
+    if (found != context.waiting.end() && !found->second->TryAdmit(now) &&
+        ++failed >= kMostFailedTries) {
+      return;
+    }
+  }
+}
+
 void Exchange::Send(const ServerChoice& picked) {
   const TimePoint now = std::chrono::steady_clock::now();
   std::optional<PooledConnection> taken =
@@ -197,13 +264,13 @@
   const std::string resume_from = this->splitter.last_id().empty()
                                       ? this->call.last_event_id
                                       : this->splitter.last_id();
-  std::string bytes = WriteRequestHead(
-      this->request, this->body.size(), this->context.dialect, this->call,
-      {.remaining = this->Remaining(now),
-       .server_id = picked.server.id,
-       .customer = this->customer,
-       .tier = this->query.tier,
-       .last_event_id = resume_from});
+  std::string bytes = WriteRequestHead(this->request, this->body.size(),
+                                       this->context.dialect, this->call,
+                                       {.remaining = this->Remaining(now),
+                                        .server_id = picked.server.id,
+                                        .customer = this->customer,
+                                        .tier = this->query.tier,
+                                        .last_event_id = resume_from});
   bytes.append(this->body);
   this->connection->Send(std::move(bytes), this->request.method == "HEAD",
                          *this);
@@ -230,21 +297,21 @@
   }
   if (answer.not_run) {
     this->taking = Taking::kDiscarded;
-    this->discarded_for = Failure{
-        .result = answer.other_server ? SendResult::kUnreachable
-                                      : SendResult::kFull,
-        .may_have_run = false,
-        .why = "status " + std::to_string(head.status) + ", not run"};
+    this->discarded_for =
+        Failure{.result = answer.other_server ? SendResult::kUnreachable
+                                              : SendResult::kFull,
+                .may_have_run = false,
+                .why = "status " + std::to_string(head.status) + ", not run"};
     return HeadVerdict::kTake;
   }
   const bool foreign = head.IsSuccess() && !answer.proven;
   const bool failed = head.status >= kFirstServerError ||
                       PromisesNotRun(head.status) || foreign;
   if (failed) {
-    this->discarded_for = Failure{
-        .result = foreign ? SendResult::kMalformed : SendResult::kError,
-        .may_have_run = true,
-        .why = "status " + std::to_string(head.status)};
+    this->discarded_for =
+        Failure{.result = foreign ? SendResult::kMalformed : SendResult::kError,
+                .may_have_run = true,
+                .why = "status " + std::to_string(head.status)};
     // Kept, to be passed on if no other server may be asked.
     this->taking = Taking::kBuffered;
     return HeadVerdict::kTake;
@@ -424,17 +491,16 @@
 void Exchange::FailAttempt(const Failure& failure) {
   const TimePoint now = std::chrono::steady_clock::now();
   const ServerChoice failed = *this->choice;
-  const bool quiet = failure.result == SendResult::kUnreachable &&
-                     !failure.avoid_server;
-  if (!quiet &&
-      this->context.placer.Observe(failed, failure.result, now)) {
+  const bool quiet =
+      failure.result == SendResult::kUnreachable && !failure.avoid_server;
+  if (!quiet && this->context.placer.Observe(failed, failure.result, now)) {
     this->context.observer.OnEjected(
         {.server = failed.server.id,
          .service = failed.server.service,
          .result = std::string(ToString(failure.result)),
-         .length = this->context.placer.health().EjectedUntil(
-                       failed.server.id) -
-                   now});
+         .length =
+             this->context.placer.health().EjectedUntil(failed.server.id) -
+             now});
   }
   this->EndAttempt();
   if (failure.avoid_server) {
@@ -508,8 +574,8 @@
 }
 
 void Exchange::GiveUpForWantOfServer(NoChoice why) {
-  const EndCause cause =
-      why == NoChoice::kFull ? EndCause::kQueueFull : EndCause::kNoBackend;
+  const bool full = why == NoChoice::kFull || why == NoChoice::kHeldBack;
+  const EndCause cause = full ? EndCause::kQueueFull : EndCause::kNoBackend;
   this->GiveUp(cause);
 }
 
@@ -526,16 +592,17 @@
     return;
   }
   const TimePoint now = std::chrono::steady_clock::now();
-  this->RefuseNotRun(cause, this->query.service == nullptr
-                                ? kNotReadyRetry
-                                : this->context.placer.RoomIn(this->query, now));
+  this->RefuseNotRun(cause,
+                     this->query.service == nullptr
+                         ? kNotReadyRetry
+                         : this->context.placer.RoomIn(this->query, now));
 }
 
 void Exchange::RefuseNotRun(EndCause cause, Duration least) {
   // Spread, so that callers refused together do not come back together.
   std::uniform_real_distribution<double> spread(1.0, 1.6);
-  this->retry_after = FromSeconds(ToSeconds(least) *
-                                  spread(this->context.random));
+  this->retry_after =
+      FromSeconds(ToSeconds(least) * spread(this->context.random));
   this->AnswerOwn(status_code::kUnavailable, cause, this->retry_after);
 }
 
@@ -552,13 +619,20 @@
 }
 
 bool Exchange::ServerSuspected() const {
-  return this->choice &&
-         this->context.placer.suspected_data_centres().contains(
-             this->choice->server.data_centre);
+  return this->choice && this->context.placer.suspected_data_centres().contains(
+                             this->choice->server.data_centre);
 }
 
 void Exchange::Tick(TimePoint now) {
-  if (this->is_ended || !this->choice) {
+  if (this->is_ended) {
+    return;
+  }
+  if (this->waiting_as && now >= std::min(this->wait_until, this->deadline)) {
+    this->StopWaiting(false);
+    this->GiveUpForWantOfServer(NoChoice::kHeldBack);
+    return;
+  }
+  if (!this->choice) {
     return;
   }
   if (now >= this->deadline) {
@@ -598,8 +672,8 @@
     return;
   }
   if (this->ServerSuspected()) {
-    patience = std::min(patience, kSuspectedPatience +
-                                      this->choice->predicted_first);
+    patience =
+        std::min(patience, kSuspectedPatience + this->choice->predicted_first);
   }
   if (silence <= patience) {
     return;
@@ -609,9 +683,8 @@
   this->connection.reset();
   this->response = {};
   this->buffered.clear();
-  this->FailAttempt({.result = SendResult::kSilent,
-                     .may_have_run = true,
-                     .why = "silent"});
+  this->FailAttempt(
+      {.result = SendResult::kSilent, .may_have_run = true, .why = "silent"});
 }
 
 void Exchange::CallerLeft() {
@@ -630,6 +703,7 @@
     return;
   }
   this->is_ended = true;
+  this->StopWaiting(false);
   const TimePoint now = std::chrono::steady_clock::now();
   const std::string server = this->choice ? this->choice->server.id : "";
   const Route* route = this->query.route;
@@ -654,8 +728,8 @@
        .status = status,
        .attempts = this->attempts,
        .server = server,
-       .first_event = answered ? this->first_event_at - this->arrival
-                               : Duration{},
+       .first_event =
+           answered ? this->first_event_at - this->arrival : Duration{},
        .whole = now - this->arrival,
        .events = this->splitter.events(),
        .retry_after = this->retry_after,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -42,6 +42,8 @@
   void Tick(TimePoint now);
   // The caller closed its connection.
   void CallerLeft();
+  // Tries to place a waiting request; false when there is still no room.
+  bool TryAdmit(TimePoint now);
   // The caller took what was written.
   void CallerDrained();
   [[nodiscard]] bool ended() const { return this->is_ended; }
@@ -82,6 +84,8 @@
   void EndAttempt();
   void GiveUp(EndCause cause);
   void GiveUpForWantOfServer(NoChoice why);
+  void WaitForRoom();
+  void StopWaiting(bool admitted);
   void AnswerOwn(int status, EndCause cause, std::optional<Duration> retry);
   void RefuseNotRun(EndCause cause, Duration retry_after);
   void PassHeadOn(const ResponseHead& head, BodyFraming framing);
@@ -100,6 +104,9 @@
   ResponseSink& sink;
   TimePoint arrival;
   TimePoint deadline;
+  // Its place in the waiting line, while it waits.
+  std::optional<RequestId> waiting_as;
+  TimePoint wait_until;
   std::shared_ptr<const RoutingConfiguration> configuration;
   CallInfo call;
   std::string customer;
@@ -135,4 +142,7 @@
   bool is_ended = false;
 };
 
+// Places waiting requests, first come by tier and slack, while there is room.
+void AdmitWaiting(ProxyContext& context);
+
 }  // namespace rosemarycove
--- a/src/proxy/http_call.cc
+++ b/src/proxy/http_call.cc
@@ -35,8 +35,8 @@
 
 void HttpCaller::OnBroken(BrokenWhen when, const std::string& why) {
   this->connection.reset();
-  this->End(tl::unexpected(HttpCallError{
-      .not_sent = when == BrokenWhen::kNotSent, .message = why}));
+  this->End(tl::unexpected(
+      HttpCallError{.not_sent = when == BrokenWhen::kNotSent, .message = why}));
 }
 
 void HttpCaller::Tick(TimePoint now) {
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -21,10 +21,8 @@
   boost::beast::error_code error;
   std::size_t used = 0;
   while (used < bytes.size() && !parser.is_done()) {
-    const std::size_t taken =
-        parser.put(boost::asio::buffer(bytes.data() + used,
-                                       bytes.size() - used),
-                   error);
+    const std::size_t taken = parser.put(
+        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
     used += taken;
     if (error || taken == 0) {
       break;
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -5,17 +5,21 @@
 #include <cstddef>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 #include "core/backend_directory.h"
 #include "core/fleet_retry_budget.h"
 #include "core/placer.h"
 #include "core/routing_configuration.h"
+#include "core/waiting_line.h"
 #include "proxy/call_dialect.h"
 #include "proxy/connection_pool.h"
 #include "proxy/proxy_observer.h"
 
 namespace rosemarycove {
 
+class Exchange;
+
 // Everything is used from the event loop's thread only.
 struct ProxyContext {
   boost::asio::io_context& io;
@@ -27,6 +31,10 @@
   ProxyObserver& observer;
   // Null before the first one is known. Requests keep the one they began with.
   std::shared_ptr<const RoutingConfiguration> configuration;
+  // Requests that wait for room, and who they are.
+  WaitingLine line = {};
+  std::unordered_map<RequestId, Exchange*> waiting = {};
+  RequestId next_request = 1;
   // Being stopped: callers are told to close.
   bool leaving = false;
   // Request bodies held in memory, and the bound on them, in bytes.
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -12,11 +12,11 @@
 std::optional<std::string> Listen(boost::asio::ip::tcp::acceptor& acceptor,
                                   const std::string& address) {
   const std::size_t colon = address.rfind(':');
-  const bool any_port = colon != std::string::npos &&
-                        address.substr(colon + 1) == "0";
+  const bool any_port =
+      colon != std::string::npos && address.substr(colon + 1) == "0";
   // Port 0 asks the system for a free one.
-  auto endpoint = ParseTcpEndpoint(any_port ? address.substr(0, colon) + ":1"
-                                         : address);
+  auto endpoint =
+      ParseTcpEndpoint(any_port ? address.substr(0, colon) + ":1" : address);
   if (!endpoint) {
     return address + " is not an IP number and a port";
   }
@@ -58,19 +58,19 @@
     return;
   }
   this->accept_pending = true;
-  this->acceptor.async_accept(
-      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
-        this->accept_pending = false;
-        if (failure) {
-          // Out of descriptors or a caller that left; the tick goes on.
-          return;
-        }
-        auto caller = std::make_shared<CallerConnection>(std::move(socket),
-                                                         this->context);
-        this->callers.push_back(caller);
-        caller->Start();
-        this->Accept();
-      });
+  this->acceptor.async_accept([this](error_code failure,
+                                     boost::asio::ip::tcp::socket socket) {
+    this->accept_pending = false;
+    if (failure) {
+      // Out of descriptors or a caller that left; the tick goes on.
+      return;
+    }
+    auto caller =
+        std::make_shared<CallerConnection>(std::move(socket), this->context);
+    this->callers.push_back(caller);
+    caller->Start();
+    this->Accept();
+  });
 }
 
 void ProxyServer::StopAccepting() {
@@ -86,8 +86,7 @@
 }
 
 void ProxyServer::Tick(TimePoint now) {
-  this->callers.remove_if(
-      [](const auto& caller) { return caller->closed(); });
+  this->callers.remove_if([](const auto& caller) { return caller->closed(); });
   // A tick may close connections but never adds any.
   for (const auto& caller : this->callers) {
     caller->Tick(now);
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -34,9 +34,7 @@
   void CloseIdle();
   void Tick(TimePoint now);
 
-  [[nodiscard]] std::size_t connections() const {
-    return this->callers.size();
-  }
+  [[nodiscard]] std::size_t connections() const { return this->callers.size(); }
   // Requests that are being answered.
   [[nodiscard]] std::size_t busy() const;
   // The port bound.
--- a/src/proxy/status_server.cc
+++ b/src/proxy/status_server.cc
@@ -20,23 +20,24 @@
 }  // namespace
 
 // One connection; shared because it lives while an operation is pending.
-class StatusServer::Connection : public std::enable_shared_from_this<Connection> {
+class StatusServer::Connection
+    : public std::enable_shared_from_this<Connection> {
  public:
   Connection(boost::asio::ip::tcp::socket socket, const StatusServer& server)
       : socket(std::move(socket)), server(server) {}
 
   void Read() {
     this->block.resize(kReadBlock);
-    this->socket.async_read_some(
-        boost::asio::buffer(this->block),
-        [self = this->shared_from_this()](error_code failure,
-                                          std::size_t count) {
-          if (failure) {
-            return;
-          }
-          self->received.append(self->block.data(), count);
-          self->Advance();
-        });
+    this->socket.async_read_some(boost::asio::buffer(this->block),
+                                 [self = this->shared_from_this()](
+                                     error_code failure, std::size_t count) {
+                                   if (failure) {
+                                     return;
+                                   }
+                                   self->received.append(self->block.data(),
+                                                         count);
+                                   self->Advance();
+                                 });
   }
 
  private:
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -18,12 +18,14 @@
     : options(options), store(store), listener(listener) {}
 
 void DocumentFeed::SkipTo(std::uint64_t revision) {
-  this->known_to = std::max(this->known_to, revision);
+  if (!this->needs_all) {
+    this->known_to = std::max(this->known_to, revision);
+  }
 }
 
 void DocumentFeed::Tick(TimePoint now, Duration age, Duration delay) {
   this->store.Tick(now);
-  const bool due = this->known_to == 0 || this->options.pause == Duration{} ||
+  const bool due = this->needs_all || this->options.pause == Duration{} ||
                    age >= this->options.pause + delay;
   if (!this->store.busy() && due && now >= this->next_try) {
     this->Begin(now);
@@ -32,10 +34,9 @@
 
 void DocumentFeed::Begin(TimePoint now) {
   ++this->call_count;
-  if (this->known_to == 0) {
-    this->store.ReadAll([this, now](const auto& result) {
-      this->Take(result, true, now);
-    });
+  if (this->needs_all) {
+    this->store.ReadAll(
+        [this, now](const auto& result) { this->Take(result, true, now); });
     return;
   }
   this->store.ReadChanges(
@@ -48,13 +49,14 @@
   const TimePoint now = std::chrono::steady_clock::now();
   if (!result) {
     if (result.error().kind == ReadingErrorKind::kHistoryGone) {
-      this->known_to = 0;
+      this->needs_all = true;
       return;
     }
     this->Fail(result.error().message, now);
     return;
   }
   this->backoff = {};
+  this->needs_all = this->needs_all && !whole;
   if (!this->reachable) {
     this->reachable = true;
     this->listener.OnStoreRegained(now - this->lost_at);
--- a/src/store/document_feed.h
+++ b/src/store/document_feed.h
@@ -56,6 +56,8 @@
   DocumentStore& store;
   FeedListener& listener;
   std::uint64_t known_to = 0;
+  // Nothing was read yet, or the store dropped its history.
+  bool needs_all = true;
   bool reachable = true;
   TimePoint lost_at;
   TimePoint next_try;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -18,8 +18,8 @@
 
 template <typename T>
 T Saturate(int value) {
-  return static_cast<T>(std::clamp<std::int64_t>(
-      value, 0, std::numeric_limits<T>::max()));
+  return static_cast<T>(
+      std::clamp<std::int64_t>(value, 0, std::numeric_limits<T>::max()));
 }
 
 std::string Text(const flatbuffers::String* text) {
@@ -32,8 +32,8 @@
   const auto value = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(document.value.data()),
       document.value.size());
-  return wire::CreateDocument(builder, key, document.revision,
-                              document.removed, value);
+  return wire::CreateDocument(builder, key, document.revision, document.removed,
+                              value);
 }
 
 SharedDocument Get(const wire::Document& document) {
@@ -41,9 +41,8 @@
                         .revision = document.revision(),
                         .removed = document.removed()};
   if (document.value() != nullptr) {
-    result.value.assign(
-        reinterpret_cast<const char*>(document.value()->data()),
-        document.value()->size());
+    result.value.assign(reinterpret_cast<const char*>(document.value()->data()),
+                        document.value()->size());
   }
   return result;
 }
@@ -56,10 +55,10 @@
       .directory_age = std::chrono::milliseconds(frame.directory_age_ms()),
       .servers_since = frame.servers_since()};
   if (const auto* identity = frame.identity()) {
-    report.identity = FleetIdentity{.instance = Text(identity->instance()),
-                                    .address = Text(identity->address()),
-                                    .data_centre =
-                                        Text(identity->data_centre())};
+    report.identity =
+        FleetIdentity{.instance = Text(identity->instance()),
+                      .address = Text(identity->address()),
+                      .data_centre = Text(identity->data_centre())};
   }
   if (frame.shares() != nullptr) {
     for (const wire::ServerShare* share : *frame.shares()) {
@@ -135,7 +134,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(
               report.directory_age)
               .count()),
-      report.servers_since, share_vector, neighbours, configuration, server_vector));
+      report.servers_since, share_vector, neighbours, configuration,
+      server_vector));
   const auto size = static_cast<std::uint32_t>(builder.GetSize());
   std::string frame(kLengthBytes, '\0');
   flatbuffers::WriteScalar(frame.data(), size);
