Set engines aside for routes of long prompts; weigh costs as shares of worth

Each instance learns which routes carry long prompts and how much of the work is theirs, and sets aside that share of the engines in an order that is the same everywhere. Cost is risk of lateness (fourth power of predicted time over target), work read again, and being on the wrong side.

--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -8,23 +8,45 @@
 namespace {
 
 constexpr double kThousand = 1000;
-// Costs in milliseconds of the request's own delay.
-// Delay beyond the latency target, for each millisecond.
-constexpr double kLateWeight = 3;
-// Shared tokens read again, for each thousand: a little above the time that
-// the engine needs for them, since it is lost to every other request too.
-constexpr double kReadAgainPerThousand = 60;
-// A server in another data centre.
-constexpr double kFarServer = 4;
+// Costs, as shares of what the request is worth.
+// Being late: the predicted time relative to the target, to this power, so
+// that delay hardly counts until it comes near the target.
+constexpr double kLatePower = 4;
+// What a prediction far beyond the target costs at the most.
+constexpr double kMostLate = 4;
+// Shared tokens read again, relative to the request's own work.
+constexpr double kReadAgain = 1;
+// A server in another data centre: bytes and a little time.
+constexpr double kFarServer = 0.01;
 // Each stream with a short gap target that a long prompt would pause.
-constexpr double kBrittleStream = 25;
+constexpr double kBrittleStream = 0.1;
 // Unread long-prompt tokens ahead of a stream with a short gap target, for
 // each thousand.
-constexpr double kLongAheadPerThousand = 20;
+constexpr double kLongAheadPerThousand = 0.02;
+// A server set aside for the other kind of routes.
+constexpr double kWrongSide = 0.35;
 // A data centre that seems cut off.
-constexpr double kSuspectedDataCentre = 2000;
+constexpr double kSuspectedDataCentre = 10;
 // An engine whose memory would be full.
-constexpr double kMemoryFull = 400;
+constexpr double kMemoryFull = 2;
+// Work of generating a token relative to reading one, in a usual batch.
+constexpr double kAnswerTokenWork = 30;
+
+// A route counts as one of long prompts when this share of its prompts is.
+constexpr double kLongRoute = 0.02;
+// Weight of one request in that share, and in the work of a service's routes.
+constexpr double kShareStep = 0.02;
+constexpr double kWorkStep = 0.004;
+// Engines that are set aside for routes of long prompts: at least and at most
+// this share, and only in services with so many engines.
+constexpr double kLeastSetAside = 0.15;
+constexpr double kMostSetAside = 0.7;
+constexpr int kLeastEngines = 4;
+// How far the wanted share must move before an engine changes sides; each
+// change moves prompts away from where they are cached.
+constexpr double kSetAsideStep = 0.1;
+// Orders the engines; the same at every instance.
+constexpr std::uint64_t kSideSeed = 0x51DE;
 // Each request beyond a server's slots, relative to its predicted time.
 constexpr double kQueuedRequest = 0.15;
 
@@ -43,7 +65,7 @@
 // Gap targets up to this make a stream brittle.
 constexpr Duration kBrittleGap = std::chrono::milliseconds(400);
 // Share of the target that is aimed at, for what the prediction misses.
-constexpr double kAimedShare = 0.8;
+constexpr double kAimedShare = 0.85;
 // Requests that may wait at a server for each of its slots before it counts
 // as full for this service.
 constexpr double kMostQueuedPerSlot = 1.5;
@@ -62,6 +84,11 @@
   return tokens;
 }
 
+// Prompt tokens, and answer tokens as so many prompt tokens.
+double WorkOf(const PlacementQuery& query) {
+  return query.prompt_tokens + kAnswerTokenWork * query.answer_tokens;
+}
+
 bool IsBrittle(const Route& route) {
   return route.gap_target && *route.gap_target <= kBrittleGap;
 }
@@ -115,10 +142,66 @@
   return load;
 }
 
+bool Placer::IsLongRoute(const Route& route) const {
+  const auto found = this->long_shares.find(route.name);
+  return found != this->long_shares.end() && found->second > kLongRoute;
+}
+
+bool Placer::IsSetAside(const PlacementQuery& query,
+                        const std::string& server) const {
+  const auto found = this->sides.find(query.service->name);
+  return found != this->sides.end() && found->second.set_aside.contains(server);
+}
+
+void Placer::ChooseSides(const std::string& service) {
+  Sides& divided = this->sides[service];
+  const double all = divided.long_work + divided.other_work;
+  const double wanted = divided.long_work <= 0
+                            ? 0
+                            : std::clamp(divided.long_work / all,
+                                         kLeastSetAside, kMostSetAside);
+  if (std::abs(wanted - divided.share) >= kSetAsideStep) {
+    divided.share = wanted;
+  }
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (server.service == service && !server.leaving) {
+      ranked.emplace_back(HomeRank(kSideSeed, id), &id);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const auto count = static_cast<int>(ranked.size());
+  const int aside = count < kLeastEngines
+                        ? 0
+                        : static_cast<int>(std::lround(divided.share * count));
+  divided.set_aside.clear();
+  for (int i = 0; i < aside; ++i) {
+    divided.set_aside.insert(*ranked[static_cast<std::size_t>(i)].second);
+  }
+}
+
+void Placer::NoteRequest(const PlacementQuery& query) {
+  if (!query.service->IsModel()) {
+    return;
+  }
+  double& share = this->long_shares[query.route->name];
+  const bool is_long = query.prompt_tokens >= kLongPromptTokens;
+  share += kShareStep * ((is_long ? 1 : 0) - share);
+  Sides& divided = this->sides[query.service->name];
+  const bool long_route = this->IsLongRoute(*query.route);
+  const double work = WorkOf(query);
+  divided.long_work +=
+      kWorkStep * ((long_route ? work : 0) - divided.long_work);
+  divided.other_work +=
+      kWorkStep * ((long_route ? 0 : work) - divided.other_work);
+  this->ChooseSides(query.service->name);
+}
+
 const RegisteredServer* Placer::HomeOf(const PlacementQuery& query) const {
   if (query.parts.size() < 2) {
     return nullptr;
   }
+  const bool long_route = this->IsLongRoute(*query.route);
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
   const RegisteredServer* home = nullptr;
   std::uint64_t best = 0;
@@ -126,6 +209,9 @@
     if (server.service != query.service->name || server.leaving) {
       continue;
     }
+    if (this->IsSetAside(query, id) != long_route) {
+      continue;
+    }
     const std::uint64_t rank = HomeRank(part, id);
     if (home == nullptr || rank > best) {
       home = &server;
@@ -187,12 +273,15 @@
   const double queued = std::max(0, candidate.load.running + 1 - server.slots);
   first *= 1 + kQueuedRequest * queued;
   candidate.predicted = FromSeconds(first / kThousand);
-  double cost = first;
   const double aim = kAimedShare * Milliseconds(query.route->target);
-  cost += kLateWeight * std::max(0.0, first - aim);
-  if (!candidate.home) {
-    cost +=
-        kReadAgainPerThousand * (shared - candidate.cached_tokens) / kThousand;
+  double cost = std::min(kMostLate, std::pow(first / aim, kLatePower));
+  if (!candidate.home && shared > 0) {
+    cost += kReadAgain * (shared - candidate.cached_tokens) /
+            std::max(1.0, WorkOf(query));
+  }
+  if (query.service->IsModel() &&
+      this->IsSetAside(query, server.id) != this->IsLongRoute(*query.route)) {
+    cost += kWrongSide;
   }
   if (server.data_centre != this->options.data_centre) {
     cost += kFarServer;
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -79,6 +79,8 @@
   // The directory must outlive the placer.
   Placer(PlacerOptions options, const BackendDirectory& directory);
 
+  // A request arrived; learns what its route's prompts are like.
+  void NoteRequest(const PlacementQuery& query);
   // Chooses; nothing is counted until Begin.
   [[nodiscard]] std::optional<ServerChoice> Choose(const PlacementQuery& query,
                                                    TimePoint now,
@@ -130,6 +132,16 @@
     Duration predicted{};
     double cost = 0;
   };
+  // How a service's engines are divided between routes of long prompts, whose
+  // reading pauses the streams beside them, and all others.
+  struct Sides {
+    // Work of recent requests, weighted towards the latest.
+    double long_work = 0;
+    double other_work = 0;
+    // Share of the engines that is set aside for long prompts.
+    double share = 0;
+    std::set<std::string> set_aside;
+  };
   struct ReportedLoad {
     int running = 0;
     int waiting = 0;
@@ -143,6 +155,10 @@
       const PlacementQuery& query) const;
   void Weigh(const PlacementQuery& query, Candidate& candidate,
              TimePoint now) const;
+  [[nodiscard]] bool IsLongRoute(const Route& route) const;
+  [[nodiscard]] bool IsSetAside(const PlacementQuery& query,
+                                const std::string& server) const;
+  void ChooseSides(const std::string& service);
   [[nodiscard]] bool HasRoom(const PlacementQuery& query,
                              const Candidate& candidate) const;
   [[nodiscard]] ServerLoad LoadOf(const std::string& server,
@@ -160,6 +176,9 @@
   ServerHealth fitness;
   std::map<std::string, SpeedModel> speeds;
   std::map<std::string, ReportedLoad> reported;
+  // By route, the share of its prompts that are long.
+  std::map<std::string, double> long_shares;
+  std::map<std::string, Sides> sides;
   std::set<std::string> suspected;
 };
 
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -146,6 +146,9 @@
   this->query.tighter_target = this->configuration->TightestTargetBefore(
       this->service_name, this->query.tier);
   this->context.budget.NoteRequest(this->service_name, this->arrival);
+  if (this->query.service != nullptr) {
+    this->context.placer.NoteRequest(this->query);
+  }
 }
 
 Duration Exchange::Remaining(TimePoint now) const {
