--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -15,7 +15,7 @@
 // What a prediction far beyond the target costs at the most.
 constexpr double kMostLate = 4;
 // Shared tokens read again, relative to the request's own work.
-constexpr double kReadAgain = 1;
+constexpr double kReadAgain = 2.5;
 // A server in another data centre: bytes and a little time.
 constexpr double kFarServer = 0.01;
 // Each stream with a short gap target that a long prompt would pause.
@@ -377,6 +377,7 @@
                       .footprint = FootprintOf(
                           query, static_cast<int>(best->inputs.unread_tokens)),
                       .inputs = best->inputs,
+      .load = best->load,
                       .cached_tokens = best->cached_tokens,
                       .candidates = static_cast<int>(candidates.size())};
 }
@@ -407,6 +408,7 @@
       .footprint =
           FootprintOf(query, static_cast<int>(candidate.inputs.unread_tokens)),
       .inputs = candidate.inputs,
+      .load = candidate.load,
       .cached_tokens = candidate.cached_tokens,
       .candidates = 1};
 }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -53,6 +53,8 @@
   // What the request adds to the server's load.
   ServerLoad footprint;
   SpeedInputs inputs;
+  // The server's load before, by the ledger.
+  ServerLoad load;
   int cached_tokens = 0;
   int candidates = 0;
 };
