Divide engines by declared gap targets, one instance for all

Cause: each instance learned for itself which routes carry long prompts and how to divide the engines, so a prompt had another home at each, and the homes moved while they learned.

What bears pauses follows from the configuration now (a gap target of twice the shortest of the service); the first instance by name decides the share, and the others take it from its reports.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -246,6 +246,9 @@
   this->LogNews(this->directory.Tick(now), "grace");
   this->links.Tick(now);
   this->budget.set_instances(1 + static_cast<int>(this->links.peers().size()));
+  if (this->links.Rank() == 0) {
+    this->placer.Lead();
+  }
   this->NoteSuspicion(now);
   AdmitWaiting(this->context);
   this->callers.Tick(now);
@@ -373,6 +376,7 @@
       .directory_revision = this->directory.as_of(),
       .directory_age = now - this->directory.read_at(),
       .shares = this->placer.ledger().OwnShare(),
+      .divisions = this->placer.Divisions(),
       .servers_since = directory_revision};
   if (this->configuration_document.revision > configuration_revision) {
     report.configuration = this->configuration_document;
@@ -386,6 +390,9 @@
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   this->placer.ledger().SetPeer(peer.identity.instance, report.shares, now);
+  if (this->links.IsFirst(peer.identity.instance)) {
+    this->placer.Follow(report.divisions);
+  }
   if (report.configuration) {
     this->Adopt(*report.configuration, peer.identity.instance);
   }
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -24,7 +24,7 @@
                    {"predicted_ms", LogMilliseconds(choice.predicted_first)},
                    {"running", choice.inputs.running},
                    {"held_tokens", choice.load.held_tokens},
-       {"unread_ahead", choice.inputs.unread_ahead},
+                   {"unread_ahead", choice.inputs.unread_ahead},
                    {"unread_tokens", choice.inputs.unread_tokens},
                    {"cached_tokens", choice.cached_tokens},
                    {"ledger_age_ms", LogMilliseconds(record.ledger_age)},
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -22,6 +22,14 @@
   bool operator==(const FleetIdentity&) const = default;
 };
 
+// How the engines of a service are divided, as core/placer.h explains.
+struct ServiceDivision {
+  // The number that stands for the service, as for servers.
+  std::uint64_t service = 0;
+  // Share that is set aside for routes that bear pauses.
+  double share = 0;
+};
+
 // One report. What it leaves out of a list is not there any more, except for
 // neighbours and documents, which are sent as needed.
 struct FleetReport {
@@ -34,6 +42,7 @@
   std::uint64_t directory_revision = 0;
   Duration directory_age{};
   std::vector<NumberedLoad> shares;
+  std::vector<ServiceDivision> divisions;
   std::vector<std::string> neighbours;
   std::optional<SharedDocument> configuration;
   // All entries of the directory that changed after `servers_since`.
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -32,19 +32,20 @@
 // Work of generating a token relative to reading one, in a usual batch.
 constexpr double kAnswerTokenWork = 30;
 
-// A route counts as one of long prompts when this share of its prompts is.
-constexpr double kLongRoute = 0.02;
-// Weight of one request in that share, and in the work of a service's routes.
-constexpr double kShareStep = 0.02;
-constexpr double kWorkStep = 0.004;
-// Engines that are set aside for routes of long prompts: at least and at most
+// Share that is set aside before anything is known of the work.
+constexpr double kStartShare = 0.45;
+// Weight of one request in the work of a service's routes.
+constexpr double kWorkStep = 0.002;
+// Requests that an instance must have seen before it divides the engines.
+constexpr int kLeastSeen = 40;
+// Engines that are set aside for routes that bear pauses: at least and at most
 // this share, and only in services with so many engines.
 constexpr double kLeastSetAside = 0.15;
 constexpr double kMostSetAside = 0.7;
 constexpr int kLeastEngines = 4;
 // How far the wanted share must move before an engine changes sides; each
 // change moves prompts away from where they are cached.
-constexpr double kSetAsideStep = 0.1;
+constexpr double kSetAsideStep = 0.2;
 // Orders the engines; the same at every instance.
 constexpr std::uint64_t kSideSeed = 0x51DE;
 // Each request beyond a server's slots, relative to its predicted time.
@@ -53,7 +54,7 @@
 // Share of an engine's memory and of its slots that the first tier may fill;
 // the answers' lengths are estimates. Each tier below leaves this much more for
 // those above it.
-constexpr double kMemoryBound = 0.9;
+constexpr double kMemoryBound = 0.82;
 constexpr double kSlotBound = 1.0;
 constexpr double kLeftByTier = 0.08;
 constexpr int kLastTier = 4;
@@ -142,11 +143,6 @@
   return load;
 }
 
-bool Placer::IsLongRoute(const Route& route) const {
-  const auto found = this->long_shares.find(route.name);
-  return found != this->long_shares.end() && found->second > kLongRoute;
-}
-
 bool Placer::IsSetAside(const PlacementQuery& query,
                         const std::string& server) const {
   const auto found = this->sides.find(query.service->name);
@@ -156,11 +152,12 @@
 void Placer::ChooseSides(const std::string& service) {
   Sides& divided = this->sides[service];
   const double all = divided.long_work + divided.other_work;
-  const double wanted = divided.long_work <= 0
-                            ? 0
-                            : std::clamp(divided.long_work / all,
-                                         kLeastSetAside, kMostSetAside);
-  if (std::abs(wanted - divided.share) >= kSetAsideStep) {
+  const double wanted =
+      divided.long_work <= 0
+          ? 0
+          : std::clamp(divided.long_work / all, kLeastSetAside, kMostSetAside);
+  if (this->leads && divided.seen >= kLeastSeen &&
+      std::abs(wanted - divided.share) >= kSetAsideStep) {
     divided.share = wanted;
   }
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
@@ -184,24 +181,46 @@
   if (!query.service->IsModel()) {
     return;
   }
-  double& share = this->long_shares[query.route->name];
-  const bool is_long = query.prompt_tokens >= kLongPromptTokens;
-  share += kShareStep * ((is_long ? 1 : 0) - share);
   Sides& divided = this->sides[query.service->name];
-  const bool long_route = this->IsLongRoute(*query.route);
+  if (query.bears_pauses && divided.share == 0) {
+    divided.share = kStartShare;
+  }
   const double work = WorkOf(query);
+  ++divided.seen;
   divided.long_work +=
-      kWorkStep * ((long_route ? work : 0) - divided.long_work);
+      kWorkStep * ((query.bears_pauses ? work : 0) - divided.long_work);
   divided.other_work +=
-      kWorkStep * ((long_route ? 0 : work) - divided.other_work);
+      kWorkStep * ((query.bears_pauses ? 0 : work) - divided.other_work);
   this->ChooseSides(query.service->name);
 }
 
+std::vector<ServiceDivision> Placer::Divisions() const {
+  std::vector<ServiceDivision> divisions;
+  for (const auto& [service, divided] : this->sides) {
+    if (divided.share > 0) {
+      divisions.push_back(
+          {.service = ServerNumber(service), .share = divided.share});
+    }
+  }
+  return divisions;
+}
+
+void Placer::Follow(const std::vector<ServiceDivision>& divisions) {
+  this->leads = false;
+  for (auto& [service, divided] : this->sides) {
+    const std::uint64_t number = ServerNumber(service);
+    for (const ServiceDivision& division : divisions) {
+      if (division.service == number) {
+        divided.share = division.share;
+      }
+    }
+  }
+}
+
 const RegisteredServer* Placer::HomeOf(const PlacementQuery& query) const {
   if (query.parts.size() < 2) {
     return nullptr;
   }
-  const bool long_route = this->IsLongRoute(*query.route);
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
   const RegisteredServer* home = nullptr;
   std::uint64_t best = 0;
@@ -209,7 +228,7 @@
     if (server.service != query.service->name || server.leaving) {
       continue;
     }
-    if (this->IsSetAside(query, id) != long_route) {
+    if (this->IsSetAside(query, id) != query.bears_pauses) {
       continue;
     }
     const std::uint64_t rank = HomeRank(part, id);
@@ -280,7 +299,7 @@
             std::max(1.0, WorkOf(query));
   }
   if (query.service->IsModel() &&
-      this->IsSetAside(query, server.id) != this->IsLongRoute(*query.route)) {
+      this->IsSetAside(query, server.id) != query.bears_pauses) {
     cost += kWrongSide;
   }
   if (server.data_centre != this->options.data_centre) {
@@ -377,7 +396,7 @@
                       .footprint = FootprintOf(
                           query, static_cast<int>(best->inputs.unread_tokens)),
                       .inputs = best->inputs,
-      .load = best->load,
+                      .load = best->load,
                       .cached_tokens = best->cached_tokens,
                       .candidates = static_cast<int>(candidates.size())};
 }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/backend_directory.h"
+#include "core/fleet_report.h"
 #include "core/load_ledger.h"
 #include "core/prompt_cache_map.h"
 #include "core/routing_configuration.h"
@@ -26,6 +27,8 @@
   std::vector<PromptPart> parts;
   int prompt_tokens = 0;
   int answer_tokens = 0;
+  // Its stream bears pauses that would make others of the service late.
+  bool bears_pauses = false;
   // Ids of servers that this request was sent to or could not reach.
   std::vector<std::string> tried;
   // The shortest target of the service's streams in tiers before this one.
@@ -81,8 +84,15 @@
   // The directory must outlive the placer.
   Placer(PlacerOptions options, const BackendDirectory& directory);
 
-  // A request arrived; learns what its route's prompts are like.
+  // A request arrived; learns how the work is divided.
   void NoteRequest(const PlacementQuery& query);
+  // How this instance divides the engines, for the others. All have to divide
+  // them alike, or a prompt has another home at each; so one instance decides.
+  [[nodiscard]] std::vector<ServiceDivision> Divisions() const;
+  // Divides as another instance does.
+  void Follow(const std::vector<ServiceDivision>& divisions);
+  // Decides for itself and for the others.
+  void Lead() { this->leads = true; }
   // Chooses; nothing is counted until Begin.
   [[nodiscard]] std::optional<ServerChoice> Choose(const PlacementQuery& query,
                                                    TimePoint now,
@@ -134,14 +144,15 @@
     Duration predicted{};
     double cost = 0;
   };
-  // How a service's engines are divided between routes of long prompts, whose
-  // reading pauses the streams beside them, and all others.
+  // How a service's engines are divided between routes that bear pauses and all
+  // others: reading a long prompt pauses the streams beside it.
   struct Sides {
     // Work of recent requests, weighted towards the latest.
     double long_work = 0;
     double other_work = 0;
-    // Share of the engines that is set aside for long prompts.
+    // Share of the engines that is set aside for routes that bear pauses.
     double share = 0;
+    int seen = 0;
     std::set<std::string> set_aside;
   };
   struct ReportedLoad {
@@ -157,7 +168,6 @@
       const PlacementQuery& query) const;
   void Weigh(const PlacementQuery& query, Candidate& candidate,
              TimePoint now) const;
-  [[nodiscard]] bool IsLongRoute(const Route& route) const;
   [[nodiscard]] bool IsSetAside(const PlacementQuery& query,
                                 const std::string& server) const;
   void ChooseSides(const std::string& service);
@@ -178,9 +188,8 @@
   ServerHealth fitness;
   std::map<std::string, SpeedModel> speeds;
   std::map<std::string, ReportedLoad> reported;
-  // By route, the share of its prompts that are long.
-  std::map<std::string, double> long_shares;
   std::map<std::string, Sides> sides;
+  bool leads = true;
   std::set<std::string> suspected;
 };
 
--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -42,6 +42,11 @@
       auto& targets = this->stream_targets[share.service];
       const auto [item, added] = targets.emplace(route.tier, route.target);
       item->second = std::min(item->second, route.target);
+      if (route.gap_target) {
+        const auto [gap, first] =
+            this->shortest_gaps.emplace(share.service, *route.gap_target);
+        gap->second = std::min(gap->second, *route.gap_target);
+      }
     }
   }
   for (auto& [host, indices] : this->routes_by_host) {
@@ -74,6 +79,15 @@
                                               : &this->services[found->second];
 }
 
+bool RoutingConfiguration::BearsPauses(const Route& route,
+                                       const std::string& service) const {
+  // A gap target this many times the shortest one is of another kind.
+  constexpr int kOtherKind = 2;
+  const auto found = this->shortest_gaps.find(service);
+  return route.gap_target && found != this->shortest_gaps.end() &&
+         *route.gap_target >= kOtherKind * found->second;
+}
+
 std::optional<Duration> RoutingConfiguration::TightestTargetBefore(
     const std::string& service, int tier) const {
   const auto found = this->stream_targets.find(service);
--- a/src/core/routing_configuration.h
+++ b/src/core/routing_configuration.h
@@ -113,6 +113,10 @@
   // nothing when there are none.
   [[nodiscard]] std::optional<Duration> TightestTargetBefore(
       const std::string& service, int tier) const;
+  // Whether the route's streams bear pauses that would make other streams of
+  // the service late.
+  [[nodiscard]] bool BearsPauses(const Route& route,
+                                 const std::string& service) const;
 
  private:
   // Indices of routes, the longest prefix first.
@@ -120,6 +124,8 @@
   std::unordered_map<std::string, std::size_t> service_by_name;
   // By service, the shortest target of its streams in each tier.
   std::unordered_map<std::string, std::map<int, Duration>> stream_targets;
+  // By service, the shortest gap target of its streams.
+  std::unordered_map<std::string, Duration> shortest_gaps;
 };
 
 }  // namespace rosemarycove
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -416,6 +416,15 @@
       }));
 }
 
+bool FleetLinks::IsFirst(const std::string& instance) const {
+  for (const auto& [name, peer] : this->by_name) {
+    if (!this->down.contains(name) && !peer.leaving) {
+      return name == instance && name < this->options.self.instance;
+    }
+  }
+  return false;
+}
+
 std::set<std::string> FleetLinks::SilentDataCentres() const {
   std::set<std::string> silent;
   std::set<std::string> heard;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -143,6 +143,8 @@
   this->query.parts = this->call.parts;
   this->query.prompt_tokens = this->call.prompt_tokens;
   this->query.answer_tokens = this->call.answer_tokens;
+  this->query.bears_pauses =
+      this->configuration->BearsPauses(*this->query.route, this->service_name);
   this->query.tighter_target = this->configuration->TightestTargetBefore(
       this->service_name, this->query.tier);
   this->context.budget.NoteRequest(this->service_name, this->arrival);
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -72,6 +72,12 @@
                     .brittle_streams = share->brittle_streams()}});
     }
   }
+  if (frame.divisions() != nullptr) {
+    for (const wire::ServiceDivision* division : *frame.divisions()) {
+      report.divisions.push_back(
+          {.service = division->service(), .share = division->share()});
+    }
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.neighbours.push_back(Text(address));
@@ -123,6 +129,11 @@
     servers.push_back(Put(builder, document));
   }
   const auto share_vector = builder.CreateVectorOfStructs(shares);
+  std::vector<wire::ServiceDivision> divisions;
+  for (const ServiceDivision& division : report.divisions) {
+    divisions.emplace_back(division.service, division.share);
+  }
+  const auto division_vector = builder.CreateVectorOfStructs(divisions);
   Offset<flatbuffers::Vector<Offset<wire::Document>>> server_vector;
   if (!servers.empty()) {
     server_vector = builder.CreateVector(servers);
@@ -134,8 +145,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(
               report.directory_age)
               .count()),
-      report.servers_since, share_vector, neighbours, configuration,
-      server_vector));
+      report.servers_since, share_vector, division_vector, neighbours,
+      configuration, server_vector));
   const auto size = static_cast<std::uint32_t>(builder.GetSize());
   std::string frame(kLengthBytes, '\0');
   flatbuffers::WriteScalar(frame.data(), size);
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -18,6 +18,8 @@
 
 struct ServerShare;
 
+struct ServiceDivision;
+
 struct Identity;
 struct IdentityBuilder;
 
@@ -74,6 +76,29 @@
 };
 FLATBUFFERS_STRUCT_END(ServerShare, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceDivision FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  double share_;
+
+ public:
+  ServiceDivision()
+      : service_(0),
+        share_(0) {
+  }
+  ServiceDivision(uint64_t _service, double _share)
+      : service_(flatbuffers::EndianScalar(_service)),
+        share_(flatbuffers::EndianScalar(_share)) {
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  double share() const {
+    return flatbuffers::EndianScalar(share_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServiceDivision, 16);
+
 struct Identity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef IdentityBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -253,9 +278,10 @@
     VT_DIRECTORY_AGE_MS = 14,
     VT_SERVERS_SINCE = 16,
     VT_SHARES = 18,
-    VT_NEIGHBOURS = 20,
-    VT_CONFIGURATION = 22,
-    VT_SERVERS = 24
+    VT_DIVISIONS = 20,
+    VT_NEIGHBOURS = 22,
+    VT_CONFIGURATION = 24,
+    VT_SERVERS = 26
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -281,6 +307,9 @@
   const flatbuffers::Vector<const rosemarycove::wire::ServerShare *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServerShare *> *>(VT_SHARES);
   }
+  const flatbuffers::Vector<const rosemarycove::wire::ServiceDivision *> *divisions() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServiceDivision *> *>(VT_DIVISIONS);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *neighbours() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NEIGHBOURS);
   }
@@ -302,6 +331,8 @@
            VerifyField<uint64_t>(verifier, VT_SERVERS_SINCE, 8) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
+           VerifyOffset(verifier, VT_DIVISIONS) &&
+           verifier.VerifyVector(divisions()) &&
            VerifyOffset(verifier, VT_NEIGHBOURS) &&
            verifier.VerifyVector(neighbours()) &&
            verifier.VerifyVectorOfStrings(neighbours()) &&
@@ -342,6 +373,9 @@
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerShare *>> shares) {
     fbb_.AddOffset(FleetReport::VT_SHARES, shares);
   }
+  void add_divisions(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServiceDivision *>> divisions) {
+    fbb_.AddOffset(FleetReport::VT_DIVISIONS, divisions);
+  }
   void add_neighbours(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> neighbours) {
     fbb_.AddOffset(FleetReport::VT_NEIGHBOURS, neighbours);
   }
@@ -372,6 +406,7 @@
     uint32_t directory_age_ms = 0,
     uint64_t servers_since = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerShare *>> shares = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServiceDivision *>> divisions = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> neighbours = 0,
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers = 0) {
@@ -382,6 +417,7 @@
   builder_.add_servers(servers);
   builder_.add_configuration(configuration);
   builder_.add_neighbours(neighbours);
+  builder_.add_divisions(divisions);
   builder_.add_shares(shares);
   builder_.add_directory_age_ms(directory_age_ms);
   builder_.add_identity(identity);
@@ -400,10 +436,12 @@
     uint32_t directory_age_ms = 0,
     uint64_t servers_since = 0,
     const std::vector<rosemarycove::wire::ServerShare> *shares = nullptr,
+    const std::vector<rosemarycove::wire::ServiceDivision> *divisions = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *neighbours = nullptr,
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
+  auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::Document>>(*servers) : 0;
   return rosemarycove::wire::CreateFleetReport(
@@ -416,6 +454,7 @@
       directory_age_ms,
       servers_since,
       shares__,
+      divisions__,
       neighbours__,
       configuration,
       servers__);
