--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -54,9 +54,9 @@
 // Share of an engine's memory and of its slots that the first tier may fill;
 // the answers' lengths are estimates. Each tier below leaves this much more for
 // those above it.
-constexpr double kMemoryBound = 0.82;
+constexpr double kMemoryBound = 0.88;
 constexpr double kSlotBound = 1.0;
-constexpr double kLeftByTier = 0.08;
+constexpr double kLeftByTier = 0.06;
 constexpr int kLastTier = 4;
 // A request of the tighter class that the others must leave on time: its
 // unread prompt tokens.
@@ -328,7 +328,7 @@
 
 bool Placer::HasRoom(const PlacementQuery& query,
                      const Candidate& candidate) const {
-  if (!query.service->IsModel() || query.tier == 0) {
+  if (!query.service->IsModel()) {
     return true;
   }
   const ServerLoad& load = candidate.load;
@@ -344,14 +344,18 @@
       load.running > 0) {
     return false;
   }
-  if (!query.tighter_target) {
+  if (load.running == 0) {
     return true;
   }
+  if (this->IsSetAside(query, candidate.server->id) || !query.shortest_target) {
+    return candidate.predicted <= query.route->target;
+  }
+  // Those that run here or come next must be on time with it.
   const SpeedModel& speed = this->SpeedOf(query.service->name);
-  const Duration tight = speed.Predict(
+  const Duration usual = speed.Predict(
       candidate.server->id, {.unread_tokens = kUsualPromptTokens,
                              .running = static_cast<double>(load.running + 1)});
-  return Milliseconds(tight) <= Milliseconds(*query.tighter_target);
+  return usual <= *query.shortest_target;
 }
 
 std::optional<ServerChoice> Placer::Choose(const PlacementQuery& query,
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -31,8 +31,8 @@
   bool bears_pauses = false;
   // Ids of servers that this request was sent to or could not reach.
   std::vector<std::string> tried;
-  // The shortest target of the service's streams in tiers before this one.
-  std::optional<Duration> tighter_target;
+  // The shortest target of the service's streams.
+  std::optional<Duration> shortest_target;
   // What its caller still waits.
   Duration remaining{};
 };
@@ -67,7 +67,7 @@
   kNoServer,     // None is registered and staying.
   kUnreachable,  // All were tried.
   kFull,         // None has room.
-  kHeldBack,     // Room is left, but kept for higher tiers.
+  kHeldBack,     // It would make others late, or take room of higher tiers.
 };
 
 std::string_view ToString(NoChoice reason);
--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -39,9 +39,9 @@
       continue;
     }
     for (const RouteShare& share : route.shares) {
-      auto& targets = this->stream_targets[share.service];
-      const auto [item, added] = targets.emplace(route.tier, route.target);
-      item->second = std::min(item->second, route.target);
+      const auto [target, added] =
+          this->shortest_targets.emplace(share.service, route.target);
+      target->second = std::min(target->second, route.target);
       if (route.gap_target) {
         const auto [gap, first] =
             this->shortest_gaps.emplace(share.service, *route.gap_target);
@@ -88,19 +88,13 @@
          *route.gap_target >= kOtherKind * found->second;
 }
 
-std::optional<Duration> RoutingConfiguration::TightestTargetBefore(
-    const std::string& service, int tier) const {
-  const auto found = this->stream_targets.find(service);
-  if (found == this->stream_targets.end()) {
+std::optional<Duration> RoutingConfiguration::ShortestTarget(
+    const std::string& service) const {
+  const auto found = this->shortest_targets.find(service);
+  if (found == this->shortest_targets.end()) {
     return std::nullopt;
   }
-  std::optional<Duration> tightest;
-  for (const auto& [of_tier, target] : found->second) {
-    if (of_tier < tier) {
-      tightest = std::min(tightest.value_or(target), target);
-    }
-  }
-  return tightest;
+  return found->second;
 }
 
 }  // namespace rosemarycove
--- a/src/core/routing_configuration.h
+++ b/src/core/routing_configuration.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -109,10 +108,9 @@
                                        std::string_view path) const;
   // The named service, or null.
   [[nodiscard]] const RoutedService* FindService(std::string_view name) const;
-  // The shortest target of the service's streams in tiers before `tier`;
-  // nothing when there are none.
-  [[nodiscard]] std::optional<Duration> TightestTargetBefore(
-      const std::string& service, int tier) const;
+  // The shortest target of the service's streams; nothing without streams.
+  [[nodiscard]] std::optional<Duration> ShortestTarget(
+      const std::string& service) const;
   // Whether the route's streams bear pauses that would make other streams of
   // the service late.
   [[nodiscard]] bool BearsPauses(const Route& route,
@@ -122,9 +120,8 @@
   // Indices of routes, the longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
   std::unordered_map<std::string, std::size_t> service_by_name;
-  // By service, the shortest target of its streams in each tier.
-  std::unordered_map<std::string, std::map<int, Duration>> stream_targets;
-  // By service, the shortest gap target of its streams.
+  // By service, the shortest target and gap target of its streams.
+  std::unordered_map<std::string, Duration> shortest_targets;
   std::unordered_map<std::string, Duration> shortest_gaps;
 };
 
--- a/src/core/waiting_line.cc
+++ b/src/core/waiting_line.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-void WaitingLine::Add(RequestId id, int tier, TimePoint begin_by) {
-  const Place place{tier, begin_by, id};
+void WaitingLine::Add(RequestId id, Urgency urgency, TimePoint begin_by) {
+  const Place place{urgency, begin_by, id};
   this->order.emplace(place, id);
   this->places.emplace(id, place);
 }
@@ -44,10 +44,17 @@
   return ids;
 }
 
-Duration WaitingLine::ExpectedWait(int tier, TimePoint now) const {
+bool WaitingLine::HasBefore(Urgency urgency) const {
+  return !this->order.empty() &&
+         std::get<0>(this->order.begin()->first) < urgency;
+}
+
+Duration WaitingLine::ExpectedWait(Urgency urgency, TimePoint now) const {
   const auto ahead = std::count_if(
       this->order.begin(), this->order.end(),
-      [tier](const auto& item) { return std::get<0>(item.first) <= tier; });
+      [urgency](const auto& item) {
+        return std::get<0>(item.first) <= urgency;
+      });
   const auto recent =
       std::count_if(this->admissions.begin(), this->admissions.end(),
                     [now](TimePoint at) { return now - at <= kRateWindow; });
--- a/src/core/waiting_line.h
+++ b/src/core/waiting_line.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <compare>
 #include <deque>
 #include <map>
 #include <tuple>
@@ -11,24 +12,35 @@
 
 namespace rosemarycove {
 
-// Orders waiting requests by tier, then by when they must begin to be on time,
-// and tells a newcomer how long it would wait.
+// How urgent a request is: its tier, and among those of a tier that of its
+// route, since a customer's tier may stand in for the route's.
+struct Urgency {
+  int tier = 0;
+  int route_tier = 0;
+
+  auto operator<=>(const Urgency&) const = default;
+};
+
+// Orders the waiting requests of one service by urgency, then by when they must
+// begin to be on time, and tells a newcomer how long it would wait.
 class WaitingLine {
  public:
   // Adds a request that has to begin by `begin_by` to be on time.
-  void Add(RequestId id, int tier, TimePoint begin_by);
+  void Add(RequestId id, Urgency urgency, TimePoint begin_by);
   // Takes one off; `admitted` tells that it was given a server.
   void Remove(RequestId id, bool admitted, TimePoint now);
   // All that wait, in the order in which they are to be tried.
   [[nodiscard]] std::vector<RequestId> InOrder() const;
-  // How long a request of this tier would wait, by the rate at which waiting
+  // Whether one that is more urgent waits.
+  [[nodiscard]] bool HasBefore(Urgency urgency) const;
+  // How long a request of this urgency would wait, by the rate at which waiting
   // requests were given servers lately.
-  [[nodiscard]] Duration ExpectedWait(int tier, TimePoint now) const;
+  [[nodiscard]] Duration ExpectedWait(Urgency urgency, TimePoint now) const;
   [[nodiscard]] std::size_t size() const { return this->places.size(); }
 
  private:
-  // Tier, latest beginning, order of arrival.
-  using Place = std::tuple<int, TimePoint, RequestId>;
+  // Urgency, latest beginning, order of arrival.
+  using Place = std::tuple<Urgency, TimePoint, RequestId>;
 
   std::map<Place, RequestId> order;
   std::map<RequestId, Place> places;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -30,6 +30,9 @@
 constexpr Duration kSuspectedPatience = std::chrono::milliseconds(250);
 // When to come back to an instance that has no configuration yet.
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
+// Bounds of when to come back for room.
+constexpr Duration kSoonestRetry = std::chrono::milliseconds(300);
+constexpr Duration kLatestRetry = std::chrono::seconds(4);
 // Share of its target that a request may wait for room: what is left still has
 // to hold the time to the first event.
 constexpr double kWaitShare = 0.4;
@@ -145,8 +148,8 @@
   this->query.answer_tokens = this->call.answer_tokens;
   this->query.bears_pauses =
       this->configuration->BearsPauses(*this->query.route, this->service_name);
-  this->query.tighter_target = this->configuration->TightestTargetBefore(
-      this->service_name, this->query.tier);
+  this->query.shortest_target =
+      this->configuration->ShortestTarget(this->service_name);
   this->context.budget.NoteRequest(this->service_name, this->arrival);
   if (this->query.service != nullptr) {
     this->context.placer.NoteRequest(this->query);
@@ -165,8 +168,12 @@
   }
   this->query.remaining = this->Remaining(now);
   NoChoice why_not = NoChoice::kNoServer;
-  const std::optional<ServerChoice> picked =
-      this->context.placer.Choose(this->query, now, why_not);
+  std::optional<ServerChoice> picked;
+  if (this->Line().HasBefore(this->UrgencyOf())) {
+    why_not = NoChoice::kHeldBack;
+  } else {
+    picked = this->context.placer.Choose(this->query, now, why_not);
+  }
   if (!picked && why_not == NoChoice::kHeldBack) {
     this->WaitForRoom();
     return;
@@ -178,25 +185,33 @@
   this->Send(*picked);
 }
 
+WaitingLine& Exchange::Line() const {
+  return this->context.lines[this->service_name];
+}
+
+Urgency Exchange::UrgencyOf() const {
+  return {.tier = this->query.tier, .route_tier = this->query.route->tier};
+}
+
 void Exchange::WaitForRoom() {
   const TimePoint now = std::chrono::steady_clock::now();
   const Duration longest =
       FromSeconds(kWaitShare * ToSeconds(this->query.route->target));
   const Duration expected =
-      this->context.line.ExpectedWait(this->query.tier, now);
+      this->Line().ExpectedWait(this->UrgencyOf(), now);
   if (expected > longest) {
     this->GiveUpForWantOfServer(NoChoice::kHeldBack);
     return;
   }
   this->wait_until = this->arrival + longest;
   this->waiting_as = this->context.next_request++;
-  this->context.line.Add(*this->waiting_as, this->query.tier, this->wait_until);
+  this->Line().Add(*this->waiting_as, this->UrgencyOf(), this->wait_until);
   this->context.waiting.emplace(*this->waiting_as, this);
 }
 
 void Exchange::StopWaiting(bool admitted) {
   if (this->waiting_as) {
-    this->context.line.Remove(*this->waiting_as, admitted,
+    this->Line().Remove(*this->waiting_as, admitted,
                               std::chrono::steady_clock::now());
     this->context.waiting.erase(*this->waiting_as);
     this->waiting_as.reset();
@@ -222,12 +237,14 @@
 
 void AdmitWaiting(ProxyContext& context) {
   const TimePoint now = std::chrono::steady_clock::now();
-  int failed = 0;
-  for (const RequestId id : context.line.InOrder()) {
-    const auto found = context.waiting.find(id);
-    if (found != context.waiting.end() && !found->second->TryAdmit(now) &&
-        ++failed >= kMostFailedTries) {
-      return;
+  for (const auto& [service, line] : context.lines) {
+    int failed = 0;
+    for (const RequestId id : line.InOrder()) {
+      const auto found = context.waiting.find(id);
+      if (found != context.waiting.end() && !found->second->TryAdmit(now) &&
+          ++failed >= kMostFailedTries) {
+        break;
+      }
     }
   }
 }
@@ -603,6 +620,16 @@
                          : this->context.placer.RoomIn(this->query, now));
 }
 
+Duration Exchange::RoomIn() const {
+  if (this->query.service == nullptr) {
+    return kNotReadyRetry;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  const Duration line = this->Line().ExpectedWait(this->UrgencyOf(), now);
+  return std::clamp(line + this->context.placer.RoomIn(this->query, now),
+                    kSoonestRetry, kLatestRetry);
+}
+
 void Exchange::RefuseNotRun(EndCause cause, Duration least) {
   // Spread, so that callers refused together do not come back together.
   std::uniform_real_distribution<double> spread(1.0, 1.6);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -84,6 +84,10 @@
   void EndAttempt();
   void GiveUp(EndCause cause);
   void GiveUpForWantOfServer(NoChoice why);
+  [[nodiscard]] WaitingLine& Line() const;
+  [[nodiscard]] Urgency UrgencyOf() const;
+  // When a refused request should come back.
+  [[nodiscard]] Duration RoomIn() const;
   void WaitForRoom();
   void StopWaiting(bool admitted);
   void AnswerOwn(int status, EndCause cause, std::optional<Duration> retry);
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <memory>
+#include <map>
 #include <random>
+#include <string>
 #include <unordered_map>
 
 #include "core/backend_directory.h"
@@ -32,7 +34,7 @@
   // Null before the first one is known. Requests keep the one they began with.
   std::shared_ptr<const RoutingConfiguration> configuration;
   // Requests that wait for room, and who they are.
-  WaitingLine line = {};
+  std::map<std::string, WaitingLine> lines = {};
   std::unordered_map<RequestId, Exchange*> waiting = {};
   RequestId next_request = 1;
   // Being stopped: callers are told to close.
