--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -63,6 +63,9 @@
 constexpr double kUsualPromptTokens = 600;
 // Prompts above this pause streams beside them when they are read.
 constexpr int kLongPromptTokens = 12000;
+// Streams with a short gap target beside which one that would pause them is
+// still begun when its own engines are full.
+constexpr int kMostBrittleStreams = 2;
 // Gap targets up to this make a stream brittle.
 constexpr Duration kBrittleGap = std::chrono::milliseconds(400);
 // Share of the target that is aimed at, for what the prediction misses.
@@ -347,7 +350,12 @@
   if (load.running == 0) {
     return true;
   }
-  if (this->IsSetAside(query, candidate.server->id) || !query.shortest_target) {
+  const bool set_aside = this->IsSetAside(query, candidate.server->id);
+  if (query.bears_pauses && !set_aside &&
+      load.brittle_streams > kMostBrittleStreams) {
+    return false;
+  }
+  if (set_aside || !query.shortest_target) {
     return candidate.predicted <= query.route->target;
   }
   // Those that run here or come next must be on time with it.
