--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -45,7 +45,7 @@
 constexpr int kLeastEngines = 4;
 // How far the wanted share must move before an engine changes sides; each
 // change moves prompts away from where they are cached.
-constexpr double kSetAsideStep = 0.2;
+constexpr double kSetAsideStep = 0.12;
 // Orders the engines; the same at every instance.
 constexpr std::uint64_t kSideSeed = 0x51DE;
 // Each request beyond a server's slots, relative to its predicted time.
@@ -56,6 +56,9 @@
 // those above it.
 constexpr double kMemoryBound = 0.88;
 constexpr double kSlotBound = 1.0;
+// The same for requests that bear pauses: they are long, a step takes longer
+// the more is held, and what is not held keeps shared parts cached.
+constexpr double kLongMemoryBound = 0.65;
 constexpr double kLeftByTier = 0.06;
 constexpr int kLastTier = 4;
 // A request of the tighter class that the others must leave on time: its
@@ -63,6 +66,8 @@
 constexpr double kUsualPromptTokens = 600;
 // Prompts above this pause streams beside them when they are read.
 constexpr int kLongPromptTokens = 12000;
+// Share of a request's work that is worth a wait for its home.
+constexpr double kWaitForHome = 0.1;
 // Streams with a short gap target beside which one that would pause them is
 // still begun when its own engines are full.
 constexpr int kMostBrittleStreams = 2;
@@ -341,9 +346,10 @@
   if (load.running + 1 > slots) {
     return false;
   }
+  const double memory = query.bears_pauses ? kLongMemoryBound : kMemoryBound;
   if (query.service->memory_tokens > 0 &&
       load.held_tokens + query.prompt_tokens + query.answer_tokens >
-          (kMemoryBound - kLeftByTier * tier) * query.service->memory_tokens &&
+          (memory - kLeftByTier * tier) * query.service->memory_tokens &&
       load.running > 0) {
     return false;
   }
@@ -366,6 +372,20 @@
   return usual <= *query.shortest_target;
 }
 
+bool Placer::WaitsForHome(const PlacementQuery& query,
+                          const std::vector<Candidate>& candidates,
+                          const Candidate& best, TimePoint now) {
+  const int shared = SharedTokens(query);
+  if (now >= query.home_until || best.home ||
+      shared - best.cached_tokens < kWaitForHome * WorkOf(query)) {
+    return false;
+  }
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [](const Candidate& candidate) {
+                       return candidate.home && !candidate.room;
+                     });
+}
+
 std::optional<ServerChoice> Placer::Choose(const PlacementQuery& query,
                                            TimePoint now, NoChoice& why_not) {
   std::vector<Candidate> candidates = this->Candidates(query, now, why_not);
@@ -391,7 +411,7 @@
       best = &candidate;
     }
   }
-  if (best == nullptr) {
+  if (best == nullptr || this->WaitsForHome(query, candidates, *best, now)) {
     why_not = NoChoice::kHeldBack;
     return std::nullopt;
   }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -33,6 +33,8 @@
   std::vector<std::string> tried;
   // The shortest target of the service's streams.
   std::optional<Duration> shortest_target;
+  // Until when it rather waits for its home than has shared parts read again.
+  TimePoint home_until;
   // What its caller still waits.
   Duration remaining{};
 };
@@ -171,6 +173,10 @@
   [[nodiscard]] bool IsSetAside(const PlacementQuery& query,
                                 const std::string& server) const;
   void ChooseSides(const std::string& service);
+  // Whether it should wait for a home that has no room now.
+  [[nodiscard]] static bool WaitsForHome(
+      const PlacementQuery& query, const std::vector<Candidate>& candidates,
+      const Candidate& best, TimePoint now);
   [[nodiscard]] bool HasRoom(const PlacementQuery& query,
                              const Candidate& candidate) const;
   [[nodiscard]] ServerLoad LoadOf(const std::string& server,
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -36,6 +36,8 @@
 // Share of its target that a request may wait for room: what is left still has
 // to hold the time to the first event.
 constexpr double kWaitShare = 0.4;
+// Share of its target for which it waits for its home alone.
+constexpr double kHomeWaitShare = 0.15;
 // Waiting requests that are tried without success before the others of the
 // line are left for later; they differ in size only.
 constexpr int kMostFailedTries = 3;
@@ -146,6 +148,9 @@
   this->query.parts = this->call.parts;
   this->query.prompt_tokens = this->call.prompt_tokens;
   this->query.answer_tokens = this->call.answer_tokens;
+  this->query.home_until =
+      this->arrival +
+      FromSeconds(kHomeWaitShare * ToSeconds(this->query.route->target));
   this->query.bears_pauses =
       this->configuration->BearsPauses(*this->query.route, this->service_name);
   this->query.shortest_target =
