Read the whole directory each time; count requests that only a server knows of

A whole reading costs the same one call; it comes every 500 ms now. What a server reports beyond the ledger now counts at the mean size of what is known there; the memory bound is 0.8. Test that failed first: RequestsOfInstancesThatAreCutOffCountByTheServersReport.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -14,15 +14,13 @@
 // The servers' entries are read when the copy is this old. With the pauses of
 // later readers, the reports between instances and a request's way this keeps
 // within the two seconds that a leaving server may still get requests.
-constexpr Duration kDirectoryAge = std::chrono::milliseconds(600);
+constexpr Duration kDirectoryAge = std::chrono::milliseconds(500);
 // The next instance reads when the copy grows older by this: longer than a
 // report takes, so that one reader is enough while it lives.
 constexpr Duration kNextReader = std::chrono::milliseconds(150);
 constexpr int kMostReaderRanks = 3;
 // The configuration changes seldom, and other instances pass it on.
 constexpr Duration kConfigurationWait = std::chrono::seconds(25);
-// A reading of the servers' changes does not wait for one.
-constexpr Duration kNoWait = std::chrono::milliseconds(1);
 // Callers are sent here for this long after the instance stopped being ready.
 constexpr Duration kStillSent = std::chrono::milliseconds(2600);
 // Left of the grace, to end in order.
@@ -129,7 +127,7 @@
       configuration_feed({.wait = kConfigurationWait},
                          this->platform.configuration_store,
                          *this->configuration_listener),
-      directory_feed({.wait = kNoWait, .pause = kDirectoryAge},
+      directory_feed({.pause = kDirectoryAge, .always_all = true},
                      this->platform.server_store, *this->directory_listener),
       timer(io),
       signals(io) {}
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -54,7 +54,7 @@
 // Share of an engine's memory and of its slots that the first tier may fill;
 // the answers' lengths are estimates. Each tier below leaves this much more for
 // those above it.
-constexpr double kMemoryBound = 0.88;
+constexpr double kMemoryBound = 0.8;
 constexpr double kSlotBound = 1.0;
 // The same for requests that bear pauses: they are long, a step takes longer
 // the more is held, and what is not held keeps shared parts cached.
@@ -144,9 +144,17 @@
 ServerLoad Placer::LoadOf(const std::string& server, TimePoint now) const {
   ServerLoad load = this->loads.Total(server, now);
   const auto found = this->reported.find(server);
-  if (found != this->reported.end() && now - found->second.at <= kReportLife) {
-    load.running =
-        std::max(load.running, found->second.running + found->second.waiting);
+  if (found == this->reported.end() || now - found->second.at > kReportLife) {
+    return load;
+  }
+  // Instances that are cut off from this one have requests there as well; they
+  // are taken to be like those that are known.
+  const int told = found->second.running + found->second.waiting;
+  if (told > load.running) {
+    const int unknown = told - load.running;
+    load.held_tokens +=
+        unknown * (load.held_tokens / std::max(1, load.running));
+    load.running = told;
   }
   return load;
 }
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -34,7 +34,7 @@
 
 void DocumentFeed::Begin(TimePoint now) {
   ++this->call_count;
-  if (this->needs_all) {
+  if (this->needs_all || this->options.always_all) {
     this->store.ReadAll(
         [this, now](const auto& result) { this->Take(result, true, now); });
     return;
--- a/src/store/document_feed.h
+++ b/src/store/document_feed.h
@@ -18,6 +18,9 @@
   // A reading may begin when the copy is at least this old; zero reads on
   // without a pause.
   Duration pause{};
+  // Reads everything each time: a list of changes may lack some that the store
+  // has not told its watchers yet, and both cost one call.
+  bool always_all = false;
 };
 
 // Takes what a feed brings.
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -382,6 +382,19 @@
   CHECK(engines.Choose(query).has_value());
 }
 
+TEST(Routing, RequestsOfInstancesThatAreCutOffCountByTheServersReport) {
+  Engines engines(2);
+  for (const char* server : {"e0", "e1"}) {
+    engines.placer.ledger().Add(server, {.running = 2, .held_tokens = 30000});
+  }
+  CHECK(engines.Choose(QueryOf(kStream)).has_value());
+  // Six run, so four more of the same size fill the memory of 100,000 tokens.
+  engines.placer.ReportLoad("e0", 6, 0, kStart);
+  engines.placer.ReportLoad("e1", 6, 0, kStart);
+  CHECK(!engines.Choose(QueryOf(kStream)).has_value());
+  CHECK(engines.why_not == NoChoice::kHeldBack);
+}
+
 TEST(Routing, LongPromptsKeepAwayFromStreamsThatBearNoPauses) {
   Engines engines(8);
   PlacementQuery heavy = QueryOf(kLong);
