Instances that see the same room do not all fill it

What this instance sent since the others' last reports is now taken to have been sent by each of them too.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -243,6 +243,7 @@
       kNextReader * std::min(this->links.Rank(), kMostReaderRanks));
   this->LogNews(this->directory.Tick(now), "grace");
   this->links.Tick(now);
+  this->placer.SetFleet(1 + this->links.live_peers(), this->links.Interval());
   this->budget.set_instances(1 + static_cast<int>(this->links.peers().size()));
   if (this->links.Rank() == 0) {
     this->placer.Lead();
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -141,6 +141,17 @@
   return found == this->speeds.end() ? kUnknown : found->second;
 }
 
+ServerLoad Placer::UntoldLoad(const std::string& server, TimePoint now) const {
+  const auto found = this->recent.find(server);
+  if (found == this->recent.end() ||
+      now - found->second.since > this->interval) {
+    return {};
+  }
+  const int others = this->instances - 1;
+  return {.running = others * found->second.load.running,
+          .held_tokens = others * found->second.load.held_tokens};
+}
+
 ServerLoad Placer::LoadOf(const std::string& server, TimePoint now) const {
   ServerLoad load = this->loads.Total(server, now);
   const auto found = this->reported.find(server);
@@ -339,15 +350,16 @@
     }
   }
   candidate.cost = cost;
-  candidate.room = this->HasRoom(query, candidate);
+  candidate.room = this->HasRoom(query, candidate, now);
 }
 
-bool Placer::HasRoom(const PlacementQuery& query,
-                     const Candidate& candidate) const {
+bool Placer::HasRoom(const PlacementQuery& query, const Candidate& candidate,
+                     TimePoint now) const {
   if (!query.service->IsModel()) {
     return true;
   }
-  const ServerLoad& load = candidate.load;
+  ServerLoad load = candidate.load;
+  load += this->UntoldLoad(candidate.server->id, now);
   const int tier = std::min(query.tier, kLastTier);
   const double slots =
       (kSlotBound - kLeftByTier * tier) * candidate.server->slots;
@@ -484,6 +496,11 @@
 void Placer::Begin(const PlacementQuery& query, const ServerChoice& choice,
                    TimePoint now) {
   this->loads.Add(choice.server.id, choice.footprint);
+  RecentlySent& sent = this->recent[choice.server.id];
+  if (now - sent.since > this->interval) {
+    sent = {.since = now};
+  }
+  sent.load += choice.footprint;
   this->caches.Note(choice.server.id, query.parts, now);
 }
 
@@ -538,6 +555,7 @@
   this->caches.Forget(server);
   this->fitness.Forget(server);
   this->reported.erase(server);
+  this->recent.erase(server);
   for (auto& [name, speed] : this->speeds) {
     speed.Forget(server);
   }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -129,6 +129,12 @@
   void ReportLoad(const std::string& server, int running, int waiting,
                   TimePoint now);
 
+  // How many instances send to the same servers, and how old their shares of
+  // the ledger may be.
+  void SetFleet(int instances, Duration report_interval) {
+    this->instances = instances;
+    this->interval = report_interval;
+  }
   [[nodiscard]] LoadLedger& ledger() { return this->loads; }
   [[nodiscard]] const ServerHealth& health() const { return this->fitness; }
 
@@ -157,6 +163,11 @@
     int seen = 0;
     std::set<std::string> set_aside;
   };
+  // What this instance sent to a server since the others last told theirs.
+  struct RecentlySent {
+    ServerLoad load;
+    TimePoint since;
+  };
   struct ReportedLoad {
     int running = 0;
     int waiting = 0;
@@ -178,7 +189,10 @@
       const PlacementQuery& query, const std::vector<Candidate>& candidates,
       const Candidate& best, TimePoint now);
   [[nodiscard]] bool HasRoom(const PlacementQuery& query,
-                             const Candidate& candidate) const;
+                             const Candidate& candidate, TimePoint now) const;
+  // What the others may have sent meanwhile: as much as this instance, each.
+  [[nodiscard]] ServerLoad UntoldLoad(const std::string& server,
+                                      TimePoint now) const;
   [[nodiscard]] ServerLoad LoadOf(const std::string& server,
                                   TimePoint now) const;
   [[nodiscard]] const SpeedModel& SpeedOf(const std::string& service) const;
@@ -196,6 +210,9 @@
   std::map<std::string, ReportedLoad> reported;
   std::map<std::string, Sides> sides;
   bool leads = true;
+  std::map<std::string, RecentlySent> recent;
+  int instances = 1;
+  Duration interval = std::chrono::milliseconds(100);
   std::set<std::string> suspected;
 };
 
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -395,6 +396,35 @@
   CHECK(engines.why_not == NoChoice::kHeldBack);
 }
 
+TEST(Routing, InstancesThatSeeTheSameRoomDoNotAllFillIt) {
+  // Nine instances see two engines with room for half of their memory.
+  std::vector<std::unique_ptr<Engines>> fleet;
+  int sent = 0;
+  for (int i = 0; i < 9; ++i) {
+    fleet.push_back(std::make_unique<Engines>(2));
+    Engines& one = *fleet.back();
+    one.placer.SetFleet(9, milliseconds(100));
+    one.placer.ledger().SetPeer(
+        "p",
+        {{.server = ServerNumber("e0"),
+          .load = {.running = 1, .held_tokens = 50000}},
+         {.server = ServerNumber("e1"),
+          .load = {.running = 1, .held_tokens = 50000}}},
+        kStart);
+    for (int j = 0; j < 40; ++j) {
+      const PlacementQuery query = QueryOf(kStream);
+      if (const auto choice = one.Choose(query)) {
+        one.placer.Begin(query, *choice, kStart);
+        ++sent;
+      }
+    }
+  }
+  // 1,100 tokens each: two engines have room for 54 up to 0.8 of 100,000, and
+  // for 12 up to their eight slots, of which one is taken.
+  CHECK(sent >= 9);
+  CHECK(sent <= 18);
+}
+
 TEST(Routing, LongPromptsKeepAwayFromStreamsThatBearNoPauses) {
   Engines engines(8);
   PlacementQuery heavy = QueryOf(kLong);
