An instance that began later passes on all servers, not changes

An update now says whether it names every server there is, and does so when the receiver's knowledge is older than the sender's first reading or than a removal that was forgotten.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -376,12 +376,12 @@
       .directory_age = now - this->directory.read_at(),
       .shares = this->placer.ledger().OwnShare(),
       .divisions = this->placer.Divisions(),
-      .servers_since = directory_revision};
+      .servers = {.since = directory_revision}};
   if (this->configuration_document.revision > configuration_revision) {
     report.configuration = this->configuration_document;
   }
   if (this->directory.as_of() > directory_revision) {
-    report.servers = this->directory.ChangedSince(directory_revision);
+    report.servers = this->directory.UpdateSince(directory_revision);
   }
   return report;
 }
@@ -395,15 +395,10 @@
   if (report.configuration) {
     this->Adopt(*report.configuration, peer.identity.instance);
   }
-  // Complete only for one that knew everything up to where the list begins.
-  const bool complete = this->directory.as_of() >= report.servers_since;
-  if (complete && report.directory_revision >= this->directory.as_of() &&
-      report.directory_revision != 0) {
-    this->LogNews(
-        this->directory.Apply(report.servers, report.directory_revision,
-                              now - report.directory_age, now),
-        peer.identity.instance);
-  }
+  this->LogNews(
+      this->directory.ApplyUpdate(report.servers, report.directory_revision,
+                                  now - report.directory_age, now),
+      peer.identity.instance);
 }
 
 void Gateway::OnPeerNews(const FleetPeer& peer, PeerNews news) {
--- a/src/core/backend_directory.cc
+++ b/src/core/backend_directory.cc
@@ -42,6 +42,9 @@
   if (this->known_to != 0 && read_at - this->last_read > kOutage) {
     this->lapse_grace_until = now + kLapseGrace;
   }
+  if (this->known_to == 0) {
+    this->removals_since = as_of;
+  }
   this->known_to = std::max(this->known_to, as_of);
   this->last_read = std::max(this->last_read, read_at);
 }
@@ -151,6 +154,10 @@
     }
     const bool forget = entry.document.removed && !entry.gone_at &&
                         now - entry.removed_at > kKeepRemovals;
+    if (forget) {
+      this->removals_since =
+          std::max(this->removals_since, entry.document.revision);
+    }
     item = forget ? this->entries.erase(item) : std::next(item);
   }
   return news;
@@ -161,15 +168,31 @@
   return found == this->usable.end() ? nullptr : &found->second;
 }
 
-std::vector<SharedDocument> BackendDirectory::ChangedSince(
-    std::uint64_t revision) const {
-  std::vector<SharedDocument> documents;
+DirectoryUpdate BackendDirectory::UpdateSince(std::uint64_t revision) const {
+  DirectoryUpdate update{.since = revision,
+                         .whole = revision < this->removals_since};
   for (const auto& [key, entry] : this->entries) {
-    if (entry.changed_at > revision) {
-      documents.push_back(entry.document);
+    const bool wanted =
+        update.whole ? !entry.document.removed : entry.changed_at > revision;
+    if (wanted) {
+      update.documents.push_back(entry.document);
     }
   }
-  return documents;
+  return update;
+}
+
+std::vector<DirectoryNews> BackendDirectory::ApplyUpdate(
+    const DirectoryUpdate& update, std::uint64_t as_of, TimePoint read_at,
+    TimePoint now) {
+  if (as_of == 0 || as_of < this->known_to) {
+    return {};
+  }
+  if (update.whole) {
+    return this->Replace(update.documents, as_of, read_at, now);
+  }
+  return this->known_to >= update.since
+             ? this->Apply(update.documents, as_of, read_at, now)
+             : std::vector<DirectoryNews>{};
 }
 
 }  // namespace rosemarycove
--- a/src/core/backend_directory.h
+++ b/src/core/backend_directory.h
@@ -58,6 +58,15 @@
   std::uint64_t revision = 0;
 };
 
+// What another instance lacks.
+struct DirectoryUpdate {
+  // All that changed after this revision, unless it is whole.
+  std::uint64_t since = 0;
+  // Names every server there is: what it does not name is gone.
+  bool whole = false;
+  std::vector<SharedDocument> documents;
+};
+
 // Mirrors the servers' entries and says which servers may be used.
 //
 // An instance learns of entries by reading the store or from another instance
@@ -91,9 +100,15 @@
   [[nodiscard]] std::uint64_t as_of() const { return this->known_to; }
   // When the reading that led to `as_of` began.
   [[nodiscard]] TimePoint read_at() const { return this->last_read; }
-  // Documents whose meaning changed after `revision`, for another instance.
-  [[nodiscard]] std::vector<SharedDocument> ChangedSince(
-      std::uint64_t revision) const;
+  // What an instance that knows everything up to `revision` lacks. It is whole
+  // when this directory began later, since it never heard of what was removed
+  // in between.
+  [[nodiscard]] DirectoryUpdate UpdateSince(std::uint64_t revision) const;
+  // Takes an update of another instance that is complete up to `as_of`; nothing
+  // happens when it is older than what is known or something would be missed.
+  std::vector<DirectoryNews> ApplyUpdate(const DirectoryUpdate& update,
+                                         std::uint64_t as_of, TimePoint read_at,
+                                         TimePoint now);
 
  private:
   struct Entry {
@@ -116,6 +131,8 @@
   std::map<std::string, Entry> entries;
   std::map<std::string, RegisteredServer> usable;
   std::uint64_t known_to = 0;
+  // Every removal after this revision is remembered.
+  std::uint64_t removals_since = 0;
   TimePoint last_read;
   // Until when entries that are missing may have lapsed only for an outage.
   TimePoint lapse_grace_until;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/backend_directory.h"
 #include "core/load_ledger.h"
 #include "core/shared_document.h"
 #include "core/types.h"
@@ -45,9 +46,8 @@
   std::vector<ServiceDivision> divisions;
   std::vector<std::string> neighbours;
   std::optional<SharedDocument> configuration;
-  // All entries of the directory that changed after `servers_since`.
-  std::uint64_t servers_since = 0;
-  std::vector<SharedDocument> servers;
+  // Complete up to `directory_revision`.
+  DirectoryUpdate servers;
 };
 
 }  // namespace rosemarycove
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -53,7 +53,8 @@
       .configuration_revision = frame.configuration_revision(),
       .directory_revision = frame.directory_revision(),
       .directory_age = std::chrono::milliseconds(frame.directory_age_ms()),
-      .servers_since = frame.servers_since()};
+      .servers = {.since = frame.servers_since(),
+                  .whole = frame.servers_whole()}};
   if (const auto* identity = frame.identity()) {
     report.identity =
         FleetIdentity{.instance = Text(identity->instance()),
@@ -88,7 +89,7 @@
   }
   if (frame.servers() != nullptr) {
     for (const wire::Document* document : *frame.servers()) {
-      report.servers.push_back(Get(*document));
+      report.servers.documents.push_back(Get(*document));
     }
   }
   return report;
@@ -125,7 +126,7 @@
     configuration = Put(builder, *report.configuration);
   }
   std::vector<Offset<wire::Document>> servers;
-  for (const SharedDocument& document : report.servers) {
+  for (const SharedDocument& document : report.servers.documents) {
     servers.push_back(Put(builder, document));
   }
   const auto share_vector = builder.CreateVectorOfStructs(shares);
@@ -145,8 +146,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(
               report.directory_age)
               .count()),
-      report.servers_since, share_vector, division_vector, neighbours,
-      configuration, server_vector));
+      report.servers.since, report.servers.whole, share_vector, division_vector,
+      neighbours, configuration, server_vector));
   const auto size = static_cast<std::uint32_t>(builder.GetSize());
   std::string frame(kLengthBytes, '\0');
   flatbuffers::WriteScalar(frame.data(), size);
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -277,11 +277,12 @@
     VT_DIRECTORY_REVISION = 12,
     VT_DIRECTORY_AGE_MS = 14,
     VT_SERVERS_SINCE = 16,
-    VT_SHARES = 18,
-    VT_DIVISIONS = 20,
-    VT_NEIGHBOURS = 22,
-    VT_CONFIGURATION = 24,
-    VT_SERVERS = 26
+    VT_SERVERS_WHOLE = 18,
+    VT_SHARES = 20,
+    VT_DIVISIONS = 22,
+    VT_NEIGHBOURS = 24,
+    VT_CONFIGURATION = 26,
+    VT_SERVERS = 28
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -304,6 +305,9 @@
   uint64_t servers_since() const {
     return GetField<uint64_t>(VT_SERVERS_SINCE, 0);
   }
+  bool servers_whole() const {
+    return GetField<uint8_t>(VT_SERVERS_WHOLE, 0) != 0;
+  }
   const flatbuffers::Vector<const rosemarycove::wire::ServerShare *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServerShare *> *>(VT_SHARES);
   }
@@ -329,6 +333,7 @@
            VerifyField<uint64_t>(verifier, VT_DIRECTORY_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_DIRECTORY_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_SERVERS_SINCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SERVERS_WHOLE, 1) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            VerifyOffset(verifier, VT_DIVISIONS) &&
@@ -370,6 +375,9 @@
   void add_servers_since(uint64_t servers_since) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_SERVERS_SINCE, servers_since, 0);
   }
+  void add_servers_whole(bool servers_whole) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_SERVERS_WHOLE, static_cast<uint8_t>(servers_whole), 0);
+  }
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerShare *>> shares) {
     fbb_.AddOffset(FleetReport::VT_SHARES, shares);
   }
@@ -405,6 +413,7 @@
     uint64_t directory_revision = 0,
     uint32_t directory_age_ms = 0,
     uint64_t servers_since = 0,
+    bool servers_whole = false,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerShare *>> shares = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServiceDivision *>> divisions = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> neighbours = 0,
@@ -422,6 +431,7 @@
   builder_.add_directory_age_ms(directory_age_ms);
   builder_.add_identity(identity);
   builder_.add_version(version);
+  builder_.add_servers_whole(servers_whole);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -435,6 +445,7 @@
     uint64_t directory_revision = 0,
     uint32_t directory_age_ms = 0,
     uint64_t servers_since = 0,
+    bool servers_whole = false,
     const std::vector<rosemarycove::wire::ServerShare> *shares = nullptr,
     const std::vector<rosemarycove::wire::ServiceDivision> *divisions = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *neighbours = nullptr,
@@ -453,6 +464,7 @@
       directory_revision,
       directory_age_ms,
       servers_since,
+      servers_whole,
       shares__,
       divisions__,
       neighbours__,
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -94,8 +94,9 @@
       .configuration =
           SharedDocument{
               .key = "c", .revision = 5, .value = std::string("\0x", 2)},
-      .servers_since = 8,
-      .servers = {{.key = "s", .revision = 9, .removed = true}}};
+      .servers = {.since = 8,
+                  .whole = true,
+                  .documents = {{.key = "s", .revision = 9, .removed = true}}}};
   std::string bytes = EncodeFleetFrame(report) + "rest";
   const auto taken = TakeFleetFrame(bytes);
   const FleetReport& read = **taken;
@@ -107,8 +108,8 @@
   DOUBLES_EQUAL(0.25, read.divisions.at(0).share, 0);
   CHECK(read.neighbours == report.neighbours);
   CHECK(read.configuration->value == report.configuration->value);
-  CHECK_EQUAL(8U, read.servers_since);
-  CHECK(read.servers.at(0).removed);
+  CHECK_EQUAL(8U, read.servers.since);
+  CHECK(read.servers.whole && read.servers.documents.at(0).removed);
   STRCMP_EQUAL("rest", bytes.c_str());
 }
 
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -178,21 +178,42 @@
   BackendDirectory reader(decoder);
   BackendDirectory other(decoder);
   reader.Replace({Entry("a", 1), Entry("b", 2)}, 5, kStart, kStart);
-  other.Apply(reader.ChangedSince(other.as_of()), 5, kStart, kStart);
+  other.ApplyUpdate(reader.UpdateSince(other.as_of()), 5, kStart, kStart);
   reader.Apply({Entry("a", 7, "leaving"), Removal("b", 8), Entry("c", 9)}, 9,
                kStart, kStart);
-  other.Apply(reader.ChangedSince(other.as_of()), 9, kStart, kStart);
+  other.ApplyUpdate(reader.UpdateSince(other.as_of()), 9, kStart, kStart);
   CHECK(reader.servers() == other.servers());
   CHECK(other.Find("a")->leaving);
   POINTERS_EQUAL(nullptr, other.Find("b"));
 }
 
+TEST(Routing, ANewInstancePassesOnARemovalThatItNeverHeardOf) {
+  const ColonDecoder decoder;
+  BackendDirectory old_one(decoder);
+  BackendDirectory new_one(decoder);
+  old_one.Replace({Entry("a", 1), Entry("b", 2)}, 5, kStart, kStart);
+  // The removal of b is revision 6; the new instance's first reading is later.
+  new_one.Replace({Entry("a", 1)}, 7, kStart, kStart);
+  old_one.ApplyUpdate(new_one.UpdateSince(old_one.as_of()), 7, kStart, kStart);
+  POINTERS_EQUAL(nullptr, old_one.Find("b"));
+  CHECK(old_one.Find("a") != nullptr);
+  CHECK_EQUAL(7U, old_one.as_of());
+}
+
+TEST(Routing, AnUpdateThatWouldMissSomethingIsNotTaken) {
+  const ColonDecoder decoder;
+  BackendDirectory restarted(decoder);
+  restarted.ApplyUpdate({.since = 5, .documents = {Entry("a", 6)}}, 6, kStart,
+                        kStart);
+  CHECK_EQUAL(0U, restarted.as_of());
+}
+
 TEST(Routing, AHeartbeatThatSaysNothingNewIsNotPassedOn) {
   const ColonDecoder decoder;
   BackendDirectory directory(decoder);
   directory.Replace({Entry("a", 1)}, 1, kStart, kStart);
   CHECK(directory.Apply({Entry("a", 2)}, 2, kStart, kStart).empty());
-  CHECK(directory.ChangedSince(1).empty());
+  CHECK(directory.UpdateSince(1).documents.empty());
 }
 
 TEST(Routing, AnotherIncarnationIsARestart) {
