Links tell the connections of others when they go

Cause: a connection of another instance that was still being read kept a reference to links that were gone; test_fleet_links crashed in most runs once the reports had grown by a field. Only a test ends links before their event loop.

--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -207,7 +207,7 @@
     this->socket.async_read_some(boost::asio::buffer(this->block),
                                  [self = this->shared_from_this()](
                                      error_code failure, std::size_t count) {
-                                   if (failure) {
+                                   if (failure || self->stopped) {
                                      return;
                                    }
                                    self->received.append(self->block.data(),
@@ -218,6 +218,12 @@
                                  });
   }
 
+  void Stop() {
+    this->stopped = true;
+    error_code ignored;
+    this->socket.close(ignored);
+  }
+
  private:
   // Returns false when the connection speaks something else.
   bool TakeFrames() {
@@ -242,6 +248,7 @@
 
   boost::asio::ip::tcp::socket socket;
   FleetLinks& links;
+  bool stopped = false;
   std::optional<FleetIdentity> sender;
   std::string block;
   std::string received;
@@ -255,6 +262,11 @@
   for (const auto& [address, sender] : this->senders) {
     sender->Stop();
   }
+  for (const auto& weak : this->receivers) {
+    if (const auto receiver = weak.lock()) {
+      receiver->Stop();
+    }
+  }
 }
 
 std::optional<std::string> FleetLinks::Start() {
@@ -280,7 +292,10 @@
           return;
         }
         if (!failure) {
-          std::make_shared<Receiver>(std::move(socket), *this)->Read();
+          const auto receiver =
+              std::make_shared<Receiver>(std::move(socket), *this);
+          this->receivers.push_back(receiver);
+          receiver->Read();
         }
         this->Accept();
       });
@@ -399,6 +414,7 @@
     }
     return gone;
   });
+  this->receivers.remove_if([](const auto& weak) { return weak.expired(); });
   std::erase_if(this->senders, [&](const auto& item) {
     const bool gone =
         !item.second->is_seed && now - item.second->last_stood() > kForgotten;
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -116,6 +117,8 @@
   std::map<std::string, FleetPeer> by_name;
   // Names of peers that were reported silent or gone.
   std::set<std::string> down;
+  // Connections of others; told when the links go.
+  std::list<std::weak_ptr<Receiver>> receivers;
   bool report_now = false;
   TimePoint last_round;
   std::uint64_t rounds = 0;
