Give the metrics at the status address, as the manual says

Cause: the page stood on a second server whose address nothing set, so it never started; docs/OPERATIONS.md and the questions page said otherwise. The second server and its option are gone and the page stands beside readiness.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -115,7 +115,6 @@
                .most_connections = this->options.most_connections},
               this->context),
       status(io),
-      metrics_server(io),
       links(io,
             {.self = {.instance = this->options.instance,
                       .address = this->options.peers_address,
@@ -139,17 +138,11 @@
     return StatusPage{.status = this->ready() ? status_code::kOk
                                               : status_code::kUnavailable};
   });
-  this->metrics_server.AddPage(
+  this->status.AddPage(
       "/metrics", [this] { return StatusPage{.text = this->MetricsText()}; });
   if (auto fault = this->status.Start(this->options.status_address)) {
     return fault;
   }
-  if (!this->options.metrics_address.empty()) {
-    if (auto fault =
-            this->metrics_server.Start(this->options.metrics_address)) {
-      return fault;
-    }
-  }
   if (auto fault = this->links.Start()) {
     return fault;
   }
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -39,8 +39,6 @@
   std::string callers_address;
   std::string status_address;
   std::string peers_address;
-  // Empty for no metrics beside the status address.
-  std::string metrics_address;
   std::vector<std::string> seeds;
   RetryBounds retries;
   // After SIGTERM the process is killed at the end of this.
@@ -112,7 +110,6 @@
   ProxyContext context;
   ProxyServer callers;
   StatusServer status;
-  StatusServer metrics_server;
   FleetLinks links;
   std::unique_ptr<ConfigurationListener> configuration_listener;
   std::unique_ptr<DirectoryListener> directory_listener;
