Say once which servers take a service's requests, and how the store is lost

The filter stood five times in the placer and the log lines of the store's loss twice in the gateway.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -43,18 +43,12 @@
     }
   }
   void OnStoreLost(const std::string& why) override {
-    this->gateway.log.Write(
-        LogEvent::kStoreUnavailable,
-        {{"reader", "configuration"},
-         {"why", why},
-         {"revision", this->gateway.configuration_document.revision}});
+    this->gateway.LogStoreLost("configuration", why,
+                               this->gateway.configuration_document.revision);
   }
   void OnStoreRegained(Duration away) override {
-    this->gateway.log.Write(
-        LogEvent::kStoreAvailable,
-        {{"reader", "configuration"},
-         {"away_ms", LogMilliseconds(away)},
-         {"revision", this->gateway.configuration_document.revision}});
+    this->gateway.LogStoreRegained(
+        "configuration", away, this->gateway.configuration_document.revision);
   }
 
  private:
@@ -76,16 +70,12 @@
         "store");
   }
   void OnStoreLost(const std::string& why) override {
-    this->gateway.log.Write(LogEvent::kStoreUnavailable,
-                            {{"reader", "directory"},
-                             {"why", why},
-                             {"revision", this->gateway.directory.as_of()}});
+    this->gateway.LogStoreLost("directory", why,
+                               this->gateway.directory.as_of());
   }
   void OnStoreRegained(Duration away) override {
-    this->gateway.log.Write(LogEvent::kStoreAvailable,
-                            {{"reader", "directory"},
-                             {"away_ms", LogMilliseconds(away)},
-                             {"revision", this->gateway.directory.as_of()}});
+    this->gateway.LogStoreRegained("directory", away,
+                                   this->gateway.directory.as_of());
   }
 
  private:
@@ -241,7 +231,7 @@
   if (this->links.Rank() == 0) {
     this->placer.Lead();
   }
-  this->NoteSuspicion(now);
+  this->NoteSuspicion();
   AdmitWaiting(this->context);
   this->callers.Tick(now);
   this->pool.CloseIdle(now);
@@ -315,6 +305,20 @@
                    {"from", from}});
 }
 
+void Gateway::LogStoreLost(const char* reader, const std::string& why,
+                           std::uint64_t revision) {
+  this->log.Write(LogEvent::kStoreUnavailable,
+                  {{"reader", reader}, {"why", why}, {"revision", revision}});
+}
+
+void Gateway::LogStoreRegained(const char* reader, Duration away,
+                               std::uint64_t revision) {
+  this->log.Write(LogEvent::kStoreAvailable,
+                  {{"reader", reader},
+                   {"away_ms", LogMilliseconds(away)},
+                   {"revision", revision}});
+}
+
 void Gateway::LogNews(const std::vector<DirectoryNews>& news,
                       const std::string& from) {
   for (const DirectoryNews& item : news) {
@@ -334,7 +338,7 @@
   }
 }
 
-void Gateway::NoteSuspicion(TimePoint /*now*/) {
+void Gateway::NoteSuspicion() {
   std::set<std::string> silent = this->links.SilentDataCentres();
   if (silent == this->placer.suspected_data_centres()) {
     return;
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -93,7 +93,12 @@
   void LeaveWhenDone(TimePoint now);
   void Adopt(const SharedDocument& document, const std::string& from);
   void LogNews(const std::vector<DirectoryNews>& news, const std::string& from);
-  void NoteSuspicion(TimePoint now);
+  void NoteSuspicion();
+  // `reader`: which copy of the store's documents; `revision`: up to where.
+  void LogStoreLost(const char* reader, const std::string& why,
+                    std::uint64_t revision);
+  void LogStoreRegained(const char* reader, Duration away,
+                        std::uint64_t revision);
   void NoteDroppedLines(TimePoint now);
   [[nodiscard]] std::string MetricsText() const;
 
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -98,6 +98,11 @@
   return query.prompt_tokens + kAnswerTokenWork * query.answer_tokens;
 }
 
+bool TakesRequestsOf(const RegisteredServer& server,
+                     const std::string& service) {
+  return server.service == service && !server.leaving;
+}
+
 bool IsBrittle(const Route& route) {
   return route.gap_target && *route.gap_target <= kBrittleGap;
 }
@@ -189,7 +194,7 @@
   }
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (server.service == service && !server.leaving) {
+    if (TakesRequestsOf(server, service)) {
       ranked.emplace_back(HomeRank(kSideSeed, id), &id);
     }
   }
@@ -252,7 +257,7 @@
   const RegisteredServer* home = nullptr;
   std::uint64_t best = 0;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (server.service != query.service->name || server.leaving) {
+    if (!TakesRequestsOf(server, query.service->name)) {
       continue;
     }
     if (this->IsSetAside(query, id) != query.bears_pauses) {
@@ -274,7 +279,7 @@
   std::vector<Candidate> candidates;
   const RegisteredServer* home = this->HomeOf(query);
   for (const auto& [id, server] : this->directory.servers()) {
-    if (server.service != query.service->name || server.leaving) {
+    if (!TakesRequestsOf(server, query.service->name)) {
       continue;
     }
     if (std::find(query.tried.begin(), query.tried.end(), id) !=
@@ -459,7 +464,7 @@
   for (const auto& [id, server] : this->directory.servers()) {
     const bool tried = std::find(query.tried.begin(), query.tried.end(), id) !=
                        query.tried.end();
-    if (server.service != query.service->name || server.leaving || tried) {
+    if (!TakesRequestsOf(server, query.service->name) || tried) {
       continue;
     }
     if (best == nullptr ||
@@ -536,7 +541,7 @@
   double least = 0;
   bool first = true;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (server.service != query.service->name || server.leaving) {
+    if (!TakesRequestsOf(server, query.service->name)) {
       continue;
     }
     const ServerLoad load = this->LoadOf(id, now);
