Let a server's slowness fade, and say what servers lacked

Cause: on the grown sites an instance sends to a given server about once in nine seconds.

Ruled out: full slots alone (60 of 89 servers were too slow, not full, at two running requests each; the refusal's line now says so, and the line of a placement says what the home lacked).

The factor now falls to a third in 4 s without an answer and one answer counts as at most four times what was known. The new test fails before.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -10,28 +10,44 @@
   return std::round(ToSeconds(duration) * kPerSecond * kTenths) / kTenths;
 }
 
+// Empty unless servers lacked room; otherwise as in "slots:3 too_slow:12".
+std::string LackText(const RoomLackCounts& lacks) {
+  std::string text;
+  for (std::size_t i = 1; i < lacks.size(); ++i) {
+    if (lacks[i] > 0) {
+      text += text.empty() ? "" : " ";
+      text += ToString(static_cast<RoomLack>(i));
+      text += ":" + std::to_string(lacks[i]);
+    }
+  }
+  return text;
+}
+
 void GatewayObserver::OnPlaced(const PlacedRecord& record) {
   const ServerChoice& choice = record.choice;
-  this->log.Write(LogEvent::kCallPlaced,
-                  {{"request", record.request},
-                   {"route", record.route},
-                   {"customer", record.customer},
-                   {"tier", record.tier},
-                   {"attempt", record.attempt},
-                   {"server", choice.server.id},
-                   {"why", ToString(choice.reason)},
-                   {"candidates", choice.candidates},
-                   {"predicted_ms", LogMilliseconds(choice.predicted_first)},
-                   {"running", choice.inputs.running},
-                   {"held_tokens", choice.load.held_tokens},
-                   {"unread_ahead", choice.inputs.unread_ahead},
-                   {"unread_tokens", choice.inputs.unread_tokens},
-                   {"cached_tokens", choice.cached_tokens},
-                   {"ledger_age_ms", LogMilliseconds(record.ledger_age)},
-                   {"directory_age_ms", LogMilliseconds(record.directory_age)},
-                   {"directory_revision", record.directory_revision},
-                   {"configuration", record.configuration_version},
-                   {"reused", record.reused_connection}});
+  this->log.Write(
+      LogEvent::kCallPlaced,
+      {{"request", record.request},
+       {"route", record.route},
+       {"customer", record.customer},
+       {"tier", record.tier},
+       {"attempt", record.attempt},
+       {"server", choice.server.id},
+       {"why", ToString(choice.reason)},
+       {"candidates", choice.candidates},
+       {"predicted_ms", LogMilliseconds(choice.predicted_first)},
+       {"running", choice.inputs.running},
+       {"held_tokens", choice.load.held_tokens},
+       {"unread_ahead", choice.inputs.unread_ahead},
+       {"unread_tokens", choice.inputs.unread_tokens},
+       {"cached_tokens", choice.cached_tokens},
+       {"home_lacks", choice.home_lack ? ToString(*choice.home_lack)
+                                       : std::string_view("no_home")},
+       {"ledger_age_ms", LogMilliseconds(record.ledger_age)},
+       {"directory_age_ms", LogMilliseconds(record.directory_age)},
+       {"directory_revision", record.directory_revision},
+       {"configuration", record.configuration_version},
+       {"reused", record.reused_connection}});
 }
 
 void GatewayObserver::OnAttemptFailed(const AttemptFailedRecord& record) {
@@ -67,6 +83,7 @@
                    {"events", record.events},
                    {"retry_after_ms", LogMilliseconds(record.retry_after)},
                    {"on_target", record.on_target},
+                   {"servers_lacked", LackText(record.lacks)},
                    {"configuration", record.configuration_version}});
   this->metrics.Observe({.outcome = record.outcome,
                          .cause = record.cause,
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -137,6 +137,22 @@
   return "unknown";
 }
 
+std::string_view ToString(RoomLack lack) {
+  switch (lack) {
+    case RoomLack::kNone:
+      return "none";
+    case RoomLack::kSlots:
+      return "slots";
+    case RoomLack::kMemory:
+      return "memory";
+    case RoomLack::kBrittleStreams:
+      return "brittle_streams";
+    case RoomLack::kTooSlow:
+      return "too_slow";
+  }
+  return "unknown";
+}
+
 Placer::Placer(PlacerOptions options, const BackendDirectory& directory)
     : options(std::move(options)), directory(directory) {}
 
@@ -319,7 +335,7 @@
       .unread_ahead = static_cast<double>(candidate.load.unread_tokens),
       .running =
           static_cast<double>(std::min(candidate.load.running, server.slots))};
-  candidate.predicted = speed.Predict(server.id, candidate.inputs);
+  candidate.predicted = speed.Predict(server.id, candidate.inputs, now);
   double first = Milliseconds(candidate.predicted);
   const double queued = std::max(0, candidate.load.running + 1 - server.slots);
   first *= 1 + kQueuedRequest * queued;
@@ -355,13 +371,13 @@
     }
   }
   candidate.cost = cost;
-  candidate.room = this->HasRoom(query, candidate, now);
+  candidate.lack = this->LackOf(query, candidate, now);
 }
 
-bool Placer::HasRoom(const PlacementQuery& query, const Candidate& candidate,
-                     TimePoint now) const {
+RoomLack Placer::LackOf(const PlacementQuery& query, const Candidate& candidate,
+                        TimePoint now) const {
   if (!query.service->IsModel()) {
-    return true;
+    return RoomLack::kNone;
   }
   ServerLoad load = candidate.load;
   load += this->UntoldLoad(candidate.server->id, now);
@@ -369,32 +385,35 @@
   const double slots =
       (kSlotBound - kLeftByTier * tier) * candidate.server->slots;
   if (load.running + 1 > slots) {
-    return false;
+    return RoomLack::kSlots;
   }
   const double memory = query.bears_pauses ? kLongMemoryBound : kMemoryBound;
   if (query.service->memory_tokens > 0 &&
       load.held_tokens + query.prompt_tokens + query.answer_tokens >
           (memory - kLeftByTier * tier) * query.service->memory_tokens &&
       load.running > 0) {
-    return false;
+    return RoomLack::kMemory;
   }
   if (load.running == 0) {
-    return true;
+    return RoomLack::kNone;
   }
   const bool set_aside = this->IsSetAside(query, candidate.server->id);
   if (query.bears_pauses && !set_aside &&
       load.brittle_streams > kMostBrittleStreams) {
-    return false;
+    return RoomLack::kBrittleStreams;
   }
   if (set_aside || !query.shortest_target) {
-    return candidate.predicted <= query.route->target;
+    return candidate.predicted <= query.route->target ? RoomLack::kNone
+                                                      : RoomLack::kTooSlow;
   }
   // Those that run here or come next must be on time with it.
   const SpeedModel& speed = this->SpeedOf(query.service->name);
-  const Duration usual = speed.Predict(
-      candidate.server->id, {.unread_tokens = kUsualPromptTokens,
-                             .running = static_cast<double>(load.running + 1)});
-  return usual <= *query.shortest_target;
+  const Duration usual =
+      speed.Predict(candidate.server->id,
+                    {.unread_tokens = kUsualPromptTokens,
+                     .running = static_cast<double>(load.running + 1)},
+                    now);
+  return usual <= *query.shortest_target ? RoomLack::kNone : RoomLack::kTooSlow;
 }
 
 bool Placer::WaitsForHome(const PlacementQuery& query,
@@ -405,10 +424,10 @@
       shared - best.cached_tokens < kWaitForHome * WorkOf(query)) {
     return false;
   }
-  return std::any_of(candidates.begin(), candidates.end(),
-                     [](const Candidate& candidate) {
-                       return candidate.home && !candidate.room;
-                     });
+  return std::any_of(
+      candidates.begin(), candidates.end(), [](const Candidate& candidate) {
+        return candidate.home && candidate.lack != RoomLack::kNone;
+      });
 }
 
 std::optional<ServerChoice> Placer::Choose(const PlacementQuery& query,
@@ -419,9 +438,15 @@
                                              : std::nullopt;
   }
   Candidate* best = nullptr;
+  std::optional<RoomLack> home_lack;
+  this->lacks = {};
   for (Candidate& candidate : candidates) {
     this->Weigh(query, candidate, now);
-    if (!candidate.room) {
+    ++this->lacks[static_cast<std::size_t>(candidate.lack)];
+    if (candidate.home) {
+      home_lack = candidate.lack;
+    }
+    if (candidate.lack != RoomLack::kNone) {
       continue;
     }
     // A request that may run once is no trial while there are others.
@@ -455,7 +480,8 @@
                       .inputs = best->inputs,
                       .load = best->load,
                       .cached_tokens = best->cached_tokens,
-                      .candidates = static_cast<int>(candidates.size())};
+                      .candidates = static_cast<int>(candidates.size()),
+                      .home_lack = home_lack};
 }
 
 std::optional<ServerChoice> Placer::ChooseEjected(const PlacementQuery& query,
@@ -510,7 +536,7 @@
 }
 
 void Placer::FirstEvent(const PlacementQuery& query, ServerChoice& choice,
-                        Duration elapsed) {
+                        Duration elapsed, TimePoint now) {
   const ServerLoad read{
       .unread_tokens = choice.footprint.unread_tokens,
       .long_unread_tokens = choice.footprint.long_unread_tokens};
@@ -518,7 +544,7 @@
   choice.footprint.unread_tokens = 0;
   choice.footprint.long_unread_tokens = 0;
   this->speeds[query.service->name].Observe(choice.server.id, choice.inputs,
-                                            elapsed);
+                                            elapsed, now);
 }
 
 void Placer::End(const ServerChoice& choice) {
@@ -531,9 +557,10 @@
 }
 
 void Placer::ObserveSilence(const PlacementQuery& query,
-                            const ServerChoice& choice, Duration silence) {
+                            const ServerChoice& choice, Duration silence,
+                            TimePoint now) {
   this->speeds[query.service->name].ObserveSilence(choice.server.id,
-                                                   choice.inputs, silence);
+                                                   choice.inputs, silence, now);
 }
 
 Duration Placer::RoomIn(const PlacementQuery& query, TimePoint now) const {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -1,6 +1,7 @@
 // Chooses the backend server for a request.
 #pragma once
 
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,6 +51,20 @@
 // Returns the lower-case word that logs use.
 std::string_view ToString(ChoiceReason reason);
 
+// Why a server has no room for a request.
+enum class RoomLack : std::uint8_t {
+  kNone,            // There is room.
+  kSlots,           // Its slots are taken, or left to higher tiers.
+  kMemory,          // The same of its memory.
+  kBrittleStreams,  // Streams there would pause for too long.
+  kTooSlow,         // It, or those that come next, would be late.
+};
+
+std::string_view ToString(RoomLack lack);
+
+// How many servers lacked room for what, in the order of RoomLack.
+using RoomLackCounts = std::array<int, 5>;
+
 // A chosen server with the inputs of the decision.
 struct ServerChoice {
   RegisteredServer server;
@@ -62,6 +77,8 @@
   ServerLoad load;
   int cached_tokens = 0;
   int candidates = 0;
+  // What the home of its shared parts lacked, if it has one.
+  std::optional<RoomLack> home_lack;
 };
 
 // Why no server was chosen.
@@ -104,14 +121,14 @@
              TimePoint now);
   // Its prompt was read: the first event came.
   void FirstEvent(const PlacementQuery& query, ServerChoice& choice,
-                  Duration elapsed);
+                  Duration elapsed, TimePoint now);
   // It ended. `read` tells whether FirstEvent came before.
   void End(const ServerChoice& choice);
   // Returns true when this ejected the server.
   bool Observe(const ServerChoice& choice, SendResult result, TimePoint now);
   // Nothing came for this long.
   void ObserveSilence(const PlacementQuery& query, const ServerChoice& choice,
-                      Duration silence);
+                      Duration silence, TimePoint now);
 
   // When a refused request would find room.
   [[nodiscard]] Duration RoomIn(const PlacementQuery& query,
@@ -137,6 +154,8 @@
   }
   [[nodiscard]] LoadLedger& ledger() { return this->loads; }
   [[nodiscard]] const ServerHealth& health() const { return this->fitness; }
+  // What the servers lacked when Choose last found none with room.
+  [[nodiscard]] const RoomLackCounts& last_lacks() const { return this->lacks; }
 
  private:
   // A server that may be chosen, with its cost in milliseconds.
@@ -146,8 +165,7 @@
     int cached_tokens = 0;
     bool home = false;
     bool trial = false;
-    // Taking the request leaves enough for higher tiers.
-    bool room = true;
+    RoomLack lack = RoomLack::kNone;
     SpeedInputs inputs;
     Duration predicted{};
     double cost = 0;
@@ -188,8 +206,9 @@
   [[nodiscard]] static bool WaitsForHome(
       const PlacementQuery& query, const std::vector<Candidate>& candidates,
       const Candidate& best, TimePoint now);
-  [[nodiscard]] bool HasRoom(const PlacementQuery& query,
-                             const Candidate& candidate, TimePoint now) const;
+  [[nodiscard]] RoomLack LackOf(const PlacementQuery& query,
+                                const Candidate& candidate,
+                                TimePoint now) const;
   // What the others may have sent meanwhile: as much as this instance, each.
   [[nodiscard]] ServerLoad UntoldLoad(const std::string& server,
                                       TimePoint now) const;
@@ -214,6 +233,7 @@
   int instances = 1;
   Duration interval = std::chrono::milliseconds(100);
   std::set<std::string> suspected;
+  RoomLackCounts lacks{};
 };
 
 }  // namespace rosemarycove
--- a/src/core/speed_model.cc
+++ b/src/core/speed_model.cc
@@ -1,6 +1,7 @@
 #include "core/speed_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rosemarycove {
 namespace {
@@ -16,6 +17,12 @@
 constexpr double kMemory = 0.999;
 // Weight of one answer in a server's factor.
 constexpr double kSlownessStep = 0.15;
+// One answer counts as at most this many times as slow as was known: it may
+// have waited for work that nobody had told of.
+constexpr double kMostSurprise = 4;
+// What is above or below the service's speed falls to a third in this time
+// without an answer; disturbances that slow a server last for seconds.
+constexpr Duration kSlownessLife = std::chrono::seconds(4);
 // A server's factor stays in these bounds; beyond, it is ejected instead.
 constexpr double kLeastSlowness = 0.3;
 constexpr double kMostSlowness = 20;
@@ -51,20 +58,22 @@
 }
 
 Duration SpeedModel::Predict(const std::string& server,
-                             const SpeedInputs& inputs) const {
+                             const SpeedInputs& inputs, TimePoint now) const {
   const double milliseconds =
-      this->Base(Features(inputs)) * this->Slowness(server);
+      this->Base(Features(inputs)) * this->Slowness(server, now);
   return FromSeconds(milliseconds / kThousand);
 }
 
 void SpeedModel::Observe(const std::string& server, const SpeedInputs& inputs,
-                         Duration first_event) {
+                         Duration first_event, TimePoint now) {
   const Vector features = Features(inputs);
   const double base = this->Base(features);
   const double seen = Milliseconds(first_event);
-  double& factor = this->slowness.try_emplace(server, 1).first->second;
-  factor += kSlownessStep *
-            (std::clamp(seen / base, kLeastSlowness, kMostSlowness) - factor);
+  double factor = this->Slowness(server, now);
+  const double most = std::min(kMostSlowness, kMostSurprise * factor);
+  factor +=
+      kSlownessStep * (std::clamp(seen / base, kLeastSlowness, most) - factor);
+  this->slowness[server] = {.value = factor, .at = now};
   if (seen > kOutlier * base * factor) {
     return;
   }
@@ -97,12 +106,16 @@
 }
 
 void SpeedModel::ObserveSilence(const std::string& server,
-                                const SpeedInputs& inputs, Duration silence) {
+                                const SpeedInputs& inputs, Duration silence,
+                                TimePoint now) {
   const double base = this->Base(Features(inputs));
   const double bound = Milliseconds(silence) / base;
-  double& factor = this->slowness.try_emplace(server, 1).first->second;
+  const double factor = this->Slowness(server, now);
   if (bound > factor) {
-    factor += kSlownessStep * (std::min(bound, kMostSlowness) - factor);
+    const double most = std::min(kMostSlowness, kMostSurprise * factor);
+    this->slowness[server] = {
+        .value = factor + kSlownessStep * (std::min(bound, most) - factor),
+        .at = now};
   }
 }
 
@@ -110,9 +123,14 @@
   this->slowness.erase(server);
 }
 
-double SpeedModel::Slowness(const std::string& server) const {
+double SpeedModel::Slowness(const std::string& server, TimePoint now) const {
   const auto found = this->slowness.find(server);
-  return found == this->slowness.end() ? 1 : found->second;
+  if (found == this->slowness.end()) {
+    return 1;
+  }
+  const Factor& factor = found->second;
+  const double lives = ToSeconds(now - factor.at) / ToSeconds(kSlownessLife);
+  return 1 + (factor.value - 1) * std::exp(-std::max(0.0, lives));
 }
 
 double SpeedModel::ReadMillisecondsPerThousand() const {
--- a/src/core/speed_model.h
+++ b/src/core/speed_model.h
@@ -20,7 +20,8 @@
 };
 
 // Predicts the time to the first event (or to the answer of a plain service)
-// as a linear function of its inputs, with a factor for each server.
+// as a linear function of its inputs, with a factor for each server. A factor
+// fades, so that a server that was avoided for its slowness is used again.
 //
 // The coefficients are fitted by recursive least squares that forgets slowly,
 // so they follow a service whose servers change; nothing is known beforehand.
@@ -30,30 +31,36 @@
 
   // Predicted time at a server that has not been heard of is the service's.
   [[nodiscard]] Duration Predict(const std::string& server,
-                                 const SpeedInputs& inputs) const;
+                                 const SpeedInputs& inputs,
+                                 TimePoint now) const;
   // Learns from one answer.
   void Observe(const std::string& server, const SpeedInputs& inputs,
-               Duration first_event);
+               Duration first_event, TimePoint now);
   // A lower bound only: the server has not answered for this long.
   void ObserveSilence(const std::string& server, const SpeedInputs& inputs,
-                      Duration silence);
+                      Duration silence, TimePoint now);
   void Forget(const std::string& server);
 
   // How many times as long as its service's other servers it takes.
-  [[nodiscard]] double Slowness(const std::string& server) const;
+  [[nodiscard]] double Slowness(const std::string& server, TimePoint now) const;
   // Milliseconds that reading 1,000 prompt tokens takes.
   [[nodiscard]] double ReadMillisecondsPerThousand() const;
 
  private:
   static constexpr int kTerms = 4;
   using Vector = std::array<double, kTerms>;
+  // A server's factor as it was when it last changed.
+  struct Factor {
+    double value = 1;
+    TimePoint at;
+  };
 
   static Vector Features(const SpeedInputs& inputs);
   [[nodiscard]] double Base(const Vector& features) const;
 
   Vector weights;
   std::array<Vector, kTerms> covariance{};
-  std::unordered_map<std::string, double> slowness;
+  std::unordered_map<std::string, Factor> slowness;
 };
 
 }  // namespace rosemarycove
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -177,7 +177,7 @@
   if (this->Line().HasBefore(this->UrgencyOf())) {
     why_not = NoChoice::kHeldBack;
   } else {
-    picked = this->context.placer.Choose(this->query, now, why_not);
+    picked = this->Choose(now, why_not);
   }
   if (!picked && why_not == NoChoice::kHeldBack) {
     this->WaitForRoom();
@@ -190,6 +190,13 @@
   this->Send(*picked);
 }
 
+std::optional<ServerChoice> Exchange::Choose(TimePoint now, NoChoice& why_not) {
+  std::optional<ServerChoice> picked =
+      this->context.placer.Choose(this->query, now, why_not);
+  this->lacks = picked ? RoomLackCounts{} : this->context.placer.last_lacks();
+  return picked;
+}
+
 WaitingLine& Exchange::Line() const {
   return this->context.lines[this->service_name];
 }
@@ -225,8 +232,7 @@
 bool Exchange::TryAdmit(TimePoint now) {
   this->query.remaining = this->Remaining(now);
   NoChoice why_not = NoChoice::kNoServer;
-  const std::optional<ServerChoice> picked =
-      this->context.placer.Choose(this->query, now, why_not);
+  const std::optional<ServerChoice> picked = this->Choose(now, why_not);
   if (!picked && why_not == NoChoice::kHeldBack) {
     return false;
   }
@@ -372,7 +378,7 @@
   const TimePoint now = std::chrono::steady_clock::now();
   this->first_event_seen = true;
   this->context.placer.FirstEvent(this->query, *this->choice,
-                                  now - this->sent_at);
+                                  now - this->sent_at, now);
   if (this->first_event_at == TimePoint{}) {
     this->first_event_at = now;
     this->last_event_at = now;
@@ -676,7 +682,7 @@
       ++this->ran_at;
     }
     this->context.placer.ObserveSilence(this->query, *this->choice,
-                                        now - this->sent_at);
+                                        now - this->sent_at, now);
     this->EndAttempt();
     this->GiveUp(EndCause::kMaxWait);
     return;
@@ -714,7 +720,7 @@
   if (silence <= patience) {
     return;
   }
-  this->context.placer.ObserveSilence(this->query, *this->choice, silence);
+  this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
   this->connection->Abort();
   this->connection.reset();
   this->response = {};
@@ -770,6 +776,7 @@
        .events = this->splitter.events(),
        .retry_after = this->retry_after,
        .on_target = on_target,
+       .lacks = this->lacks,
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -78,6 +78,7 @@
   bool CheckKey(const Route& route);
   void PickService();
   void Place();
+  std::optional<ServerChoice> Choose(TimePoint now, NoChoice& why_not);
   void Send(const ServerChoice& picked);
   void FailAttempt(const Failure& failure);
   [[nodiscard]] bool MayTryAgain(std::string& why_not);
@@ -115,6 +116,8 @@
   CallInfo call;
   std::string customer;
   PlacementQuery query;
+  // What the servers lacked when none had room for it.
+  RoomLackCounts lacks{};
   std::string service_name;
 
   // The attempt that is on its way.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -61,6 +61,8 @@
   int events = 0;
   Duration retry_after{};
   bool on_target = false;
+  // What the servers lacked when it last found none with room.
+  RoomLackCounts lacks{};
   std::uint64_t configuration_version = 0;
 };
 
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -311,10 +311,10 @@
     const double truth = 20 + unread / 1000 * 30 + running * 2;
     model.Observe("e" + std::to_string(i % 4),
                   {.unread_tokens = unread, .running = running},
-                  FromSeconds(truth / 1000));
+                  FromSeconds(truth / 1000), kStart);
   }
-  const double predicted =
-      ToSeconds(model.Predict("e1", {.unread_tokens = 4000, .running = 3}));
+  const double predicted = ToSeconds(
+      model.Predict("e1", {.unread_tokens = 4000, .running = 3}, kStart));
   CHECK(std::abs(predicted - 0.146) < 0.02);
 }
 
@@ -323,9 +323,25 @@
   for (int i = 0; i < 200; ++i) {
     const bool slow = i % 4 == 0;
     model.Observe(slow ? "slow" : "e" + std::to_string(i % 4), {.running = 2},
-                  milliseconds(slow ? 240 : 40));
+                  milliseconds(slow ? 240 : 40), kStart);
   }
-  CHECK(model.Slowness("slow") > 2.5 * model.Slowness("e1"));
+  CHECK(model.Slowness("slow", kStart) > 2.5 * model.Slowness("e1", kStart));
+}
+
+TEST(Routing, AServerThatWasLateOnceIsSoonUsedAgain) {
+  SpeedModel model;
+  const SpeedInputs usual{.unread_tokens = 600, .running = 2};
+  for (int i = 0; i < 200; ++i) {
+    model.Observe("e" + std::to_string(i % 4), usual, milliseconds(50), kStart);
+  }
+  const double before = ToSeconds(model.Predict("e1", usual, kStart));
+  // It read a long prompt of another instance first.
+  model.Observe("e1", usual, milliseconds(2500), kStart);
+  CHECK(ToSeconds(model.Predict("e1", usual, kStart)) < 2 * before);
+  // Nothing is sent there meanwhile, so no answer can show that it is as fast
+  // as ever.
+  const TimePoint later = kStart + seconds(8);
+  CHECK(ToSeconds(model.Predict("e1", usual, later)) < 1.2 * before);
 }
 
 TEST(Routing, LossesInARowEjectAndAnAnswerToATrialBringsBack) {
