Guess untold load only where all instances may pick the same server

Cause: after each request to a home the guess of what the others had sent there meanwhile (as much again, each) closed that home to this instance for a report interval, half a second at 65 instances. The others' homes are other prompts'.

--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -380,7 +380,10 @@
     return RoomLack::kNone;
   }
   ServerLoad load = candidate.load;
-  load += this->UntoldLoad(candidate.server->id, now);
+  // Others send there for other prompts, so they do not all pick it at once.
+  if (!candidate.home) {
+    load += this->UntoldLoad(candidate.server->id, now);
+  }
   const int tier = std::min(query.tier, kLastTier);
   const double slots =
       (kSlotBound - kLeftByTier * tier) * candidate.server->slots;
