Divide engines by the work of all instances, and keep long prompts off streams

Cause: the instance that decides the division saw only its own requests, ten a second of 700 on the grown sites, and weighed each at 0.002: 50 s to follow a burst that lasts nine. Each instance now tells its recent work and the one that decides adds it up. And a limit of two brittle streams on an engine was right for 48 slots; with 16 or 12 it let long prompts beside most short streams, whose events then come 204 ms apart for a target of 200.

Ruled out: a smaller step alone, which makes the division of a small fleet noisy.

The new test fails before.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -372,7 +372,7 @@
       .directory_revision = this->directory.as_of(),
       .directory_age = now - this->directory.read_at(),
       .shares = this->placer.ledger().OwnShare(),
-      .divisions = this->placer.Divisions(),
+      .divisions = this->placer.Divisions(now),
       .servers = {.since = directory_revision}};
   if (this->configuration_document.revision > configuration_revision) {
     report.configuration = this->configuration_document;
@@ -386,6 +386,7 @@
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   this->placer.ledger().SetPeer(peer.identity.instance, report.shares, now);
+  this->placer.SetPeerWork(peer.identity.instance, report.divisions, now);
   if (this->links.IsFirst(peer.identity.instance)) {
     this->placer.Follow(report.divisions);
   }
@@ -400,7 +401,7 @@
 
 void Gateway::OnPeerNews(const FleetPeer& peer, PeerNews news) {
   if (news != PeerNews::kUp) {
-    this->placer.ledger().RemovePeer(peer.identity.instance);
+    this->placer.RemovePeer(peer.identity.instance);
   }
   this->log.Write(
       news == PeerNews::kUp ? LogEvent::kPeerUp : LogEvent::kPeerDown,
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -29,6 +29,10 @@
   std::uint64_t service = 0;
   // Share that is set aside for routes that bear pauses.
   double share = 0;
+  // The sender's own recent work, in prompt tokens: for routes that bear pauses
+  // and for all others.
+  double long_work = 0;
+  double other_work = 0;
 };
 
 // One report. What it leaves out of a list is not there any more, except for
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -34,9 +34,13 @@
 
 // Share that is set aside before anything is known of the work.
 constexpr double kStartShare = 0.45;
-// Weight of one request in the work of a service's routes.
-constexpr double kWorkStep = 0.002;
-// Requests that an instance must have seen before it divides the engines.
+// Work counts a third after this time: bursts last for several seconds, and
+// each change of the division costs prompts their homes.
+constexpr Duration kWorkLife = std::chrono::seconds(6);
+// What another instance told of its work is used for this long.
+constexpr Duration kPeerWorkLife = std::chrono::seconds(3);
+// Requests that all instances together must have seen before the engines are
+// divided by their work.
 constexpr int kLeastSeen = 40;
 // Engines that are set aside for routes that bear pauses: at least and at most
 // this share, and only in services with so many engines.
@@ -68,9 +72,9 @@
 constexpr int kLongPromptTokens = 12000;
 // Share of a request's work that is worth a wait for its home.
 constexpr double kWaitForHome = 0.1;
-// Streams with a short gap target beside which one that would pause them is
-// still begun when its own engines are full.
-constexpr int kMostBrittleStreams = 2;
+// Streams with a short gap target, for each slot, beside which one that would
+// pause them is still begun when its own engines are full.
+constexpr double kMostBrittlePerSlot = 0.05;
 // Gap targets up to this make a stream brittle.
 constexpr Duration kBrittleGap = std::chrono::milliseconds(400);
 // Share of the target that is aimed at, for what the prediction misses.
@@ -197,14 +201,39 @@
   return found != this->sides.end() && found->second.set_aside.contains(server);
 }
 
-void Placer::ChooseSides(const std::string& service) {
+void Placer::RecentWork::FadeTo(TimePoint now) {
+  const double kept =
+      std::exp(-ToSeconds(now - this->at) / ToSeconds(kWorkLife));
+  this->long_work *= kept;
+  this->other_work *= kept;
+  this->at = now;
+}
+
+double Placer::LongShare(const std::string& service, TimePoint now) const {
+  const auto found = this->sides.find(service);
+  RecentWork all =
+      found == this->sides.end() ? RecentWork{.at = now} : found->second.work;
+  all.FadeTo(now);
+  const std::uint64_t number = ServerNumber(service);
+  for (const auto& [peer, told] : this->peer_work) {
+    for (const ServiceDivision& division : told.divisions) {
+      if (division.service == number && now - told.at <= kPeerWorkLife) {
+        all.long_work += division.long_work;
+        all.other_work += division.other_work;
+      }
+    }
+  }
+  return all.long_work <= 0 ? 0
+                            : all.long_work / (all.long_work + all.other_work);
+}
+
+void Placer::ChooseSides(const std::string& service, TimePoint now) {
   Sides& divided = this->sides[service];
-  const double all = divided.long_work + divided.other_work;
+  const double long_share = this->leads ? this->LongShare(service, now) : 0;
   const double wanted =
-      divided.long_work <= 0
-          ? 0
-          : std::clamp(divided.long_work / all, kLeastSetAside, kMostSetAside);
-  if (this->leads && divided.seen >= kLeastSeen &&
+      long_share <= 0 ? 0
+                      : std::clamp(long_share, kLeastSetAside, kMostSetAside);
+  if (this->leads && divided.seen * this->instances >= kLeastSeen &&
       std::abs(wanted - divided.share) >= kSetAsideStep) {
     divided.share = wanted;
   }
@@ -225,7 +254,7 @@
   }
 }
 
-void Placer::NoteRequest(const PlacementQuery& query) {
+void Placer::NoteRequest(const PlacementQuery& query, TimePoint now) {
   if (!query.service->IsModel()) {
     return;
   }
@@ -235,30 +264,42 @@
   }
   const double work = WorkOf(query);
   ++divided.seen;
-  divided.long_work +=
-      kWorkStep * ((query.bears_pauses ? work : 0) - divided.long_work);
-  divided.other_work +=
-      kWorkStep * ((query.bears_pauses ? 0 : work) - divided.other_work);
-  this->ChooseSides(query.service->name);
+  divided.work.FadeTo(now);
+  (query.bears_pauses ? divided.work.long_work : divided.work.other_work) +=
+      work;
+  this->ChooseSides(query.service->name, now);
 }
 
-std::vector<ServiceDivision> Placer::Divisions() const {
+std::vector<ServiceDivision> Placer::Divisions(TimePoint now) const {
   std::vector<ServiceDivision> divisions;
   for (const auto& [service, divided] : this->sides) {
-    if (divided.share > 0) {
-      divisions.push_back(
-          {.service = ServerNumber(service), .share = divided.share});
-    }
+    RecentWork work = divided.work;
+    work.FadeTo(now);
+    divisions.push_back({.service = ServerNumber(service),
+                         .share = divided.share,
+                         .long_work = work.long_work,
+                         .other_work = work.other_work});
   }
   return divisions;
 }
 
+void Placer::SetPeerWork(const std::string& peer,
+                         const std::vector<ServiceDivision>& divisions,
+                         TimePoint now) {
+  this->peer_work[peer] = {.divisions = divisions, .at = now};
+}
+
+void Placer::RemovePeer(const std::string& peer) {
+  this->loads.RemovePeer(peer);
+  this->peer_work.erase(peer);
+}
+
 void Placer::Follow(const std::vector<ServiceDivision>& divisions) {
   this->leads = false;
   for (auto& [service, divided] : this->sides) {
     const std::uint64_t number = ServerNumber(service);
     for (const ServiceDivision& division : divisions) {
-      if (division.service == number) {
+      if (division.service == number && division.share > 0) {
         divided.share = division.share;
       }
     }
@@ -402,7 +443,7 @@
   }
   const bool set_aside = this->IsSetAside(query, candidate.server->id);
   if (query.bears_pauses && !set_aside &&
-      load.brittle_streams > kMostBrittleStreams) {
+      load.brittle_streams > kMostBrittlePerSlot * candidate.server->slots) {
     return RoomLack::kBrittleStreams;
   }
   if (set_aside || !query.shortest_target) {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -104,10 +104,17 @@
   Placer(PlacerOptions options, const BackendDirectory& directory);
 
   // A request arrived; learns how the work is divided.
-  void NoteRequest(const PlacementQuery& query);
-  // How this instance divides the engines, for the others. All have to divide
-  // them alike, or a prompt has another home at each; so one instance decides.
-  [[nodiscard]] std::vector<ServiceDivision> Divisions() const;
+  void NoteRequest(const PlacementQuery& query, TimePoint now);
+  // How this instance divides the engines, and its own work, for the others.
+  // All have to divide them alike, or a prompt has another home at each; so one
+  // instance decides, by the work of all.
+  [[nodiscard]] std::vector<ServiceDivision> Divisions(TimePoint now) const;
+  // Another instance's work.
+  void SetPeerWork(const std::string& peer,
+                   const std::vector<ServiceDivision>& divisions,
+                   TimePoint now);
+  // Another instance ended or fell silent; its requests and work count no more.
+  void RemovePeer(const std::string& peer);
   // Divides as another instance does.
   void Follow(const std::vector<ServiceDivision>& divisions);
   // Decides for itself and for the others.
@@ -170,17 +177,27 @@
     Duration predicted{};
     double cost = 0;
   };
+  // Work in tokens, counted less the longer ago it came.
+  struct RecentWork {
+    double long_work = 0;
+    double other_work = 0;
+    TimePoint at;
+
+    void FadeTo(TimePoint now);
+  };
   // How a service's engines are divided between routes that bear pauses and all
   // others: reading a long prompt pauses the streams beside it.
   struct Sides {
-    // Work of recent requests, weighted towards the latest.
-    double long_work = 0;
-    double other_work = 0;
+    RecentWork work;
     // Share of the engines that is set aside for routes that bear pauses.
     double share = 0;
     int seen = 0;
     std::set<std::string> set_aside;
   };
+  struct PeerWork {
+    std::vector<ServiceDivision> divisions;
+    TimePoint at;
+  };
   // What this instance sent to a server since the others last told theirs.
   struct RecentlySent {
     ServerLoad load;
@@ -201,7 +218,10 @@
              TimePoint now) const;
   [[nodiscard]] bool IsSetAside(const PlacementQuery& query,
                                 const std::string& server) const;
-  void ChooseSides(const std::string& service);
+  void ChooseSides(const std::string& service, TimePoint now);
+  // The share of a service's work that its long routes have at all instances.
+  [[nodiscard]] double LongShare(const std::string& service,
+                                 TimePoint now) const;
   // Whether it should wait for a home that has no room now.
   [[nodiscard]] static bool WaitsForHome(
       const PlacementQuery& query, const std::vector<Candidate>& candidates,
@@ -228,6 +248,7 @@
   std::map<std::string, SpeedModel> speeds;
   std::map<std::string, ReportedLoad> reported;
   std::map<std::string, Sides> sides;
+  std::map<std::string, PeerWork> peer_work;
   bool leads = true;
   std::map<std::string, RecentlySent> recent;
   int instances = 1;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -157,7 +157,7 @@
       this->configuration->ShortestTarget(this->service_name);
   this->context.budget.NoteRequest(this->service_name, this->arrival);
   if (this->query.service != nullptr) {
-    this->context.placer.NoteRequest(this->query);
+    this->context.placer.NoteRequest(this->query, this->arrival);
   }
 }
 
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -75,8 +75,10 @@
   }
   if (frame.divisions() != nullptr) {
     for (const wire::ServiceDivision* division : *frame.divisions()) {
-      report.divisions.push_back(
-          {.service = division->service(), .share = division->share()});
+      report.divisions.push_back({.service = division->service(),
+                                  .share = division->share(),
+                                  .long_work = division->long_work(),
+                                  .other_work = division->other_work()});
     }
   }
   if (frame.neighbours() != nullptr) {
@@ -132,7 +134,9 @@
   const auto share_vector = builder.CreateVectorOfStructs(shares);
   std::vector<wire::ServiceDivision> divisions;
   for (const ServiceDivision& division : report.divisions) {
-    divisions.emplace_back(division.service, division.share);
+    divisions.emplace_back(division.service, static_cast<float>(division.share),
+                           static_cast<float>(division.long_work),
+                           static_cast<float>(division.other_work));
   }
   const auto division_vector = builder.CreateVectorOfStructs(divisions);
   Offset<flatbuffers::Vector<Offset<wire::Document>>> server_vector;
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -79,25 +79,42 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceDivision FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t service_;
-  double share_;
+  float share_;
+  float long_work_;
+  float other_work_;
+  int32_t padding0__;
 
  public:
   ServiceDivision()
       : service_(0),
-        share_(0) {
+        share_(0),
+        long_work_(0),
+        other_work_(0),
+        padding0__(0) {
+    (void)padding0__;
   }
-  ServiceDivision(uint64_t _service, double _share)
+  ServiceDivision(uint64_t _service, float _share, float _long_work, float _other_work)
       : service_(flatbuffers::EndianScalar(_service)),
-        share_(flatbuffers::EndianScalar(_share)) {
+        share_(flatbuffers::EndianScalar(_share)),
+        long_work_(flatbuffers::EndianScalar(_long_work)),
+        other_work_(flatbuffers::EndianScalar(_other_work)),
+        padding0__(0) {
+    (void)padding0__;
   }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
   }
-  double share() const {
+  float share() const {
     return flatbuffers::EndianScalar(share_);
   }
+  float long_work() const {
+    return flatbuffers::EndianScalar(long_work_);
+  }
+  float other_work() const {
+    return flatbuffers::EndianScalar(other_work_);
+  }
 };
-FLATBUFFERS_STRUCT_END(ServiceDivision, 16);
+FLATBUFFERS_STRUCT_END(ServiceDivision, 24);
 
 struct Identity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef IdentityBuilder Builder;
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -471,10 +471,10 @@
   std::map<std::string, int> light_at;
   constexpr std::uint64_t kSettled = 200;
   for (std::uint64_t i = 1; i <= 2 * kSettled; ++i) {
-    engines.placer.NoteRequest(heavy);
+    engines.placer.NoteRequest(heavy, kStart);
     const std::string heavy_server = engines.Choose(heavy)->server.id;
     const PlacementQuery light = QueryOf(kStream);
-    engines.placer.NoteRequest(light);
+    engines.placer.NoteRequest(light, kStart);
     const std::string light_server = engines.Choose(light)->server.id;
     // The division follows the work at first.
     if (i > kSettled) {
@@ -487,6 +487,35 @@
   }
 }
 
+TEST(Routing, TheDivisionFollowsTheWorkOfAllInstances) {
+  // The instance that decides sees one long request for four short ones; the
+  // others together have far more long work.
+  Engines engines(10);
+  engines.placer.SetFleet(9, milliseconds(100));
+  PlacementQuery heavy = QueryOf(kLong);
+  heavy.bears_pauses = true;
+  for (int i = 0; i < 10; ++i) {
+    engines.placer.NoteRequest(heavy, kStart);
+    for (int j = 0; j < 4; ++j) {
+      engines.placer.NoteRequest(QueryOf(kStream), kStart);
+    }
+  }
+  const double alone = engines.placer.Divisions(kStart).at(0).share;
+  ServiceDivision told = engines.placer.Divisions(kStart).at(0);
+  told.long_work *= 20;
+  engines.placer.SetPeerWork("p", {told}, kStart);
+  engines.placer.NoteRequest(heavy, kStart);
+  const double together = engines.placer.Divisions(kStart).at(0).share;
+  CHECK(alone < 0.5);
+  CHECK(together > 0.6);
+  // A burst is over for the division a few seconds after it is over.
+  const TimePoint later = kStart + seconds(30);
+  for (int i = 0; i < 40; ++i) {
+    engines.placer.NoteRequest(QueryOf(kStream), later);
+  }
+  CHECK(engines.placer.Divisions(later).at(0).share < 0.2);
+}
+
 TEST(Routing, ASuspectedDataCentreIsAvoidedWhileThereAreOthers) {
   const ColonDecoder decoder;
   Engines engines(2);
