Learn speeds apart for engines set aside, and give parts a second and third home

Cause: one model for both kinds of engines took the slowness of those that read long prompts for the cost of a running request: with eight short streams an engine was predicted beyond 250 ms, and seen at 80. Duvida's burst was refused while its own engines ran four of sixteen. And what a home had no room for went to any engine, so that each of those read the shared part again.

--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -16,6 +16,9 @@
 constexpr double kMostLate = 4;
 // Shared tokens read again, relative to the request's own work.
 constexpr double kReadAgain = 2.5;
+// The share of that cost at the homes of a part, in their order: the first one
+// reads it in any case, and the next ones as soon as it overflows.
+constexpr std::array<double, 3> kReadAgainAtHome = {0, 0.5, 0.75};
 // A server in another data centre: bytes and a little time.
 constexpr double kFarServer = 0.01;
 // Each stream with a short gap target that a long prompt would pause.
@@ -160,9 +163,10 @@
 Placer::Placer(PlacerOptions options, const BackendDirectory& directory)
     : options(std::move(options)), directory(directory) {}
 
-const SpeedModel& Placer::SpeedOf(const std::string& service) const {
+const SpeedModel& Placer::SpeedOf(const std::string& service,
+                                  bool set_aside) const {
   static const SpeedModel kUnknown;
-  const auto found = this->speeds.find(service);
+  const auto found = this->speeds.find({service, set_aside});
   return found == this->speeds.end() ? kUnknown : found->second;
 }
 
@@ -306,27 +310,27 @@
   }
 }
 
-const RegisteredServer* Placer::HomeOf(const PlacementQuery& query) const {
+std::vector<const RegisteredServer*> Placer::HomesOf(
+    const PlacementQuery& query) const {
   if (query.parts.size() < 2) {
-    return nullptr;
+    return {};
   }
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
-  const RegisteredServer* home = nullptr;
-  std::uint64_t best = 0;
+  std::vector<std::pair<std::uint64_t, const RegisteredServer*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (!TakesRequestsOf(server, query.service->name)) {
-      continue;
-    }
-    if (this->IsSetAside(query, id) != query.bears_pauses) {
-      continue;
-    }
-    const std::uint64_t rank = HomeRank(part, id);
-    if (home == nullptr || rank > best) {
-      home = &server;
-      best = rank;
+    if (TakesRequestsOf(server, query.service->name) &&
+        this->IsSetAside(query, id) == query.bears_pauses) {
+      ranked.emplace_back(HomeRank(part, id), &server);
     }
   }
-  return home;
+  const std::size_t count = std::min(kReadAgainAtHome.size(), ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<long>(count),
+                    ranked.end(), std::greater<>());
+  std::vector<const RegisteredServer*> homes;
+  for (std::size_t i = 0; i < count; ++i) {
+    homes.push_back(ranked[i].second);
+  }
+  return homes;
 }
 
 std::vector<Placer::Candidate> Placer::Candidates(const PlacementQuery& query,
@@ -334,7 +338,7 @@
                                                   NoChoice& why_not) const {
   why_not = NoChoice::kNoServer;
   std::vector<Candidate> candidates;
-  const RegisteredServer* home = this->HomeOf(query);
+  const std::vector<const RegisteredServer*> homes = this->HomesOf(query);
   for (const auto& [id, server] : this->directory.servers()) {
     if (!TakesRequestsOf(server, query.service->name)) {
       continue;
@@ -351,8 +355,11 @@
     }
     Candidate candidate{.server = &server,
                         .load = this->LoadOf(id, now),
-                        .home = &server == home,
                         .trial = fit == ServerFitness::kTrial};
+    const auto home = std::find(homes.begin(), homes.end(), &server);
+    if (home != homes.end()) {
+      candidate.home_rank = static_cast<int>(home - homes.begin());
+    }
     const double waiting = candidate.load.running - server.slots;
     if (waiting >= kMostQueuedPerSlot * server.slots) {
       why_not = NoChoice::kFull;
@@ -366,7 +373,8 @@
 void Placer::Weigh(const PlacementQuery& query, Candidate& candidate,
                    TimePoint now) const {
   const RegisteredServer& server = *candidate.server;
-  const SpeedModel& speed = this->SpeedOf(query.service->name);
+  const SpeedModel& speed =
+      this->SpeedOf(query.service->name, this->IsSetAside(query, server.id));
   const int shared = SharedTokens(query);
   candidate.cached_tokens =
       std::min(shared, this->caches.CachedTokens(server.id, query.parts, now));
@@ -383,8 +391,10 @@
   candidate.predicted = FromSeconds(first / kThousand);
   const double aim = kAimedShare * Milliseconds(query.route->target);
   double cost = std::min(kMostLate, std::pow(first / aim, kLatePower));
-  if (!candidate.home && shared > 0) {
-    cost += kReadAgain * (shared - candidate.cached_tokens) /
+  if (shared > 0) {
+    const double share =
+        candidate.home_rank ? kReadAgainAtHome[*candidate.home_rank] : 1;
+    cost += share * kReadAgain * (shared - candidate.cached_tokens) /
             std::max(1.0, WorkOf(query));
   }
   if (query.service->IsModel() &&
@@ -422,7 +432,7 @@
   }
   ServerLoad load = candidate.load;
   // Others send there for other prompts, so they do not all pick it at once.
-  if (!candidate.home) {
+  if (!candidate.home_rank) {
     load += this->UntoldLoad(candidate.server->id, now);
   }
   const int tier = std::min(query.tier, kLastTier);
@@ -451,7 +461,7 @@
                                                       : RoomLack::kTooSlow;
   }
   // Those that run here or come next must be on time with it.
-  const SpeedModel& speed = this->SpeedOf(query.service->name);
+  const SpeedModel& speed = this->SpeedOf(query.service->name, set_aside);
   const Duration usual =
       speed.Predict(candidate.server->id,
                     {.unread_tokens = kUsualPromptTokens,
@@ -464,13 +474,13 @@
                           const std::vector<Candidate>& candidates,
                           const Candidate& best, TimePoint now) {
   const int shared = SharedTokens(query);
-  if (now >= query.home_until || best.home ||
+  if (now >= query.home_until || best.IsFirstHome() ||
       shared - best.cached_tokens < kWaitForHome * WorkOf(query)) {
     return false;
   }
   return std::any_of(
       candidates.begin(), candidates.end(), [](const Candidate& candidate) {
-        return candidate.home && candidate.lack != RoomLack::kNone;
+        return candidate.IsFirstHome() && candidate.lack != RoomLack::kNone;
       });
 }
 
@@ -487,7 +497,7 @@
   for (Candidate& candidate : candidates) {
     this->Weigh(query, candidate, now);
     ++this->lacks[static_cast<std::size_t>(candidate.lack)];
-    if (candidate.home) {
+    if (candidate.IsFirstHome()) {
       home_lack = candidate.lack;
     }
     if (candidate.lack != RoomLack::kNone) {
@@ -513,11 +523,12 @@
   if (best->trial) {
     reason = ChoiceReason::kTrial;
     this->fitness.NoteTrial(best->server->id, now);
-  } else if (best->home) {
+  } else if (best->IsFirstHome()) {
     reason = ChoiceReason::kHomeOfPrompt;
   }
   return ServerChoice{.server = *best->server,
                       .reason = reason,
+                      .set_aside = this->IsSetAside(query, best->server->id),
                       .predicted_first = best->predicted,
                       .footprint = FootprintOf(
                           query, static_cast<int>(best->inputs.unread_tokens)),
@@ -550,6 +561,7 @@
   return ServerChoice{
       .server = *best,
       .reason = ChoiceReason::kOnlyEjected,
+      .set_aside = this->IsSetAside(query, best->id),
       .predicted_first = candidate.predicted,
       .footprint =
           FootprintOf(query, static_cast<int>(candidate.inputs.unread_tokens)),
@@ -587,8 +599,8 @@
   this->loads.Subtract(choice.server.id, read);
   choice.footprint.unread_tokens = 0;
   choice.footprint.long_unread_tokens = 0;
-  this->speeds[query.service->name].Observe(choice.server.id, choice.inputs,
-                                            elapsed, now);
+  this->speeds[{query.service->name, choice.set_aside}].Observe(
+      choice.server.id, choice.inputs, elapsed, now);
 }
 
 void Placer::End(const ServerChoice& choice) {
@@ -603,8 +615,8 @@
 void Placer::ObserveSilence(const PlacementQuery& query,
                             const ServerChoice& choice, Duration silence,
                             TimePoint now) {
-  this->speeds[query.service->name].ObserveSilence(choice.server.id,
-                                                   choice.inputs, silence, now);
+  this->speeds[{query.service->name, choice.set_aside}].ObserveSilence(
+      choice.server.id, choice.inputs, silence, now);
 }
 
 Duration Placer::RoomIn(const PlacementQuery& query, TimePoint now) const {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -69,6 +69,8 @@
 struct ServerChoice {
   RegisteredServer server;
   ChoiceReason reason = ChoiceReason::kCheapest;
+  // The server is set aside for routes that bear pauses.
+  bool set_aside = false;
   Duration predicted_first{};
   // What the request adds to the server's load.
   ServerLoad footprint;
@@ -170,9 +172,12 @@
     const RegisteredServer* server = nullptr;
     ServerLoad load;
     int cached_tokens = 0;
-    bool home = false;
+    // Place among the homes of the request's shared parts, from 0.
+    std::optional<int> home_rank;
     bool trial = false;
     RoomLack lack = RoomLack::kNone;
+
+    [[nodiscard]] bool IsFirstHome() const { return this->home_rank == 0; }
     SpeedInputs inputs;
     Duration predicted{};
     double cost = 0;
@@ -212,7 +217,9 @@
   [[nodiscard]] std::vector<Candidate> Candidates(const PlacementQuery& query,
                                                   TimePoint now,
                                                   NoChoice& why_not) const;
-  [[nodiscard]] const RegisteredServer* HomeOf(
+  // Where the shared parts belong, the first one before those that take what it
+  // has no room for.
+  [[nodiscard]] std::vector<const RegisteredServer*> HomesOf(
       const PlacementQuery& query) const;
   void Weigh(const PlacementQuery& query, Candidate& candidate,
              TimePoint now) const;
@@ -234,7 +241,8 @@
                                       TimePoint now) const;
   [[nodiscard]] ServerLoad LoadOf(const std::string& server,
                                   TimePoint now) const;
-  [[nodiscard]] const SpeedModel& SpeedOf(const std::string& service) const;
+  [[nodiscard]] const SpeedModel& SpeedOf(const std::string& service,
+                                          bool set_aside) const;
   [[nodiscard]] std::optional<ServerChoice> ChooseEjected(
       const PlacementQuery& query, TimePoint now) const;
   [[nodiscard]] static ServerLoad FootprintOf(const PlacementQuery& query,
@@ -245,7 +253,9 @@
   LoadLedger loads;
   PromptCacheMap caches;
   ServerHealth fitness;
-  std::map<std::string, SpeedModel> speeds;
+  // By service and whether the server is set aside: a running request slows
+  // others far more where prompts are long.
+  std::map<std::pair<std::string, bool>, SpeedModel> speeds;
   std::map<std::string, ReportedLoad> reported;
   std::map<std::string, Sides> sides;
   std::map<std::string, PeerWork> peer_work;
