Pass servers on from one instance, and let instances prefer different servers

Cause: every instance passed changed servers on to every other one that had not yet told the new revision, 64 times the same document; and all instances that see the same loads picked the same cheapest server within a report interval. The instance that read the store now passes it on at once, others only to who lags; among servers that are nearly alike each instance has its own order.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -19,6 +19,12 @@
 // report takes, so that one reader is enough while it lives.
 constexpr Duration kNextReader = std::chrono::milliseconds(150);
 constexpr int kMostReaderRanks = 3;
+// An instance that read the directory this long ago still passes it on: two
+// readings may fail before the next reader takes over.
+constexpr Duration kReaderTerm = std::chrono::milliseconds(1200);
+// A copy that is older than this did not come from the reader, whose copies are
+// at most half as old; everyone who knows more passes it on.
+constexpr Duration kLaggingDirectory = std::chrono::milliseconds(1200);
 // The configuration changes seldom, and other instances pass it on.
 constexpr Duration kConfigurationWait = std::chrono::seconds(25);
 // Callers are sent here for this long after the instance stopped being ready.
@@ -68,6 +74,7 @@
             ? directory.Replace(reading.documents, reading.as_of, read_at, now)
             : directory.Apply(reading.documents, reading.as_of, read_at, now),
         "store");
+    this->gateway.NoteDirectoryRead(now);
   }
   void OnStoreLost(const std::string& why) override {
     this->gateway.LogStoreLost("directory", why,
@@ -90,7 +97,9 @@
       log(log),
       observer(log, this->metrics),
       directory(this->platform.servers),
-      placer({.data_centre = this->options.data_centre}, this->directory),
+      placer({.data_centre = this->options.data_centre,
+              .instance = this->options.instance},
+             this->directory),
       budget(this->options.retries),
       pool(io),
       context{.io = io,
@@ -363,8 +372,13 @@
   this->last_drop_note = now;
 }
 
-FleetReport Gateway::MakeReport(std::uint64_t configuration_revision,
-                                std::uint64_t directory_revision) {
+bool Gateway::PassesOnServers(const FleetPeer& peer, TimePoint now) const {
+  return this->directory.as_of() > peer.directory_revision &&
+         (now - this->directory_read_here <= kReaderTerm ||
+          now - peer.directory_read_at > kLaggingDirectory);
+}
+
+FleetReport Gateway::MakeReport(const FleetPeer& peer) {
   const TimePoint now = std::chrono::steady_clock::now();
   FleetReport report{
       .leaving = this->context.leaving,
@@ -373,16 +387,22 @@
       .directory_age = now - this->directory.read_at(),
       .shares = this->placer.ledger().OwnShare(),
       .divisions = this->placer.Divisions(now),
-      .servers = {.since = directory_revision}};
-  if (this->configuration_document.revision > configuration_revision) {
+      // Without servers it tells something only to who knows as much.
+      .servers = {.since = this->directory.as_of()}};
+  if (this->configuration_document.revision > peer.configuration_revision) {
     report.configuration = this->configuration_document;
   }
-  if (this->directory.as_of() > directory_revision) {
-    report.servers = this->directory.UpdateSince(directory_revision);
+  if (this->PassesOnServers(peer, now)) {
+    report.servers = this->directory.UpdateSince(peer.directory_revision);
   }
   return report;
 }
 
+void Gateway::NoteDirectoryRead(TimePoint now) {
+  this->directory_read_here = now;
+  this->links.ReportSoon();
+}
+
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   this->placer.ledger().SetPeer(peer.identity.instance, report.shares, now);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -81,8 +81,12 @@
   class ConfigurationListener;
   class DirectoryListener;
 
-  FleetReport MakeReport(std::uint64_t configuration_revision,
-                         std::uint64_t directory_revision) override;
+  FleetReport MakeReport(const FleetPeer& peer) override;
+  // Whether a report for this peer holds the servers that it lacks: one passes
+  // them on, not all, unless the peer has not heard of them for long.
+  [[nodiscard]] bool PassesOnServers(const FleetPeer& peer,
+                                     TimePoint now) const;
+  void NoteDirectoryRead(TimePoint now);
   void OnReport(const FleetPeer& peer, const FleetReport& report) override;
   void OnPeerNews(const FleetPeer& peer, PeerNews news) override;
 
@@ -125,6 +129,8 @@
   // As it stands in the store, for other instances.
   SharedDocument configuration_document;
   std::uint64_t refused_revision = 0;
+  // When this instance itself last read the directory.
+  TimePoint directory_read_here;
   std::optional<TimePoint> leaving_since;
   std::optional<TimePoint> closing_since;
   bool cut_off = false;
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -28,6 +28,9 @@
 constexpr double kLongAheadPerThousand = 0.02;
 // A server set aside for the other kind of routes.
 constexpr double kWrongSide = 0.35;
+// The server that an instance likes least: instances that see the same loads do
+// not all pick the same server among those that are nearly alike.
+constexpr double kLeastLiked = 0.06;
 // A data centre that seems cut off.
 constexpr double kSuspectedDataCentre = 10;
 // An engine whose memory would be full.
@@ -161,7 +164,9 @@
 }
 
 Placer::Placer(PlacerOptions options, const BackendDirectory& directory)
-    : options(std::move(options)), directory(directory) {}
+    : options(std::move(options)),
+      directory(directory),
+      instance_seed(ServerNumber(this->options.instance)) {}
 
 const SpeedModel& Placer::SpeedOf(const std::string& service,
                                   bool set_aside) const {
@@ -199,6 +204,11 @@
   return load;
 }
 
+double Placer::Dislike(const std::string& server) const {
+  constexpr double kRanks = 18446744073709551616.0;  // All values of a rank.
+  return static_cast<double>(HomeRank(this->instance_seed, server)) / kRanks;
+}
+
 bool Placer::IsSetAside(const PlacementQuery& query,
                         const std::string& server) const {
   const auto found = this->sides.find(query.service->name);
@@ -404,6 +414,9 @@
   if (server.data_centre != this->options.data_centre) {
     cost += kFarServer;
   }
+  if (!candidate.home_rank) {
+    cost += kLeastLiked * this->Dislike(server.id);
+  }
   if (this->suspected.contains(server.data_centre)) {
     cost += kSuspectedDataCentre;
   }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -96,6 +96,8 @@
 // How a placer is set up.
 struct PlacerOptions {
   std::string data_centre;
+  // Name of this instance.
+  std::string instance;
 };
 
 // Sends a request where the sum of its own delay, the delay that it causes to
@@ -223,6 +225,8 @@
       const PlacementQuery& query) const;
   void Weigh(const PlacementQuery& query, Candidate& candidate,
              TimePoint now) const;
+  // Between 0 and 1; differs from instance to instance.
+  [[nodiscard]] double Dislike(const std::string& server) const;
   [[nodiscard]] bool IsSetAside(const PlacementQuery& query,
                                 const std::string& server) const;
   void ChooseSides(const std::string& service, TimePoint now);
@@ -250,6 +254,8 @@
 
   PlacerOptions options;
   const BackendDirectory& directory;
+  // Orders the servers by how much this instance likes them.
+  std::uint64_t instance_seed;
   LoadLedger loads;
   PromptCacheMap caches;
   ServerHealth fitness;
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -326,15 +326,13 @@
 }
 
 FleetReport FleetLinks::ReportFor(const std::string& address) {
-  std::uint64_t configuration = 0;
-  std::uint64_t directory = 0;
+  FleetPeer receiver{.identity = {.address = address}};
   for (const auto& [name, peer] : this->by_name) {
     if (peer.identity.address == address) {
-      configuration = peer.configuration_revision;
-      directory = peer.directory_revision;
+      receiver = peer;
     }
   }
-  FleetReport report = this->host.MakeReport(configuration, directory);
+  FleetReport report = this->host.MakeReport(receiver);
   if (this->senders.at(address)->first()) {
     report.identity = this->options.self;
   }
@@ -381,6 +379,7 @@
   peer.leaving = report.leaving;
   peer.configuration_revision = report.configuration_revision;
   peer.directory_revision = report.directory_revision;
+  peer.directory_read_at = peer.last_report - report.directory_age;
   const bool known = this->senders.contains(sender.address);
   this->AddAddress(sender.address);
   for (const std::string& address : report.neighbours) {
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -31,6 +31,8 @@
   bool leaving = false;
   std::uint64_t configuration_revision = 0;
   std::uint64_t directory_revision = 0;
+  // When its directory was read from the store.
+  TimePoint directory_read_at;
 };
 
 // What became of a peer, as its links tell.
@@ -47,9 +49,8 @@
 class FleetHost {
  public:
   virtual ~FleetHost() = default;
-  // A report for a peer that has told these revisions.
-  virtual FleetReport MakeReport(std::uint64_t configuration_revision,
-                                 std::uint64_t directory_revision) = 0;
+  // A report for this peer, of which only the address may be known.
+  virtual FleetReport MakeReport(const FleetPeer& peer) = 0;
   virtual void OnReport(const FleetPeer& peer, const FleetReport& report) = 0;
   virtual void OnPeerNews(const FleetPeer& peer, PeerNews news) = 0;
 };
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -16,7 +16,7 @@
 // Keeps what it is told.
 class RecordingHost : public FleetHost {
  public:
-  FleetReport MakeReport(std::uint64_t, std::uint64_t) override {
+  FleetReport MakeReport(const FleetPeer&) override {
     return {.configuration_revision = 7};
   }
   void OnReport(const FleetPeer& peer, const FleetReport&) override {
