Begin a wait for the configuration anew when its answer is lost

Cause: an instance waited up to 25 s for a change of the configuration. The instance that reads the directory and so reaches the store now waits 1 s at a time and drops a wait that stood 0.4 s longer; the others hear from it.

Ruled out: the links between instances (all had the version within 0.2 s of the first).

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -28,6 +28,11 @@
 constexpr Duration kLaggingDirectory = std::chrono::milliseconds(1200);
 // The configuration changes seldom, and other instances pass it on.
 constexpr Duration kConfigurationWait = std::chrono::seconds(25);
+// The instance that reads the directory, and so reaches the store, waits this
+// long: a third of the shortest time in which a configuration has to be in
+// force, with what it takes to notice that an answer was lost.
+constexpr Duration kReadersConfigurationWait = std::chrono::milliseconds(1000);
+constexpr Duration kLostAnswer = std::chrono::milliseconds(400);
 // Callers are sent here for this long after the instance stopped being ready.
 constexpr Duration kStillSent = std::chrono::milliseconds(2600);
 // Left of the grace, to end in order.
@@ -230,6 +235,9 @@
 }
 
 void Gateway::Tick(TimePoint now) {
+  const bool reads_store = now - this->directory_read_here <= kReaderTerm;
+  this->configuration_feed.SetWait(reads_store ? kReadersConfigurationWait
+                                               : kConfigurationWait);
   this->configuration_feed.Tick(now, {}, {});
   this->directory_feed.SkipTo(this->directory.as_of());
   this->directory_feed.Tick(
@@ -403,6 +411,8 @@
 
 void Gateway::NoteDirectoryRead(TimePoint now) {
   this->directory_read_here = now;
+  this->configuration_feed.SetWait(kReadersConfigurationWait);
+  this->configuration_feed.Renew(kLostAnswer, now);
   this->links.ReportSoon();
 }
 
--- a/src/proxy/http_call.cc
+++ b/src/proxy/http_call.cc
@@ -24,6 +24,14 @@
   this->connection->Send(std::move(request), false, *this);
 }
 
+void HttpCaller::Cancel() {
+  if (this->busy()) {
+    this->connection->Abort();
+    this->connection.reset();
+    this->done = nullptr;
+  }
+}
+
 HeadVerdict HttpCaller::OnHead(const ResponseHead& head) {
   this->status = head.status;
   return HeadVerdict::kTake;
--- a/src/proxy/http_call.h
+++ b/src/proxy/http_call.h
@@ -41,6 +41,8 @@
 
   // Sends a whole request; `done` is called once, never from within Call.
   void Call(std::string request, Duration longest, Done done);
+  // Drops the call that is under way, if any; `done` is not called.
+  void Cancel();
   // Ends a call whose time is over.
   void Tick(TimePoint now);
   [[nodiscard]] bool busy() const { return this->done != nullptr; }
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -32,7 +32,15 @@
   }
 }
 
+void DocumentFeed::Renew(Duration margin, TimePoint now) {
+  if (this->store.busy() && now - this->began > this->options.wait + margin) {
+    this->store.Cancel();
+    this->next_try = now;
+  }
+}
+
 void DocumentFeed::Begin(TimePoint now) {
+  this->began = now;
   ++this->call_count;
   if (this->needs_all || this->options.always_all) {
     this->store.ReadAll(
@@ -45,7 +53,7 @@
 }
 
 void DocumentFeed::Take(const tl::expected<Reading, ReadingError>& result,
-                        bool whole, TimePoint began) {
+                        bool whole, TimePoint read_at) {
   const TimePoint now = std::chrono::steady_clock::now();
   if (!result) {
     if (result.error().kind == ReadingErrorKind::kHistoryGone) {
@@ -72,7 +80,7 @@
     this->listener.OnStoreRegained(now - this->lost_at);
   }
   this->known_to = std::max(this->known_to, result->as_of);
-  this->listener.OnReading(*result, whole, began);
+  this->listener.OnReading(*result, whole, read_at);
 }
 
 void DocumentFeed::Fail(const std::string& why, TimePoint now) {
--- a/src/store/document_feed.h
+++ b/src/store/document_feed.h
@@ -44,6 +44,11 @@
   // Begins a reading when one is due. `age` is that of the copy, which may
   // have been refreshed by others; `delay` is added to the pause.
   void Tick(TimePoint now, Duration age, Duration delay);
+  // How long later readings wait for a change.
+  void SetWait(Duration wait) { this->options.wait = wait; }
+  // The store answers now: a reading that has waited for longer than its own
+  // wait and `margin` is begun anew, since its answer is lost.
+  void Renew(Duration margin, TimePoint now);
   // The copy is complete up to this revision by other means.
   void SkipTo(std::uint64_t revision);
   [[nodiscard]] bool available() const { return this->reachable; }
@@ -52,7 +57,7 @@
  private:
   void Begin(TimePoint now);
   void Take(const tl::expected<Reading, ReadingError>& result, bool whole,
-            TimePoint began);
+            TimePoint read_at);
   void Fail(const std::string& why, TimePoint now);
   // Puts the next call off; longer each time.
   void BackOff(TimePoint now);
@@ -65,6 +70,7 @@
   bool needs_all = true;
   bool reachable = true;
   TimePoint lost_at;
+  TimePoint began;
   TimePoint next_try;
   Duration backoff{};
   // Times in a row that the history asked for was gone.
--- a/src/store/document_store.h
+++ b/src/store/document_store.h
@@ -30,7 +30,7 @@
 };
 
 // Reads the documents of one part of the store, without blocking. One call at
-// a time; `done` is called once, from the event loop.
+// a time; `done` is called once, from the event loop, unless it is cancelled.
 class DocumentStore {
  public:
   using Done = std::function<void(tl::expected<Reading, ReadingError>)>;
@@ -42,6 +42,8 @@
   virtual void ReadChanges(std::uint64_t revision, Duration wait,
                            Done done) = 0;
   [[nodiscard]] virtual bool busy() const = 0;
+  // Drops the call that is under way.
+  virtual void Cancel() = 0;
   // Ends calls whose time is over.
   virtual void Tick(TimePoint now) = 0;
 };
