Let few instances pass on what another lacks

Most read the store themselves. Now two instances, by hash of the receiver, begin after 250 ms, and twice as many every 600 ms; the same holds for servers, beside those who read the store. The new test fails without it.

Ruled out: crashes (no process ended), engines (attempts failed for want of connections).

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -382,10 +382,36 @@
   this->last_drop_note = now;
 }
 
-bool Gateway::PassesOnServers(const FleetPeer& peer, TimePoint now) const {
-  return this->directory.as_of() > peer.directory_revision &&
-         (now - this->directory_read_here <= kReaderTerm ||
-          now - peer.directory_read_at > kLaggingDirectory);
+bool Gateway::PassesOnServers(const FleetPeer& peer, TimePoint now) {
+  const std::uint64_t revision = this->directory.as_of();
+  if (revision <= peer.directory_revision) {
+    this->server_turns.NoteUpToDate(peer.identity.address);
+    return false;
+  }
+  if (now - this->directory_read_here <= kReaderTerm) {
+    return true;
+  }
+  if (now - peer.directory_read_at <= kLaggingDirectory) {
+    return false;
+  }
+  const int place =
+      this->links.PlaceAsSender(peer, [&](const FleetPeer& other) {
+        return other.directory_revision >= revision;
+      });
+  return this->server_turns.MaySend(peer.identity.address, place, now);
+}
+
+bool Gateway::PassesOnConfiguration(const FleetPeer& peer, TimePoint now) {
+  const std::uint64_t revision = this->configuration_document.revision;
+  if (revision <= peer.configuration_revision) {
+    this->configuration_turns.NoteUpToDate(peer.identity.address);
+    return false;
+  }
+  const int place =
+      this->links.PlaceAsSender(peer, [&](const FleetPeer& other) {
+        return other.configuration_revision >= revision;
+      });
+  return this->configuration_turns.MaySend(peer.identity.address, place, now);
 }
 
 FleetReport Gateway::MakeReport(const FleetPeer& peer) {
@@ -400,7 +426,7 @@
       .divisions = this->placer.Divisions(now),
       // Without servers it tells something only to who knows as much.
       .servers = {.since = this->directory.as_of()}};
-  if (this->configuration_document.revision > peer.configuration_revision) {
+  if (this->PassesOnConfiguration(peer, now)) {
     report.configuration = this->configuration_document;
   }
   if (this->PassesOnServers(peer, now)) {
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -14,6 +14,7 @@
 #include "app/gateway_observer.h"
 #include "app/metrics.h"
 #include "core/backend_directory.h"
+#include "core/passing_turns.h"
 #include "net/fleet_links.h"
 #include "proxy/proxy_context.h"
 #include "proxy/proxy_server.h"
@@ -82,10 +83,12 @@
   class DirectoryListener;
 
   FleetReport MakeReport(const FleetPeer& peer) override;
-  // Whether a report for this peer holds the servers that it lacks: one passes
-  // them on, not all, unless the peer has not heard of them for long.
-  [[nodiscard]] bool PassesOnServers(const FleetPeer& peer,
-                                     TimePoint now) const;
+  // Whether a report for this peer holds the servers that it lacks: those who
+  // read the store pass them on, others only to a peer that lags.
+  [[nodiscard]] bool PassesOnServers(const FleetPeer& peer, TimePoint now);
+  // The same for the configuration, which everyone awaits from the store.
+  [[nodiscard]] bool PassesOnConfiguration(const FleetPeer& peer,
+                                           TimePoint now);
   void NoteDirectoryRead(TimePoint now);
   void OnReport(const FleetPeer& peer, const FleetReport& report) override;
   void OnPeerNews(const FleetPeer& peer, PeerNews news) override;
@@ -129,6 +132,8 @@
   // As it stands in the store, for other instances.
   SharedDocument configuration_document;
   std::uint64_t refused_revision = 0;
+  PassingTurns configuration_turns;
+  PassingTurns server_turns;
   // When this instance itself last read the directory.
   TimePoint directory_read_here;
   std::optional<TimePoint> leaving_since;
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -433,6 +433,20 @@
       [&](const auto& item) { return !this->down.contains(item.first); }));
 }
 
+int FleetLinks::PlaceAsSender(
+    const FleetPeer& receiver,
+    const std::function<bool(const FleetPeer&)>& knows) const {
+  const std::uint64_t seed = ServerNumber(receiver.identity.address);
+  const std::uint64_t own = HomeRank(seed, this->options.self.instance);
+  return static_cast<int>(std::count_if(
+      this->by_name.begin(), this->by_name.end(), [&](const auto& item) {
+        const FleetPeer& peer = item.second;
+        return peer.identity.address != receiver.identity.address &&
+               !this->down.contains(item.first) && knows(peer) &&
+               HomeRank(seed, item.first) > own;
+      }));
+}
+
 int FleetLinks::Rank() const {
   return static_cast<int>(std::count_if(
       this->by_name.begin(), this->by_name.end(), [&](const auto& item) {
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -83,6 +83,11 @@
 
   // Instances heard of lately, this one not included.
   [[nodiscard]] int live_peers() const;
+  // How many live peers that `knows` holds for come before this instance in
+  // sending something to the receiver. All instances count alike.
+  [[nodiscard]] int PlaceAsSender(
+      const FleetPeer& receiver,
+      const std::function<bool(const FleetPeer&)>& knows) const;
   // This instance's place among the live ones; 0 is the first.
   [[nodiscard]] int Rank() const;
   // Whether this peer comes first among all that are live.
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -10,6 +10,7 @@
 
 #include "core/backend_directory.h"
 #include "core/fleet_retry_budget.h"
+#include "core/passing_turns.h"
 #include "core/placer.h"
 #include "core/waiting_line.h"
 
@@ -240,6 +241,28 @@
   CHECK(now - one.read_at() <= Duration{});
 }
 
+TEST(Routing, FewPassOnWhatAnotherLacksAndMoreTheLongerItDoes) {
+  constexpr int kInstances = 65;
+  std::vector<PassingTurns> fleet(kInstances);
+  const auto senders = [&fleet](TimePoint now) {
+    int count = 0;
+    for (int place = 0; place < kInstances; ++place) {
+      count += fleet[static_cast<std::size_t>(place)].MaySend("p", place, now)
+                   ? 1
+                   : 0;
+    }
+    return count;
+  };
+  CHECK_EQUAL(0, senders(kStart));
+  CHECK_EQUAL(2, senders(kStart + milliseconds(300)));
+  CHECK(senders(kStart + milliseconds(1500)) <= 8);
+  CHECK_EQUAL(kInstances, senders(kStart + seconds(6)));
+  for (PassingTurns& turns : fleet) {
+    turns.NoteUpToDate("p");
+  }
+  CHECK_EQUAL(0, senders(kStart + seconds(7)));
+}
+
 TEST(Routing, AHeartbeatThatSaysNothingNewIsNotPassedOn) {
   const ColonDecoder decoder;
   BackendDirectory directory(decoder);
