--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -24,7 +24,7 @@
 // readings may fail before the next reader takes over.
 constexpr Duration kReaderTerm = std::chrono::milliseconds(1200);
 // A copy that is older than this did not come from the reader, whose copies are
-// at most half as old; everyone who knows more passes it on.
+// at most half as old; others who know more pass it on by turns.
 constexpr Duration kLaggingDirectory = std::chrono::milliseconds(1200);
 // The configuration changes seldom, and other instances pass it on.
 constexpr Duration kConfigurationWait = std::chrono::seconds(25);
