--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <functional>
 #include <utility>
 
 namespace rosemarycove {
@@ -334,7 +336,8 @@
     }
   }
   const std::size_t count = std::min(kReadAgainAtHome.size(), ranked.size());
-  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<long>(count),
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end(), std::greater<>());
   std::vector<const RegisteredServer*> homes;
   for (std::size_t i = 0; i < count; ++i) {
