Drop what nothing uses

Found by looking up each name that the new headers declare. No behaviour changes: routing, gateway, fleet_links, platform and document_feed tests pass as before.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -490,7 +490,7 @@
       this->context.configuration ? this->context.configuration->version : 0);
   add("rosemarycove_store_readings_total",
       this->configuration_feed.calls() + this->directory_feed.calls());
-  add("rosemarycove_peer_bytes_sent_total", this->links.traffic().bytes_sent);
+  add("rosemarycove_peer_bytes_sent_total", this->links.bytes_sent());
   add("rosemarycove_log_lines_dropped_total", this->log.dropped());
   return text;
 }
--- a/src/core/backend_directory.cc
+++ b/src/core/backend_directory.cc
@@ -43,10 +43,10 @@
   if (as_of == 0) {
     return;
   }
-  if (this->known_to == 0) {
+  const bool first_time = this->known_to == 0;
+  if (first_time) {
     this->removals_since = as_of;
   }
-  const bool first_time = this->known_to == 0;
   this->known_to = std::max(this->known_to, as_of);
   if (this->heard.size() > kMostReaders) {
     this->heard.clear();
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -36,8 +36,6 @@
   std::optional<Duration> shortest_target;
   // Until when it rather waits for its home than has shared parts read again.
   TimePoint home_until;
-  // What its caller still waits.
-  Duration remaining{};
 };
 
 // Why the server was chosen.
--- a/src/core/speed_model.cc
+++ b/src/core/speed_model.cc
@@ -133,8 +133,4 @@
   return 1 + (factor.value - 1) * std::exp(-std::max(0.0, lives));
 }
 
-double SpeedModel::ReadMillisecondsPerThousand() const {
-  return std::max(0.1, this->weights[1]);
-}
-
 }  // namespace rosemarycove
--- a/src/core/speed_model.h
+++ b/src/core/speed_model.h
@@ -43,8 +43,6 @@
 
   // How many times as long as its service's other servers it takes.
   [[nodiscard]] double Slowness(const std::string& server, TimePoint now) const;
-  // Milliseconds that reading 1,000 prompt tokens takes.
-  [[nodiscard]] double ReadMillisecondsPerThousand() const;
 
  private:
   static constexpr int kTerms = 4;
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -354,8 +354,7 @@
   for (const auto& [address, sender] : this->senders) {
     if (sender->CanSend() && (due || this->report_now || sender->first())) {
       std::string frame = EncodeFleetFrame(this->ReportFor(address));
-      this->totals.bytes_sent += frame.size();
-      ++this->totals.frames_sent;
+      this->sent_bytes += frame.size();
       sender->Send(std::move(frame));
     }
   }
@@ -372,7 +371,6 @@
   if (sender.instance == this->options.self.instance) {
     return;
   }
-  ++this->totals.frames_received;
   FleetPeer& peer = this->by_name[sender.instance];
   peer.identity = sender;
   peer.last_report = std::chrono::steady_clock::now();
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -55,13 +55,6 @@
   virtual void OnPeerNews(const FleetPeer& peer, PeerNews news) = 0;
 };
 
-// Bytes and frames of all links.
-struct FleetTraffic {
-  std::uint64_t bytes_sent = 0;
-  std::uint64_t frames_sent = 0;
-  std::uint64_t frames_received = 0;
-};
-
 // Each instance connects to every other one and sends its reports there; what
 // it hears comes over connections of the others. A connection that carries one
 // way only needs no pairing of requests and answers, and a cut in one direction
@@ -99,7 +92,7 @@
   [[nodiscard]] const std::map<std::string, FleetPeer>& peers() const {
     return this->by_name;
   }
-  [[nodiscard]] const FleetTraffic& traffic() const { return this->totals; }
+  [[nodiscard]] std::uint64_t bytes_sent() const { return this->sent_bytes; }
   [[nodiscard]] int port() const;
 
  private:
@@ -128,7 +121,7 @@
   bool report_now = false;
   TimePoint last_round;
   std::uint64_t rounds = 0;
-  FleetTraffic totals;
+  std::uint64_t sent_bytes = 0;
 };
 
 }  // namespace rosemarycove
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -30,9 +30,6 @@
 constexpr Duration kSuspectedPatience = std::chrono::milliseconds(250);
 // When to come back to an instance that has no configuration yet.
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(500);
-// Bounds of when to come back for room.
-constexpr Duration kSoonestRetry = std::chrono::milliseconds(300);
-constexpr Duration kLatestRetry = std::chrono::seconds(4);
 // Share of its target that a request may wait for room: what is left still has
 // to hold the time to the first event.
 constexpr double kWaitShare = 0.4;
@@ -171,7 +168,6 @@
     this->GiveUpForWantOfServer(NoChoice::kNoServer);
     return;
   }
-  this->query.remaining = this->Remaining(now);
   NoChoice why_not = NoChoice::kNoServer;
   std::optional<ServerChoice> picked;
   if (this->Line().HasBefore(this->UrgencyOf())) {
@@ -230,7 +226,6 @@
 }
 
 bool Exchange::TryAdmit(TimePoint now) {
-  this->query.remaining = this->Remaining(now);
   NoChoice why_not = NoChoice::kNoServer;
   const std::optional<ServerChoice> picked = this->Choose(now, why_not);
   if (!picked && why_not == NoChoice::kHeldBack) {
@@ -631,16 +626,6 @@
                          : this->context.placer.RoomIn(this->query, now));
 }
 
-Duration Exchange::RoomIn() const {
-  if (this->query.service == nullptr) {
-    return kNotReadyRetry;
-  }
-  const TimePoint now = std::chrono::steady_clock::now();
-  const Duration line = this->Line().ExpectedWait(this->UrgencyOf(), now);
-  return std::clamp(line + this->context.placer.RoomIn(this->query, now),
-                    kSoonestRetry, kLatestRetry);
-}
-
 void Exchange::RefuseNotRun(EndCause cause, Duration least) {
   // Spread, so that callers refused together do not come back together.
   std::uniform_real_distribution<double> spread(1.0, 1.6);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -46,7 +46,6 @@
   bool TryAdmit(TimePoint now);
   // The caller took what was written.
   void CallerDrained();
-  [[nodiscard]] bool ended() const { return this->is_ended; }
 
   // AnswerListener
   void OnSendBegun() override;
@@ -87,8 +86,6 @@
   void GiveUpForWantOfServer(NoChoice why);
   [[nodiscard]] WaitingLine& Line() const;
   [[nodiscard]] Urgency UrgencyOf() const;
-  // When a refused request should come back.
-  [[nodiscard]] Duration RoomIn() const;
   void WaitForRoom();
   void StopWaiting(bool admitted);
   void AnswerOwn(int status, EndCause cause, std::optional<Duration> retry);
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -63,7 +63,6 @@
   HeaderFields fields;
   // Length of the body; without one it is chunked or ends with the connection.
   std::optional<std::uint64_t> length;
-  bool chunked = false;
 
   [[nodiscard]] bool IsSuccess() const {
     return this->status >= 200 && this->status < 300;
@@ -73,7 +72,6 @@
 
 // Status codes that this program sends or reads.
 namespace status_code {
-inline constexpr int kContinue = 100;
 inline constexpr int kOk = 200;
 inline constexpr int kBadRequest = 400;
 inline constexpr int kUnauthorized = 401;
@@ -83,7 +81,6 @@
 inline constexpr int kMisdirected = 421;
 inline constexpr int kTooManyRequests = 429;
 inline constexpr int kHeadersTooLarge = 431;
-inline constexpr int kInternalError = 500;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -127,7 +127,6 @@
 }
 
 RequestReader::Progress RequestReader::Feed(std::string& bytes) {
-  this->any_bytes = this->any_bytes || !bytes.empty();
   return this->have_head ? this->FeedBody(bytes) : this->FeedHead(bytes);
 }
 
@@ -154,7 +153,6 @@
   this->response.reason = this->parser->reason;
   this->response.http_1_0 = this->parser->version < 11;
   this->response.fields = this->parser->fields;
-  this->response.chunked = this->parser->chunked();
   if (const auto length = this->parser->content_length()) {
     this->response.length = *length;
   }
--- a/src/proxy/http_reader.h
+++ b/src/proxy/http_reader.h
@@ -92,8 +92,6 @@
   [[nodiscard]] bool ExpectsContinue() const;
   // The status code to refuse with, after kRefused.
   [[nodiscard]] int refusal() const { return this->refused_with; }
-  // Whether any byte of the request arrived.
-  [[nodiscard]] bool started() const { return this->any_bytes; }
   [[nodiscard]] bool head_done() const { return this->have_head; }
 
  private:
@@ -107,7 +105,6 @@
   RequestBounds bounds;
   MessageParser<true> parser;
   RequestHead request;
-  bool any_bytes = false;
   bool have_head = false;
   int refused_with = 0;
 };
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -108,8 +108,7 @@
                        .service = &kModel,
                        .prompt_tokens = 1000,
                        .answer_tokens = 100,
-                       .shortest_target = milliseconds(500),
-                       .remaining = seconds(5)};
+                       .shortest_target = milliseconds(500)};
   if (part != 0) {
     query.parts = {{.id = part, .tokens = 800}, {.id = 99999, .tokens = 200}};
   }
