Frame messages between instances in one place

The codec of reports had written the length, its check and the taking of a body again, beside the peers' codec, and verified the body where it lay, four bytes behind the start of a string, which is not how the verifier wants it aligned; the peers' codec copies it for that reason. Both now call WithLength and TakeBody. The bytes on the wire are the same; peers and fleet_links tests pass unchanged.

--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -14,8 +14,6 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
-constexpr std::size_t kLengthBytes = 4;
-
 template <typename T>
 T Saturate(int value) {
   return static_cast<T>(
@@ -155,35 +153,25 @@
       report.directory_reading.reader, report.directory_reading.number,
       report.servers.since, report.servers.whole, share_vector, division_vector,
       neighbours, configuration, server_vector));
-  const auto size = static_cast<std::uint32_t>(builder.GetSize());
-  std::string frame(kLengthBytes, '\0');
-  flatbuffers::WriteScalar(frame.data(), size);
-  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
-  return frame;
+  return WithLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
 tl::expected<std::optional<FleetReport>, FrameError> TakeFleetFrame(
     std::string& bytes) {
-  if (bytes.size() < kLengthBytes) {
-    return std::nullopt;
+  const auto body = TakeBody(bytes, kMaxFleetFrame);
+  if (!body) {
+    return tl::unexpected(body.error());
   }
-  const auto size = flatbuffers::ReadScalar<std::uint32_t>(bytes.data());
-  if (size > kMaxFleetFrame) {
-    return tl::unexpected(FrameError::kTooLong);
-  }
-  if (bytes.size() < kLengthBytes + size) {
+  if (!*body) {
     return std::nullopt;
   }
-  const auto* data =
-      reinterpret_cast<const std::uint8_t*>(bytes.data() + kLengthBytes);
-  flatbuffers::Verifier verifier(data, size);
+  const std::uint8_t* data = (*body)->data();
+  flatbuffers::Verifier verifier(data, (*body)->size());
   if (!wire::VerifyFleetReportBuffer(verifier) ||
       wire::GetFleetReport(data)->version() != kFleetVersion) {
     return tl::unexpected(FrameError::kMalformed);
   }
-  FleetReport report = Get(*wire::GetFleetReport(data));
-  bytes.erase(0, kLengthBytes + size);
-  return report;
+  return Get(*wire::GetFleetReport(data));
 }
 
 }  // namespace rosemarycove
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -7,7 +7,7 @@
 #include <tl/expected.hpp>
 
 #include "core/fleet_report.h"
-#include "wire/peer_codec.h"
+#include "wire/framing.h"
 
 namespace rosemarycove {
 
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -13,8 +13,6 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
-constexpr std::size_t kLengthBytes = 4;
-
 std::int64_t ToMicroseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration)
       .count();
@@ -233,41 +231,24 @@
 std::string EncodeFrame(const PeerFrame& frame) {
   FlatBufferBuilder builder;
   builder.Finish(std::visit(BodyBuilder(builder), frame));
-  const std::uint32_t size = builder.GetSize();
-  std::string bytes;
-  for (std::size_t i = 0; i < kLengthBytes; ++i) {
-    bytes += static_cast<char>((size >> (8U * i)) & 0xFFU);
-  }
-  bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
-  return bytes;
+  return WithLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
 tl::expected<std::optional<PeerFrame>, FrameError> TakeFrame(
     std::string& bytes) {
-  if (bytes.size() < kLengthBytes) {
-    return std::nullopt;
-  }
-  std::size_t size = 0;
-  for (std::size_t i = 0; i < kLengthBytes; ++i) {
-    size |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i]))
-            << (8U * i);
-  }
-  if (size > kMaxFrame) {
-    return tl::unexpected(FrameError::kTooLong);
+  const auto body = TakeBody(bytes, kMaxFrame);
+  if (!body) {
+    return tl::unexpected(body.error());
   }
-  if (bytes.size() < kLengthBytes + size) {
+  if (!*body) {
     return std::nullopt;
   }
-  // A buffer of its own is aligned as the verifier wants it.
-  const std::vector<std::uint8_t> body(
-      bytes.begin() + kLengthBytes,
-      bytes.begin() + static_cast<std::ptrdiff_t>(kLengthBytes + size));
-  bytes.erase(0, kLengthBytes + size);
-  flatbuffers::Verifier verifier(body.data(), body.size());
+  const std::uint8_t* data = (*body)->data();
+  flatbuffers::Verifier verifier(data, (*body)->size());
   if (!wire::VerifyFrameBuffer(verifier)) {
     return tl::unexpected(FrameError::kMalformed);
   }
-  std::optional<PeerFrame> frame = ReadBody(*wire::GetFrame(body.data()));
+  std::optional<PeerFrame> frame = ReadBody(*wire::GetFrame(data));
   if (!frame) {
     return tl::unexpected(FrameError::kMalformed);
   }
--- a/src/wire/peer_codec.h
+++ b/src/wire/peer_codec.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "core/peer_messages.h"
+#include "wire/framing.h"
 
 namespace rosemarycove {
 
@@ -51,9 +52,6 @@
 using PeerFrame = std::variant<PeerChallenge, PeerHello, PeerWelcome,
                                PeerHeartbeat, PeerMessage>;
 
-// Why bytes are no frame.
-enum class FrameError : std::uint8_t { kTooLong, kMalformed };
-
 // A frame with its length in front.
 std::string EncodeFrame(const PeerFrame& frame);
 
