Listen, and take connections, in one place

The links between instances included the callers' server for a function that binds, and the status server and the links each wrote the loop that accepts; three classes read the bound port alike. proxy/listener holds them. The callers' server keeps its own loop: it stops at its most connections. gateway and fleet_links tests pass unchanged.

--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -7,7 +7,7 @@
 
 #include "core/prompt_cache_map.h"
 #include "proxy/endpoint.h"
-#include "proxy/proxy_server.h"
+#include "proxy/listener.h"
 #include "proxy/socket_options.h"
 #include "wire/fleet_codec.h"
 
@@ -279,30 +279,15 @@
   for (const std::string& address : this->options.seeds) {
     this->AddAddress(address);
   }
-  this->Accept();
+  AcceptAll(this->acceptor, [this](boost::asio::ip::tcp::socket socket) {
+    const auto receiver = std::make_shared<Receiver>(std::move(socket), *this);
+    this->receivers.push_back(receiver);
+    receiver->Read();
+  });
   return std::nullopt;
 }
 
-int FleetLinks::port() const {
-  error_code ignored;
-  return this->acceptor.local_endpoint(ignored).port();
-}
-
-void FleetLinks::Accept() {
-  this->acceptor.async_accept(
-      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
-        if (failure == boost::asio::error::operation_aborted) {
-          return;
-        }
-        if (!failure) {
-          const auto receiver =
-              std::make_shared<Receiver>(std::move(socket), *this);
-          this->receivers.push_back(receiver);
-          receiver->Read();
-        }
-        this->Accept();
-      });
-}
+int FleetLinks::port() const { return PortOf(this->acceptor); }
 
 void FleetLinks::AddAddress(const std::string& address) {
   if (address == this->options.self.address ||
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -99,7 +99,6 @@
   class Sender;
   class Receiver;
 
-  void Accept();
   void AddAddress(const std::string& address);
   void Take(const FleetIdentity& sender, const FleetReport& report);
   void ForgetLongGone(TimePoint now);
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -3,43 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "proxy/endpoint.h"
+#include "proxy/listener.h"
 
 namespace rosemarycove {
 
 using boost::system::error_code;
 
-std::optional<std::string> Listen(boost::asio::ip::tcp::acceptor& acceptor,
-                                  const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  const bool any_port =
-      colon != std::string::npos && address.substr(colon + 1) == "0";
-  // Port 0 asks the system for a free one.
-  auto endpoint =
-      ParseTcpEndpoint(any_port ? address.substr(0, colon) + ":1" : address);
-  if (!endpoint) {
-    return address + " is not an IP number and a port";
-  }
-  if (any_port) {
-    endpoint->port(0);
-  }
-  error_code error;
-  acceptor.open(endpoint->protocol(), error);
-  if (!error) {
-    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(*endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return address + ": " + error.message();
-  }
-  return std::nullopt;
-}
-
 ProxyServer::ProxyServer(ProxyServerOptions options, ProxyContext& context)
     : options(std::move(options)), context(context), acceptor(context.io) {}
 
@@ -100,9 +69,6 @@
                     [](const auto& caller) { return caller->busy(); }));
 }
 
-int ProxyServer::port() const {
-  error_code ignored;
-  return this->acceptor.local_endpoint(ignored).port();
-}
+int ProxyServer::port() const { return PortOf(this->acceptor); }
 
 }  // namespace rosemarycove
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -51,8 +51,4 @@
   bool accept_pending = false;
 };
 
-// Binds and listens on IP:PORT; returns the fault, or nothing.
-std::optional<std::string> Listen(boost::asio::ip::tcp::acceptor& acceptor,
-                                  const std::string& address);
-
 }  // namespace rosemarycove
--- a/src/proxy/status_server.cc
+++ b/src/proxy/status_server.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "proxy/http_reader.h"
+#include "proxy/listener.h"
 #include "proxy/message_writer.h"
-#include "proxy/proxy_server.h"
 
 namespace rosemarycove {
 namespace {
@@ -90,27 +90,13 @@
   if (auto fault = Listen(this->acceptor, address)) {
     return fault;
   }
-  this->Accept();
+  AcceptAll(this->acceptor, [this](boost::asio::ip::tcp::socket socket) {
+    std::make_shared<Connection>(std::move(socket), *this)->Read();
+  });
   return std::nullopt;
 }
 
-int StatusServer::port() const {
-  error_code ignored;
-  return this->acceptor.local_endpoint(ignored).port();
-}
-
-void StatusServer::Accept() {
-  this->acceptor.async_accept(
-      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
-        if (failure == boost::asio::error::operation_aborted) {
-          return;
-        }
-        if (!failure) {
-          std::make_shared<Connection>(std::move(socket), *this)->Read();
-        }
-        this->Accept();
-      });
-}
+int StatusServer::port() const { return PortOf(this->acceptor); }
 
 std::string StatusServer::Answer(const std::string& path) const {
   const auto found = this->pages.find(path);
--- a/src/proxy/status_server.h
+++ b/src/proxy/status_server.h
@@ -33,7 +33,6 @@
  private:
   class Connection;
 
-  void Accept();
   [[nodiscard]] std::string Answer(const std::string& path) const;
 
   boost::asio::io_context& io;
