--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include "http/http_status.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -141,8 +143,8 @@
 
 std::optional<std::string> Gateway::Start() {
   this->status.AddPage("/readyz", [this] {
-    return StatusPage{.status = this->ready() ? status_code::kOk
-                                              : status_code::kUnavailable};
+    return StatusPage{.status = this->ready() ? http_status::kOk
+                                              : http_status::kUnavailable};
   });
   this->status.AddPage(
       "/metrics", [this] { return StatusPage{.text = this->MetricsText()}; });
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "http/http_status.h"
 #include "proxy/socket_options.h"
 
 namespace rosemarycove {
@@ -92,7 +93,7 @@
       return;
     case RequestReader::Progress::kHead:
       if (this->context.body_bytes > this->context.most_body_bytes) {
-        this->Refuse(status_code::kUnavailable);
+        this->Refuse(http_status::kUnavailable);
       } else if (this->reader->ExpectsContinue()) {
         this->Write("HTTP/1.1 100 Continue\r\n\r\n");
       }
@@ -118,7 +119,7 @@
 
 void CallerConnection::Refuse(int status) {
   std::optional<Duration> retry;
-  if (status == status_code::kUnavailable) {
+  if (status == http_status::kUnavailable) {
     retry = kLinger;
   }
   this->Write(
@@ -243,13 +244,13 @@
   const CallerLimits limits = this->Limits();
   if (this->reader && !this->reader->head_done()) {
     if (now - this->waiting_since > limits.header_timeout) {
-      this->Refuse(status_code::kRequestTimeout);
+      this->Refuse(http_status::kRequestTimeout);
     }
     return;
   }
   if (now - this->last_read > limits.idle_timeout) {
     if (this->reader) {
-      this->Refuse(status_code::kRequestTimeout);
+      this->Refuse(http_status::kRequestTimeout);
     } else {
       this->Close();
     }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/http_status.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -44,10 +46,10 @@
 
 // Status codes that tell a caller that its request did not run.
 bool PromisesNotRun(int status) {
-  return status == status_code::kRequestTimeout ||
-         status == status_code::kMisdirected ||
-         status == status_code::kTooManyRequests ||
-         status == status_code::kUnavailable;
+  return status == http_status::kRequestTimeout ||
+         status == http_status::kMisdirected ||
+         status == http_status::kTooManyRequests ||
+         status == http_status::kUnavailable;
 }
 
 bool HasNoBody(const RequestHead& request, const ResponseHead& response) {
@@ -77,7 +79,7 @@
 void Exchange::Start() {
   this->call = this->context.dialect.ReadCall(this->request);
   if (this->call.ambiguous) {
-    this->AnswerOwn(status_code::kBadRequest, EndCause::kAmbiguous, {});
+    this->AnswerOwn(http_status::kBadRequest, EndCause::kAmbiguous, {});
     return;
   }
   if (!this->configuration) {
@@ -95,13 +97,13 @@
   const Route* route = this->configuration->FindRoute(
       this->request.fields.Find("host").value_or(""), this->request.Path());
   if (route == nullptr) {
-    this->AnswerOwn(status_code::kNotFound, EndCause::kUnknownRoute, {});
+    this->AnswerOwn(http_status::kNotFound, EndCause::kUnknownRoute, {});
     return false;
   }
   this->query.route = route;
   this->query.tier = route->tier;
   if (!this->CheckKey(*route)) {
-    this->AnswerOwn(status_code::kUnauthorized, EndCause::kUnknownKey, {});
+    this->AnswerOwn(http_status::kUnauthorized, EndCause::kUnknownKey, {});
     return false;
   }
   this->deadline =
@@ -614,8 +616,8 @@
     return;
   }
   if (this->ran_at > 0) {
-    this->AnswerOwn(cause == EndCause::kMaxWait ? status_code::kGatewayTimeout
-                                                : status_code::kBadGateway,
+    this->AnswerOwn(cause == EndCause::kMaxWait ? http_status::kGatewayTimeout
+                                                : http_status::kBadGateway,
                     cause, {});
     return;
   }
@@ -631,7 +633,7 @@
   std::uniform_real_distribution<double> spread(1.0, 1.6);
   this->retry_after =
       FromSeconds(ToSeconds(least) * spread(this->context.random));
-  this->AnswerOwn(status_code::kUnavailable, cause, this->retry_after);
+  this->AnswerOwn(http_status::kUnavailable, cause, this->retry_after);
 }
 
 void Exchange::AnswerOwn(int status, EndCause cause,
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <cctype>
 
+#include "http/http_status.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -87,25 +89,25 @@
 
 std::string_view ReasonPhrase(int status) {
   switch (status) {
-    case status_code::kOk:
+    case http_status::kOk:
       return "OK";
-    case status_code::kBadRequest:
+    case http_status::kBadRequest:
       return "Bad Request";
-    case status_code::kUnauthorized:
+    case http_status::kUnauthorized:
       return "Unauthorized";
-    case status_code::kNotFound:
+    case http_status::kNotFound:
       return "Not Found";
-    case status_code::kRequestTimeout:
+    case http_status::kRequestTimeout:
       return "Request Timeout";
-    case status_code::kPayloadTooLarge:
+    case http_status::kPayloadTooLarge:
       return "Payload Too Large";
-    case status_code::kHeadersTooLarge:
+    case http_status::kHeadersTooLarge:
       return "Request Header Fields Too Large";
-    case status_code::kBadGateway:
+    case http_status::kBadGateway:
       return "Bad Gateway";
-    case status_code::kUnavailable:
+    case http_status::kUnavailable:
       return "Service Unavailable";
-    case status_code::kGatewayTimeout:
+    case http_status::kGatewayTimeout:
       return "Gateway Timeout";
     default:
       return "Error";
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -70,22 +70,6 @@
   [[nodiscard]] bool KeepsAlive() const;
 };
 
-// Status codes that this program sends or reads.
-namespace status_code {
-inline constexpr int kOk = 200;
-inline constexpr int kBadRequest = 400;
-inline constexpr int kUnauthorized = 401;
-inline constexpr int kNotFound = 404;
-inline constexpr int kRequestTimeout = 408;
-inline constexpr int kPayloadTooLarge = 413;
-inline constexpr int kMisdirected = 421;
-inline constexpr int kTooManyRequests = 429;
-inline constexpr int kHeadersTooLarge = 431;
-inline constexpr int kBadGateway = 502;
-inline constexpr int kUnavailable = 503;
-inline constexpr int kGatewayTimeout = 504;
-}  // namespace status_code
-
 // The reason phrase of a status code that this program sends.
 std::string_view ReasonPhrase(int status);
 
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -4,6 +4,8 @@
 #include <boost/beast/http/error.hpp>
 #include <limits>
 
+#include "http/http_status.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -45,7 +47,7 @@
 int RequestReader::CheckRawHead(std::string_view head) const {
   for (std::size_t i = 0; i < head.size(); ++i) {
     if (head[i] == '\0') {
-      return status_code::kBadRequest;
+      return http_status::kBadRequest;
     }
     if (head[i] != '\n') {
       continue;
@@ -54,7 +56,7 @@
     const bool folded =
         i + 1 < head.size() && (head[i + 1] == ' ' || head[i + 1] == '\t');
     if (alone || folded) {
-      return status_code::kBadRequest;
+      return http_status::kBadRequest;
     }
   }
   return 0;
@@ -69,7 +71,7 @@
   if (framed_twice || unknown_coding || fields.Count("host") != 1 ||
       !this->request.target.starts_with('/') ||
       (coding && this->request.http_1_0)) {
-    return status_code::kBadRequest;
+    return http_status::kBadRequest;
   }
   return 0;
 }
@@ -78,14 +80,14 @@
   const std::size_t end = bytes.find(kHeadEnd);
   if (end == std::string::npos) {
     if (bytes.size() > this->bounds.header) {
-      return this->Refuse(status_code::kHeadersTooLarge);
+      return this->Refuse(http_status::kHeadersTooLarge);
     }
     // A line feed alone may stand for the end that is not found.
     const int fault = this->CheckRawHead(bytes);
     return fault == 0 ? Progress::kNeedMore : this->Refuse(fault);
   }
   if (end > this->bounds.header) {
-    return this->Refuse(status_code::kHeadersTooLarge);
+    return this->Refuse(http_status::kHeadersTooLarge);
   }
   if (const int fault = this->CheckRawHead(
           std::string_view(bytes).substr(0, end + kHeadEnd.size()))) {
@@ -97,8 +99,8 @@
   const boost::beast::error_code error = Put(this->parser, bytes);
   if (!this->parser.head_done) {
     return this->Refuse(error == http::error::body_limit
-                            ? status_code::kPayloadTooLarge
-                            : status_code::kBadRequest);
+                            ? http_status::kPayloadTooLarge
+                            : http_status::kBadRequest);
   }
   this->have_head = true;
   this->request.method = this->parser.method;
@@ -110,8 +112,8 @@
   }
   if (error) {
     return this->Refuse(error == http::error::body_limit
-                            ? status_code::kPayloadTooLarge
-                            : status_code::kBadRequest);
+                            ? http_status::kPayloadTooLarge
+                            : http_status::kBadRequest);
   }
   return this->parser.is_done() ? Progress::kWhole : Progress::kHead;
 }
@@ -120,8 +122,8 @@
   const boost::beast::error_code error = Put(this->parser, bytes);
   if (error) {
     return this->Refuse(error == http::error::body_limit
-                            ? status_code::kPayloadTooLarge
-                            : status_code::kBadRequest);
+                            ? http_status::kPayloadTooLarge
+                            : http_status::kBadRequest);
   }
   return this->parser.is_done() ? Progress::kWhole : Progress::kNeedMore;
 }
--- a/src/proxy/message_writer.h
+++ b/src/proxy/message_writer.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "core/types.h"
+#include "http/http_status.h"
 #include "proxy/call_dialect.h"
 #include "proxy/http_head.h"
 
@@ -32,7 +33,7 @@
 
 // A whole response of this program's own.
 struct OwnResponse {
-  int status = status_code::kUnavailable;
+  int status = http_status::kUnavailable;
   // When the caller should come back; nothing is not said.
   std::optional<Duration> retry_after;
   std::string body;
--- a/src/proxy/status_server.cc
+++ b/src/proxy/status_server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "http/http_status.h"
 #include "proxy/http_reader.h"
 #include "proxy/listener.h"
 #include "proxy/message_writer.h"
@@ -101,7 +102,7 @@
 std::string StatusServer::Answer(const std::string& path) const {
   const auto found = this->pages.find(path);
   if (found == this->pages.end()) {
-    return WriteOwnResponse({.status = status_code::kNotFound});
+    return WriteOwnResponse({.status = http_status::kNotFound});
   }
   const StatusPage page = found->second();
   return WriteOwnResponse({.status = page.status, .body = page.text});
