--- a/src/app/event_fields.cc
+++ b/src/app/event_fields.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Milliseconds, rounded to a microsecond.
-double ToMilliseconds(Duration duration) {
+double RoundedMilliseconds(Duration duration) {
   return std::round(ToSeconds(duration) * 1e6) / 1e3;
 }
 
@@ -23,9 +23,9 @@
           {"cause", ToString(finish.cause)},
           {"ran", ToString(finish.ran)},
           {"on_target", finish.on_target},
-          {"waited_ms", ToMilliseconds(finish.waited)},
-          {"first_token_ms", ToMilliseconds(finish.first_token)},
-          {"whole_ms", ToMilliseconds(finish.whole)},
+          {"waited_ms", RoundedMilliseconds(finish.waited)},
+          {"first_token_ms", RoundedMilliseconds(finish.first_token)},
+          {"whole_ms", RoundedMilliseconds(finish.whole)},
           {"tokens", finish.tokens},
           {"wasted_tokens", finish.wasted_tokens},
           {"attempts", finish.attempts}};
@@ -46,7 +46,7 @@
           {"batch", placement.batch},
           {"token_time_ms", RoundToTenth(placement.token_time * 1000)},
           {"expected_tokens", RoundToTenth(placement.cost)},
-          {"waited_ms", ToMilliseconds(decision.waited)},
+          {"waited_ms", RoundedMilliseconds(decision.waited)},
           {"asked_by", decision.asked_by},
           {"passed_over", decision.passed_over}};
 }
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -93,10 +93,6 @@
 // A server's own report of its load is used for this long.
 constexpr Duration kReportLife = std::chrono::milliseconds(400);
 
-double Milliseconds(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 int SharedTokens(const PlacementQuery& query) {
   int tokens = 0;
   for (std::size_t i = 0; i + 1 < query.parts.size(); ++i) {
@@ -398,11 +394,11 @@
       .running =
           static_cast<double>(std::min(candidate.load.running, server.slots))};
   candidate.predicted = speed.Predict(server.id, candidate.inputs, now);
-  double first = Milliseconds(candidate.predicted);
+  double first = ToMilliseconds(candidate.predicted);
   const double queued = std::max(0, candidate.load.running + 1 - server.slots);
   first *= 1 + kQueuedRequest * queued;
   candidate.predicted = FromSeconds(first / kThousand);
-  const double aim = kAimedShare * Milliseconds(query.route->target);
+  const double aim = kAimedShare * ToMilliseconds(query.route->target);
   double cost = std::min(kMostLate, std::pow(first / aim, kLatePower));
   if (shared > 0) {
     const double share =
--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -6,12 +6,11 @@
 namespace rosemarycove {
 namespace {
 
-// The host without its port, in lower case.
-std::string LowerHostName(std::string_view host) {
-  std::string name(host.substr(0, host.rfind(':')));
-  std::transform(name.begin(), name.end(), name.begin(),
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
                  [](unsigned char letter) { return std::tolower(letter); });
-  return name;
+  return lower;
 }
 
 }  // namespace
@@ -38,7 +37,7 @@
   for (std::size_t i = 0; i < this->routes.size(); ++i) {
     const Route& route = this->routes[i];
     this->last_tier = std::max(this->last_tier, route.tier);
-    this->routes_by_host[route.host].push_back(i);
+    this->routes_by_host[LowerCase(route.host)].push_back(i);
     if (route.kind != RouteKind::kStream) {
       continue;
     }
@@ -64,7 +63,8 @@
 
 const Route* RoutingConfiguration::FindRoute(std::string_view host,
                                              std::string_view path) const {
-  const auto found = this->routes_by_host.find(LowerHostName(host));
+  const std::string_view name = host.substr(0, host.rfind(':'));
+  const auto found = this->routes_by_host.find(LowerCase(name));
   if (found == this->routes_by_host.end()) {
     return nullptr;
   }
--- a/src/core/speed_model.cc
+++ b/src/core/speed_model.cc
@@ -32,10 +32,6 @@
 constexpr double kLeastPrediction = 1;  // Milliseconds.
 constexpr double kThousand = 1000;
 
-double Milliseconds(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 }  // namespace
 
 SpeedModel::SpeedModel() : weights(kStart) {
@@ -68,12 +64,8 @@
                          Duration first_event, TimePoint now) {
   const Vector features = Features(inputs);
   const double base = this->Base(features);
-  const double seen = Milliseconds(first_event);
-  double factor = this->Slowness(server, now);
-  const double most = std::min(kMostSlowness, kMostSurprise * factor);
-  factor +=
-      kSlownessStep * (std::clamp(seen / base, kLeastSlowness, most) - factor);
-  this->slowness[server] = {.value = factor, .at = now};
+  const double seen = ToMilliseconds(first_event);
+  const double factor = this->MoveSlowness(server, seen / base, now);
   if (seen > kOutlier * base * factor) {
     return;
   }
@@ -109,16 +101,21 @@
                                 const SpeedInputs& inputs, Duration silence,
                                 TimePoint now) {
   const double base = this->Base(Features(inputs));
-  const double bound = Milliseconds(silence) / base;
-  const double factor = this->Slowness(server, now);
-  if (bound > factor) {
-    const double most = std::min(kMostSlowness, kMostSurprise * factor);
-    this->slowness[server] = {
-        .value = factor + kSlownessStep * (std::min(bound, most) - factor),
-        .at = now};
+  const double bound = ToMilliseconds(silence) / base;
+  if (bound > this->Slowness(server, now)) {
+    this->MoveSlowness(server, bound, now);
   }
 }
 
+double SpeedModel::MoveSlowness(const std::string& server, double seen,
+                                TimePoint now) {
+  double factor = this->Slowness(server, now);
+  const double most = std::min(kMostSlowness, kMostSurprise * factor);
+  factor += kSlownessStep * (std::clamp(seen, kLeastSlowness, most) - factor);
+  this->slowness[server] = {.value = factor, .at = now};
+  return factor;
+}
+
 void SpeedModel::Forget(const std::string& server) {
   this->slowness.erase(server);
 }
--- a/src/core/speed_model.h
+++ b/src/core/speed_model.h
@@ -55,6 +55,8 @@
 
   static Vector Features(const SpeedInputs& inputs);
   [[nodiscard]] double Base(const Vector& features) const;
+  // Moves a server's factor a step towards the one seen; returns it.
+  double MoveSlowness(const std::string& server, double seen, TimePoint now);
 
   Vector weights;
   std::array<Vector, kTerms> covariance{};
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -37,6 +37,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Converts to milliseconds, with fractions.
+constexpr double ToMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 // Converts seconds to a Duration.
 constexpr Duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -58,10 +58,7 @@
           return;
         }
         if (failure) {
-          if (self->exchange) {
-            self->exchange->CallerLeft();
-          }
-          self->Close();
+          self->LoseCaller();
           return;
         }
         self->TakeBytes(count);
@@ -157,10 +154,7 @@
           return;
         }
         if (failure) {
-          if (self->exchange) {
-            self->exchange->CallerLeft();
-          }
-          self->Close();
+          self->LoseCaller();
           return;
         }
         self->Flush();
@@ -168,9 +162,7 @@
           self->exchange->CallerDrained();
         }
         if (self->ending && self->unsent() == 0) {
-          error_code ignored;
-          self->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send,
-                                ignored);
+          self->ShutDownSending();
         }
       });
 }
@@ -203,8 +195,7 @@
   this->received.clear();
   this->end_by = std::chrono::steady_clock::now() + kLinger;
   if (this->unsent() == 0) {
-    error_code ignored;
-    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    this->ShutDownSending();
   }
   this->Read();
 }
@@ -227,10 +218,7 @@
     }
     if (!this->sending.empty() &&
         now - this->last_write > this->Limits().idle_timeout) {
-      if (this->exchange) {
-        this->exchange->CallerLeft();
-      }
-      this->Close();
+      this->LoseCaller();
     }
     return;
   }
@@ -264,6 +252,19 @@
   }
 }
 
+void CallerConnection::ShutDownSending() {
+  // A caller that is gone meanwhile needs no end of the response.
+  error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void CallerConnection::LoseCaller() {
+  if (this->exchange) {
+    this->exchange->CallerLeft();
+  }
+  this->Close();
+}
+
 void CallerConnection::Close() {
   if (this->is_closed) {
     return;
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -47,6 +47,9 @@
   void Refuse(int status);
   void Flush();
   void EndAfterFlush();
+  void ShutDownSending();
+  // The caller left, or does not take what it is sent.
+  void LoseCaller();
   [[nodiscard]] CallerLimits Limits() const;
 
   boost::asio::ip::tcp::socket socket;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -482,8 +482,7 @@
   this->connection.reset();
   if (this->discarded_for) {
     Failure failure = *std::exchange(this->discarded_for, std::nullopt);
-    this->buffered.clear();
-    this->response = {};
+    this->DropResponse();
     this->FailAttempt(failure);
     return;
   }
@@ -502,9 +501,13 @@
       failure.may_have_run = true;
       break;
   }
+  this->DropResponse();
+  this->FailAttempt(failure);
+}
+
+void Exchange::DropResponse() {
   this->response = {};
   this->buffered.clear();
-  this->FailAttempt(failure);
 }
 
 void Exchange::EndAttempt() {
@@ -554,8 +557,7 @@
        .next = again ? AfterFailure::kAnotherServer : AfterFailure::kGivenUp,
        .next_why = why_not});
   if (again) {
-    this->response = {};
-    this->buffered.clear();
+    this->DropResponse();
     this->Place();
     return;
   }
@@ -711,8 +713,7 @@
   this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
   this->connection->Abort();
   this->connection.reset();
-  this->response = {};
-  this->buffered.clear();
+  this->DropResponse();
   this->FailAttempt(
       {.result = SendResult::kSilent, .may_have_run = true, .why = "silent"});
 }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -82,6 +82,8 @@
   void FailAttempt(const Failure& failure);
   [[nodiscard]] bool MayTryAgain(std::string& why_not);
   void EndAttempt();
+  // Forgets what came of a response that is not passed on.
+  void DropResponse();
   void GiveUp(EndCause cause);
   void GiveUpForWantOfServer(NoChoice why);
   [[nodiscard]] WaitingLine& Line() const;
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -77,12 +77,7 @@
   return std::string_view(this->target).substr(0, this->target.find('?'));
 }
 
-bool RequestHead::KeepsAlive() const {
-  const auto connection = this->fields.Find("connection");
-  return !this->http_1_0 && !(connection && ListsToken(*connection, "close"));
-}
-
-bool ResponseHead::KeepsAlive() const {
+bool MessageHead::KeepsAlive() const {
   const auto connection = this->fields.Find("connection");
   return !this->http_1_0 && !(connection && ListsToken(*connection, "close"));
 }
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -42,32 +42,34 @@
   std::vector<HeaderField> fields;
 };
 
+// What heads of requests and responses have in common.
+struct MessageHead {
+  bool http_1_0 = false;
+  HeaderFields fields;
+
+  [[nodiscard]] bool KeepsAlive() const;
+};
+
 // The start line and fields of a request.
-struct RequestHead {
+struct RequestHead : MessageHead {
   std::string method;
   // Path and query.
   std::string target;
-  bool http_1_0 = false;
-  HeaderFields fields;
 
   // The target without its query.
   [[nodiscard]] std::string_view Path() const;
-  [[nodiscard]] bool KeepsAlive() const;
 };
 
 // The start line and fields of a response.
-struct ResponseHead {
+struct ResponseHead : MessageHead {
   int status = 0;
   std::string reason;
-  bool http_1_0 = false;
-  HeaderFields fields;
   // Length of the body; without one it is chunked or ends with the connection.
   std::optional<std::uint64_t> length;
 
   [[nodiscard]] bool IsSuccess() const {
     return this->status >= 200 && this->status < 300;
   }
-  [[nodiscard]] bool KeepsAlive() const;
 };
 
 // The reason phrase of a status code that this program sends.
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -37,6 +37,12 @@
   return error;
 }
 
+// The status code to refuse a request with that the parser does not take.
+int StatusOf(const boost::beast::error_code& error) {
+  return error == http::error::body_limit ? http_status::kPayloadTooLarge
+                                          : http_status::kBadRequest;
+}
+
 }  // namespace
 
 RequestReader::Progress RequestReader::Refuse(int status) {
@@ -98,9 +104,7 @@
   this->parser.body_limit(this->bounds.body);
   const boost::beast::error_code error = Put(this->parser, bytes);
   if (!this->parser.head_done) {
-    return this->Refuse(error == http::error::body_limit
-                            ? http_status::kPayloadTooLarge
-                            : http_status::kBadRequest);
+    return this->Refuse(StatusOf(error));
   }
   this->have_head = true;
   this->request.method = this->parser.method;
@@ -111,9 +115,7 @@
     return this->Refuse(fault);
   }
   if (error) {
-    return this->Refuse(error == http::error::body_limit
-                            ? http_status::kPayloadTooLarge
-                            : http_status::kBadRequest);
+    return this->Refuse(StatusOf(error));
   }
   return this->parser.is_done() ? Progress::kWhole : Progress::kHead;
 }
@@ -121,9 +123,7 @@
 RequestReader::Progress RequestReader::FeedBody(std::string& bytes) {
   const boost::beast::error_code error = Put(this->parser, bytes);
   if (error) {
-    return this->Refuse(error == http::error::body_limit
-                            ? http_status::kPayloadTooLarge
-                            : http_status::kBadRequest);
+    return this->Refuse(StatusOf(error));
   }
   return this->parser.is_done() ? Progress::kWhole : Progress::kNeedMore;
 }
