Log the queue that a refused request met, and count waiting requests

A request that was refused behind the queue without an examined server differed in the log from others only by an empty servers_lacked. call_ended now has the number of waiting requests that came first and the expected wait behind them. The gauge rosemarycove_waiting of the gateway was always 0; it now has the number of requests in the placement queues.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -497,9 +497,9 @@
 }
 
 std::string Gateway::MetricsText() const {
-  std::string text =
-      this->metrics.ToPrometheus(std::chrono::steady_clock::now(), 0,
-                                 this->proxy_server.active_request_count());
+  std::string text = this->metrics.ToPrometheus(
+      std::chrono::steady_clock::now(), this->context.waiting_requests.size(),
+      this->proxy_server.active_request_count());
   const auto add = [&text](const char* name, std::uint64_t value) {
     text += std::string("# TYPE ") + name + " gauge\n" + name + " " +
             std::to_string(value) + "\n";
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -87,6 +87,8 @@
        {"retry_after_ms", ToLogMilliseconds(record.retry_after)},
        {"on_target", record.on_target},
        {"servers_lacked", FormatLimitCounts(record.no_capacity_counts)},
+       {"waiting_ahead", record.waiting_ahead},
+       {"expected_wait_ms", ToLogMilliseconds(record.expected_wait)},
        {"configuration", record.configuration_version}});
   this->metrics.Observe({.outcome = record.outcome,
                          .cause = record.cause,
--- a/src/core/placement_queue.cc
+++ b/src/core/placement_queue.cc
@@ -51,17 +51,20 @@
          std::get<0>(this->order.begin()->first) < urgency;
 }
 
-Duration PlacementQueue::ExpectedWait(Urgency urgency, TimePoint now) const {
-  const auto ahead = std::count_if(
+int PlacementQueue::CountAhead(Urgency urgency) const {
+  return static_cast<int>(std::count_if(
       this->order.begin(), this->order.end(), [urgency](const auto& item) {
         return !(urgency < std::get<0>(item.first));
-      });
+      }));
+}
+
+Duration PlacementQueue::ExpectedWait(Urgency urgency, TimePoint now) const {
   const auto recent =
       std::count_if(this->admissions.begin(), this->admissions.end(),
                     [now](TimePoint at) { return now - at <= kRateWindow; });
   const double rate =
       std::max(kMinRate, static_cast<double>(recent) / ToSeconds(kRateWindow));
-  return FromSeconds(static_cast<double>(ahead) / rate);
+  return FromSeconds(this->CountAhead(urgency) / rate);
 }
 
 }  // namespace rosemarycove
--- a/src/core/placement_queue.h
+++ b/src/core/placement_queue.h
@@ -29,8 +29,11 @@
   [[nodiscard]] std::vector<RequestId> OrderedIds() const;
   // Returns whether a request more urgent than `urgency` is waiting.
   [[nodiscard]] bool HasMoreUrgent(Urgency urgency) const;
-  // Returns how long a new request would wait, from the number of waiting
-  // requests that are at least as urgent and the recent rate of admissions.
+  // Returns the number of waiting requests that are at least as urgent as
+  // `urgency`.
+  [[nodiscard]] int CountAhead(Urgency urgency) const;
+  // Returns how long a new request would wait, from the number of requests
+  // ahead of it and the recent rate of admissions.
   [[nodiscard]] Duration ExpectedWait(Urgency urgency, TimePoint now) const;
   [[nodiscard]] std::size_t size() const { return this->position_by_id.size(); }
 
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -223,9 +223,9 @@
   const TimePoint now = std::chrono::steady_clock::now();
   const Duration max_wait =
       FromSeconds(kMaxWaitFraction * ToSeconds(this->query.route->target));
-  const Duration expected =
-      this->Queue().ExpectedWait(this->RequestUrgency(), now);
-  if (expected > max_wait) {
+  this->waiting_ahead = this->Queue().CountAhead(this->RequestUrgency());
+  this->expected_wait = this->Queue().ExpectedWait(this->RequestUrgency(), now);
+  if (this->expected_wait > max_wait) {
     this->GiveUpWithoutServer(NoChoiceReason::kHeldBack);
     return;
   }
@@ -799,6 +799,8 @@
        .retry_after = this->retry_after,
        .on_target = on_target,
        .no_capacity_counts = this->no_capacity_counts,
+       .waiting_ahead = this->waiting_ahead,
+       .expected_wait = this->expected_wait,
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -162,6 +162,9 @@
   // How many servers had no capacity for the request, by reason, in the last
   // placement.
   CapacityLimitCounts no_capacity_counts{};
+  // See EndedRecord.
+  int waiting_ahead = 0;
+  Duration expected_wait{};
   std::string service_name;
 
   // The current attempt.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -81,6 +81,10 @@
   // How many servers had no capacity for the request, by reason, at the
   // last attempt to place it.
   CapacityLimitCounts no_capacity_counts{};
+  // When the request was queued or refused for lack of capacity: the number of
+  // waiting requests that came first, and the expected wait behind them.
+  int waiting_ahead = 0;
+  Duration expected_wait{};
   std::uint64_t configuration_version = 0;
 };
 
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -608,6 +608,8 @@
   CHECK((queue.OrderedIds() == std::vector<RequestId>{3, 4, 2, 1}));
   CHECK(queue.HasMoreUrgent({.tier = 0, .route_tier = 1}));
   CHECK(!queue.HasMoreUrgent({.tier = 0, .route_tier = 0}));
+  CHECK_EQUAL(1, queue.CountAhead({.tier = 0, .route_tier = 0}));
+  CHECK_EQUAL(4, queue.CountAhead({.tier = 1, .route_tier = 0}));
   queue.Remove(3, true, kStart);
   CHECK(!queue.HasMoreUrgent({.tier = 0, .route_tier = 1}));
 }
