End a gateway with open requests without an abort

A process whose drain was cut off, or that ended otherwise with open requests, could abort with a double free instead of exiting with its status. The event loop still holds a caller's connection while a read is pending and drops it after the gateway; the connection's request then removed itself from a queue and a load ledger that no longer existed.

The proxy server now drops all requests before it is destroyed, and keeps a closed connection until its request has been dropped. The backend connections and the links need no change: their pending operations call nobody.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -288,4 +288,10 @@
   }
 }
 
+void CallerConnection::Terminate() {
+  this->finishing = true;
+  this->Close();
+  this->exchange.reset();
+}
+
 }  // namespace rosemarycove
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -30,6 +30,9 @@
   // response is being sent.
   void CloseIfIdle();
   void Close();
+  // Closes the connection and drops its request at once. Must not be called
+  // from within the request's own functions.
+  void Terminate();
   [[nodiscard]] bool is_closed() const { return this->closed; }
   // Returns whether a request is being handled.
   [[nodiscard]] bool is_busy() const { return this->exchange != nullptr; }
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -12,6 +12,12 @@
 ProxyServer::ProxyServer(ProxyServerOptions options, ProxyContext& context)
     : options(std::move(options)), context(context), acceptor(context.io) {}
 
+ProxyServer::~ProxyServer() {
+  for (const auto& caller : this->callers) {
+    caller->Terminate();
+  }
+}
+
 std::optional<std::string> ProxyServer::Start() {
   if (auto error = Listen(this->acceptor, this->options.address)) {
     return error;
@@ -56,8 +62,9 @@
 }
 
 void ProxyServer::Tick(TimePoint now) {
-  this->callers.remove_if(
-      [](const auto& caller) { return caller->is_closed(); });
+  this->callers.remove_if([](const auto& caller) {
+    return caller->is_closed() && !caller->is_busy();
+  });
   // A connection's tick may close it but never adds one, so the list does not
   // change here.
   for (const auto& caller : this->callers) {
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -27,6 +27,11 @@
 class ProxyServer {
  public:
   ProxyServer(ProxyServerOptions options, ProxyContext& context);
+  // Drops all requests. The event loop still holds connections whose operations
+  // are pending, and may outlive the context that the requests refer to.
+  ~ProxyServer();
+  ProxyServer(const ProxyServer&) = delete;
+  ProxyServer& operator=(const ProxyServer&) = delete;
 
   // Binds and starts to accept. Returns an error message, or nullopt on
   // success.
--- a/tests/test_gateway_queue.cc
+++ b/tests/test_gateway_queue.cc
@@ -119,6 +119,20 @@
 
 TEST_GROUP(GatewayQueue){};
 
+// Guards against a process that aborts at its end, when the event loop drops
+// the connections of requests that are still open.
+TEST(GatewayQueue, EndsWithWaitingAndRunningRequests) {
+  HeldEngines engines;
+  constexpr int kLongPromptTokens = 30000;
+  constexpr int kPlaced = 8;
+  for (int i = 0; i < kPlaced; ++i) {
+    CHECK(engines.Hold(StreamRequest("/long/hold", "l" + std::to_string(i),
+                                     "key-0", kLongPromptTokens, "")));
+  }
+  CHECK(engines.SendAndAwaitQueued(
+      StreamRequest("/long/hold", "waiting", "key-0", kLongPromptTokens, "")));
+}
+
 // Guards against a queue in which a long request that waits for the reserved
 // engines makes the instance refuse shorter ones that don't use these.
 TEST(GatewayQueue, WaitingLongRequestDoesNotHoldBackShortOnes) {
