Let a waiting request claim only the engines that it waits for

Cause: a service had one queue at each instance, and any more urgent request in it held back all others, whatever it waited for. A long request of a customer with tier 0 waits up to 0.4 of its long target for a reserved engine; meanwhile the instance refused every request of tier 1, also short ones, which go to the other side of the partition. The other instances went on to begin long requests of tier 1. The queue's order was meant for one scheduler for all instances, where the waiting request gets what is held back.

Now the two sides of a partition have separate queues. A waiting request claims the engines of its side only; less urgent requests are examined at all servers, and claimed ones count as a capacity limit (claimed, in servers_lacked), so no request is refused unexamined. A service without a partition has one side.

--- a/src/core/placement_queue.h
+++ b/src/core/placement_queue.h
@@ -2,9 +2,11 @@
 // TieredQueue.)
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -13,9 +15,19 @@
 
 namespace rosemarycove {
 
-// Orders the waiting requests of one service at one instance by urgency, then
-// by latest start, and predicts how long a new request would wait. The proxy
-// owns one queue per service and uses it on its event loop.
+// Identifies a queue. Requests for the two sides of a service's partition (see
+// Placer) wait in separate queues, since one side may have capacity while the
+// other has none.
+struct PlacementQueueKey {
+  std::string service;
+  bool tolerates_pauses = false;
+
+  auto operator<=>(const PlacementQueueKey&) const = default;
+};
+
+// Orders waiting requests of one instance by urgency, then by latest start, and
+// predicts how long a new request would wait. The proxy owns the queues and
+// uses them on its event loop.
 class PlacementQueue {
  public:
   // Adds a request. `latest_start` is the latest start at which it is expected
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -169,6 +169,8 @@
       return "brittle_streams";
     case CapacityLimit::kTooSlow:
       return "too_slow";
+    case CapacityLimit::kClaimed:
+      return "claimed";
   }
   return "unknown";
 }
@@ -229,6 +231,18 @@
          found->second.reserved_servers.contains(server);
 }
 
+bool Placer::IsClaimed(const PlacementQuery& query,
+                       const std::string& server) const {
+  const EngineClaims& claims = query.claims;
+  const auto found = this->engine_partitions.find(query.service->name);
+  if (found == this->engine_partitions.end() ||
+      found->second.reserved_servers.empty()) {
+    return claims.reserved || claims.unreserved;
+  }
+  return found->second.reserved_servers.contains(server) ? claims.reserved
+                                                         : claims.unreserved;
+}
+
 void Placer::RecentWork::DecayTo(TimePoint now) {
   const double kept =
       std::exp(-ToSeconds(now - this->updated_at) / ToSeconds(kWorkDecayTime));
@@ -476,6 +490,9 @@
   if (!query.service->IsModel()) {
     return CapacityLimit::kNone;
   }
+  if (this->IsClaimed(query, candidate.server->id)) {
+    return CapacityLimit::kClaimed;
+  }
   ServerLoad load = candidate.load;
   // Affinity servers differ between prompts, so the instances do not all choose
   // the same one at once, and unreported load is not assumed there.
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -20,6 +20,14 @@
 
 namespace rosemarycove {
 
+// The engines of a service for which more urgent requests wait, by side of the
+// partition (see Placer). A service that is not partitioned has one side.
+struct EngineClaims {
+  // The engines reserved for routes that tolerate pauses.
+  bool reserved = false;
+  bool unreserved = false;
+};
+
 // The properties of a request that decide its placement.
 struct PlacementQuery {
   const Route* route = nullptr;
@@ -41,6 +49,8 @@
   // capacity, if another server would have to prefill many of the shared tokens
   // again.
   TimePoint affinity_wait_until;
+  // The request must not take these engines.
+  EngineClaims claims;
 };
 
 // Why a server was chosen.
@@ -66,13 +76,14 @@
   kGapSensitiveStreams,  // The prefill would pause too many streams.
   // The request, or typical requests on the same server, would miss the target.
   kTooSlow,
+  kClaimed,  // A more urgent request waits for the server.
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 5>;
+using CapacityLimitCounts = std::array<int, 6>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -279,6 +290,9 @@
   [[nodiscard]] double InstanceBias(const std::string& server) const;
   [[nodiscard]] bool IsReserved(const PlacementQuery& query,
                                 const std::string& server) const;
+  // Returns whether a more urgent request waits for the server.
+  [[nodiscard]] bool IsClaimed(const PlacementQuery& query,
+                               const std::string& server) const;
   void UpdatePartition(const std::string& service, TimePoint now);
   // Returns the share of pause-tolerant routes in the service's recent work at
   // all instances.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -184,12 +184,12 @@
     return;
   }
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
-  std::optional<ServerChoice> chosen;
+  this->query.claims = this->ClaimsOfOtherQueue();
   if (this->Queue().HasMoreUrgent(this->RequestUrgency())) {
-    no_choice = NoChoiceReason::kHeldBack;
-  } else {
-    chosen = this->ChooseServer(now, no_choice);
+    (this->query.tolerates_pauses ? this->query.claims.reserved
+                                  : this->query.claims.unreserved) = true;
   }
+  const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
   if (!chosen && no_choice == NoChoiceReason::kHeldBack) {
     this->StartWaiting();
     return;
@@ -212,7 +212,20 @@
 }
 
 PlacementQueue& Exchange::Queue() const {
-  return this->context.placement_queues[this->service_name];
+  return this->context
+      .placement_queues[{.service = this->service_name,
+                         .tolerates_pauses = this->query.tolerates_pauses}];
+}
+
+EngineClaims Exchange::ClaimsOfOtherQueue() const {
+  const bool tolerates_pauses = !this->query.tolerates_pauses;
+  const auto other = this->context.placement_queues.find(
+      {.service = this->service_name, .tolerates_pauses = tolerates_pauses});
+  const bool has_more_urgent =
+      other != this->context.placement_queues.end() &&
+      other->second.HasMoreUrgent(this->RequestUrgency());
+  return {.reserved = has_more_urgent && tolerates_pauses,
+          .unreserved = has_more_urgent && !tolerates_pauses};
 }
 
 Urgency Exchange::RequestUrgency() const {
@@ -247,6 +260,7 @@
 
 bool Exchange::TryAdmit(TimePoint now) {
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
+  this->query.claims = this->ClaimsOfOtherQueue();
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
   if (!chosen && no_choice == NoChoiceReason::kHeldBack) {
     return false;
@@ -262,7 +276,7 @@
 
 void AdmitWaiting(ProxyContext& context) {
   const TimePoint now = std::chrono::steady_clock::now();
-  for (const auto& [service, queue] : context.placement_queues) {
+  for (const auto& [key, queue] : context.placement_queues) {
     int failed = 0;
     for (const RequestId id : queue.OrderedIds()) {
       const auto found = context.waiting_requests.find(id);
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -35,9 +35,8 @@
   // Null before the first one is read. A request uses the same configuration
   // from start to end.
   std::shared_ptr<const RoutingConfiguration> configuration;
-  // Requests that wait for capacity: a queue for each service, by its name, and
-  // their exchanges by id.
-  std::map<std::string, PlacementQueue> placement_queues = {};
+  // Requests that wait for capacity, and their exchanges by id.
+  std::map<PlacementQueueKey, PlacementQueue> placement_queues = {};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
   RequestId next_request_id = 1;
   // The instance is stopping; responses ask callers to close their connections.
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -457,6 +457,34 @@
   CHECK(used.size() >= 4);
 }
 
+TEST(Routing, EnginesThatMoreUrgentRequestsWaitForAreNotChosen) {
+  Engines engines(6);
+  PlacementQuery long_query = QueryOf(kLong);
+  long_query.tolerates_pauses = true;
+  engines.placer.RecordRequest(long_query, kStart);
+  PlacementQuery query = QueryOf(kStream);
+  const auto chosen_side = [&engines, &query]() -> std::string {
+    const auto choice = engines.Choose(query);
+    return !choice ? "none" : choice->is_reserved ? "reserved" : "unreserved";
+  };
+  STRCMP_EQUAL("unreserved", chosen_side().c_str());
+  query.claims = {.reserved = true};
+  STRCMP_EQUAL("unreserved", chosen_side().c_str());
+  query.claims = {.unreserved = true};
+  STRCMP_EQUAL("reserved", chosen_side().c_str());
+  query.claims = {.reserved = true, .unreserved = true};
+  STRCMP_EQUAL("none", chosen_side().c_str());
+  CHECK(engines.why_not == NoChoiceReason::kHeldBack);
+}
+
+TEST(Routing, ServiceWithoutAPartitionIsClaimedAsAWhole) {
+  Engines engines(2);
+  PlacementQuery query = QueryOf(kStream);
+  CHECK(engines.Choose(query).has_value());
+  query.claims = {.reserved = true};
+  CHECK(!engines.Choose(query).has_value());
+}
+
 TEST(Routing, HotPartSpreadsWhenItsServerIsSaturated) {
   Engines engines(6);
   std::map<std::string, int> by_server;
