Let requests behind one that awaits its affinity server go on

Callers got 503 although servers had capacity for their requests: an instance refused them behind a more urgent request that waited for its affinity server by choice, and refused a request that would wait so itself if the queue was long.

Cause: the placer reported "no capacity" and "should wait for the affinity server" alike, so the second held back everyone, as the first does. It also counted towards the failed placements after which a round over the queue ends.

The placer now reports them apart. A request that awaits its affinity server keeps its position, but is not ahead of others, claims no engines, is not refused for the length of the queue, and does not end the round.

--- a/src/core/placement_queue.cc
+++ b/src/core/placement_queue.cc
@@ -14,13 +14,20 @@
 
 }  // namespace
 
-void PlacementQueue::Add(RequestId id, Urgency urgency,
-                         TimePoint latest_start) {
+void PlacementQueue::Add(RequestId id, Urgency urgency, TimePoint latest_start,
+                         WaitReason reason) {
   const Position position{urgency, latest_start, id};
-  this->order.emplace(position, id);
+  this->order.emplace(position, reason);
   this->position_by_id.emplace(id, position);
 }
 
+void PlacementQueue::SetReason(RequestId id, WaitReason reason) {
+  const auto found = this->position_by_id.find(id);
+  if (found != this->position_by_id.end()) {
+    this->order[found->second] = reason;
+  }
+}
+
 void PlacementQueue::Remove(RequestId id, bool admitted, TimePoint now) {
   const auto found = this->position_by_id.find(id);
   if (found == this->position_by_id.end()) {
@@ -40,21 +47,25 @@
 std::vector<RequestId> PlacementQueue::OrderedIds() const {
   std::vector<RequestId> ids;
   ids.reserve(this->order.size());
-  for (const auto& [position, id] : this->order) {
-    ids.push_back(id);
+  for (const auto& [position, reason] : this->order) {
+    ids.push_back(std::get<RequestId>(position));
   }
   return ids;
 }
 
 bool PlacementQueue::HasMoreUrgent(Urgency urgency) const {
-  return !this->order.empty() &&
-         std::get<0>(this->order.begin()->first) < urgency;
+  return std::any_of(this->order.begin(), this->order.end(),
+                     [urgency](const auto& item) {
+                       return item.second == WaitReason::kCapacity &&
+                              std::get<Urgency>(item.first) < urgency;
+                     });
 }
 
 int PlacementQueue::CountAhead(Urgency urgency) const {
   return static_cast<int>(std::count_if(
       this->order.begin(), this->order.end(), [urgency](const auto& item) {
-        return !(urgency < std::get<0>(item.first));
+        return item.second == WaitReason::kCapacity &&
+               !(urgency < std::get<Urgency>(item.first));
       }));
 }
 
--- a/src/core/placement_queue.h
+++ b/src/core/placement_queue.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -25,6 +26,14 @@
   auto operator<=>(const PlacementQueueKey&) const = default;
 };
 
+// What a queued request waits for.
+enum class WaitReason : std::uint8_t {
+  kCapacity,  // No server has capacity for it.
+  // Its affinity server. Other servers have capacity, so requests behind it
+  // need not wait.
+  kAffinity,
+};
+
 // Orders waiting requests of one instance by urgency, then by latest start, and
 // predicts how long a new request would wait. The proxy owns the queues and
 // uses them on its event loop.
@@ -32,17 +41,20 @@
  public:
   // Adds a request. `latest_start` is the latest start at which it is expected
   // to meet its target.
-  void Add(RequestId id, Urgency urgency, TimePoint latest_start);
+  void Add(RequestId id, Urgency urgency, TimePoint latest_start,
+           WaitReason reason = WaitReason::kCapacity);
+  // Changes what a queued request waits for.
+  void SetReason(RequestId id, WaitReason reason);
   // Removes a request. `admitted` says whether it was placed on a server, for
   // the admission rate.
   void Remove(RequestId id, bool admitted, TimePoint now);
   // Returns the ids of all waiting requests in the order in which they are to
   // be placed.
   [[nodiscard]] std::vector<RequestId> OrderedIds() const;
-  // Returns whether a request more urgent than `urgency` is waiting.
+  // Returns whether a request more urgent than `urgency` waits for capacity.
   [[nodiscard]] bool HasMoreUrgent(Urgency urgency) const;
-  // Returns the number of waiting requests that are at least as urgent as
-  // `urgency`.
+  // Returns the number of requests that wait for capacity and are at least as
+  // urgent as `urgency`.
   [[nodiscard]] int CountAhead(Urgency urgency) const;
   // Returns how long a new request would wait, from the number of requests
   // ahead of it and the recent rate of admissions.
@@ -53,7 +65,7 @@
   // Urgency, latest start, and the id, which increases in order of arrival.
   using Position = std::tuple<Urgency, TimePoint, RequestId>;
 
-  std::map<Position, RequestId> order;
+  std::map<Position, WaitReason> order;
   std::map<RequestId, Position> position_by_id;
   // Times of the recent admissions, oldest first.
   std::deque<TimePoint> admissions;
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -153,6 +153,8 @@
       return "full";
     case NoChoiceReason::kHeldBack:
       return "held_back";
+    case NoChoiceReason::kAwaitsAffinity:
+      return "awaits_affinity";
   }
   return "unknown";
 }
@@ -590,11 +592,14 @@
       best = &candidate;
     }
   }
-  if (best == nullptr ||
-      this->ShouldWaitForAffinity(query, candidates, *best, now)) {
+  if (best == nullptr) {
     why_not = NoChoiceReason::kHeldBack;
     return std::nullopt;
   }
+  if (this->ShouldWaitForAffinity(query, candidates, *best, now)) {
+    why_not = NoChoiceReason::kAwaitsAffinity;
+    return std::nullopt;
+  }
   ChoiceReason reason = ChoiceReason::kCheapest;
   if (best->is_trial) {
     reason = ChoiceReason::kTrial;
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -110,9 +110,10 @@
   kUnreachable,  // All servers of the service were tried for this request.
   // No server is a candidate, and the last one has too many queued requests.
   kFull,
-  // All candidates are at a limit, or the request waits for its affinity
-  // server.
-  kHeldBack,
+  kHeldBack,  // All candidates are at a limit.
+  // The request should wait for its affinity server, which is at a limit,
+  // rather than go to another server that has capacity.
+  kAwaitsAffinity,
 };
 
 // Returns the word that logs use.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -43,8 +43,8 @@
 // Fraction of its target for which a request waits for capacity at the server
 // that has its prompt cached before other servers are considered.
 constexpr double kAffinityWaitFraction = 0.15;
-// Once this many waiting requests of a service could not be placed, the rest
-// are not tried in this round, since they differ only in size.
+// Once this many waiting requests of a queue found no capacity, the rest are
+// not tried in this round, since they differ only in size.
 constexpr int kMaxFailedPlacements = 3;
 constexpr int kFirstServerError = 500;
 constexpr int kNoContent = 204;
@@ -59,6 +59,17 @@
          status == http_status::kUnavailable;
 }
 
+// Returns whether a request that was not placed for this reason may wait.
+bool MayWait(NoChoiceReason reason) {
+  return reason == NoChoiceReason::kHeldBack ||
+         reason == NoChoiceReason::kAwaitsAffinity;
+}
+
+WaitReason WaitReasonOf(NoChoiceReason reason) {
+  return reason == NoChoiceReason::kAwaitsAffinity ? WaitReason::kAffinity
+                                                   : WaitReason::kCapacity;
+}
+
 bool HasNoBody(const RequestHead& request, const ResponseHead& response) {
   return request.method == "HEAD" || response.status == kNoContent ||
          response.status == kNotModified;
@@ -190,8 +201,8 @@
                                   : this->query.claims.unreserved) = true;
   }
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
-  if (!chosen && no_choice == NoChoiceReason::kHeldBack) {
-    this->StartWaiting();
+  if (!chosen && MayWait(no_choice)) {
+    this->StartWaiting(WaitReasonOf(no_choice));
     return;
   }
   if (!chosen) {
@@ -232,20 +243,20 @@
   return {.tier = this->query.tier, .route_tier = this->query.route->tier};
 }
 
-void Exchange::StartWaiting() {
+void Exchange::StartWaiting(WaitReason reason) {
   const TimePoint now = std::chrono::steady_clock::now();
   const Duration max_wait =
       FromSeconds(kMaxWaitFraction * ToSeconds(this->query.route->target));
   this->waiting_ahead = this->Queue().CountAhead(this->RequestUrgency());
   this->expected_wait = this->Queue().ExpectedWait(this->RequestUrgency(), now);
-  if (this->expected_wait > max_wait) {
+  if (reason == WaitReason::kCapacity && this->expected_wait > max_wait) {
     this->GiveUpWithoutServer(NoChoiceReason::kHeldBack);
     return;
   }
   this->wait_deadline = this->arrival + max_wait;
   this->waiting_id = this->context.next_request_id++;
   this->Queue().Add(*this->waiting_id, this->RequestUrgency(),
-                    this->wait_deadline);
+                    this->wait_deadline, reason);
   this->context.waiting_requests.emplace(*this->waiting_id, this);
 }
 
@@ -258,12 +269,15 @@
   }
 }
 
-bool Exchange::TryAdmit(TimePoint now) {
+AdmitResult Exchange::TryAdmit(TimePoint now) {
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
   this->query.claims = this->ClaimsOfOtherQueue();
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
-  if (!chosen && no_choice == NoChoiceReason::kHeldBack) {
-    return false;
+  if (!chosen && MayWait(no_choice)) {
+    const WaitReason reason = WaitReasonOf(no_choice);
+    this->Queue().SetReason(*this->waiting_id, reason);
+    return reason == WaitReason::kCapacity ? AdmitResult::kNoCapacity
+                                           : AdmitResult::kAwaitsAffinity;
   }
   this->StopWaiting(chosen.has_value());
   if (chosen) {
@@ -271,7 +285,7 @@
   } else {
     this->GiveUpWithoutServer(no_choice);
   }
-  return chosen.has_value();
+  return AdmitResult::kLeftQueue;
 }
 
 void AdmitWaiting(ProxyContext& context) {
@@ -281,7 +295,8 @@
     for (const RequestId id : queue.OrderedIds()) {
       const auto found = context.waiting_requests.find(id);
       if (found != context.waiting_requests.end() &&
-          !found->second->TryAdmit(now) && ++failed >= kMaxFailedPlacements) {
+          found->second->TryAdmit(now) == AdmitResult::kNoCapacity &&
+          ++failed >= kMaxFailedPlacements) {
         break;
       }
     }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -28,6 +28,13 @@
   [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
 };
 
+// What became of a waiting request that was tried again.
+enum class AdmitResult : std::uint8_t {
+  kLeftQueue,       // It was sent or has ended.
+  kNoCapacity,      // It waits for capacity.
+  kAwaitsAffinity,  // It waits for its affinity server.
+};
+
 // Sends a request to backend servers until one responds or no further attempt
 // is allowed. A request that may have been executed is sent again only if its
 // route allows it. The exchange reports "not executed" to the caller only if it
@@ -47,9 +54,8 @@
   // Called when the caller closed its connection or does not read its response.
   // Ends the request.
   void OnCallerDisconnected();
-  // Tries to place a waiting request. Returns whether it was sent; if not, it
-  // still waits or has ended.
-  bool TryAdmit(TimePoint now);
+  // Tries to place a waiting request.
+  AdmitResult TryAdmit(TimePoint now);
   // Called when written bytes were sent to the caller. Resumes reading from the
   // server if it was paused and little enough remains to be sent.
   void OnOutputSent();
@@ -117,9 +123,9 @@
   // queue wait.
   [[nodiscard]] EngineClaims ClaimsOfOtherQueue() const;
   [[nodiscard]] Urgency RequestUrgency() const;
-  // Queues the request for placement, or gives up if the expected wait is too
-  // long.
-  void StartWaiting();
+  // Queues the request for placement, or gives up if the expected wait for
+  // capacity is too long.
+  void StartWaiting(WaitReason reason);
   // Removes the request from the queue, if it waits. `admitted`: it is sent
   // now.
   void StopWaiting(bool admitted);
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -641,3 +641,18 @@
   queue.Remove(3, true, kStart);
   CHECK(!queue.HasMoreUrgent({.tier = 0, .route_tier = 1}));
 }
+
+TEST(Routing, RequestThatAwaitsItsAffinityServerIsNotAheadOfOthers) {
+  PlacementQueue queue;
+  const Urgency lower{.tier = 1, .route_tier = 0};
+  queue.Add(1, {.tier = 0, .route_tier = 0}, kStart, WaitReason::kAffinity);
+  CHECK(!queue.HasMoreUrgent(lower));
+  CHECK_EQUAL(0, queue.CountAhead(lower));
+  queue.Add(2, {.tier = 0, .route_tier = 1}, kStart);
+  CHECK(queue.HasMoreUrgent(lower));
+  CHECK_EQUAL(1, queue.CountAhead(lower));
+  // It is still tried in the order of urgency.
+  CHECK((queue.OrderedIds() == std::vector<RequestId>{1, 2}));
+  queue.SetReason(1, WaitReason::kCapacity);
+  CHECK_EQUAL(2, queue.CountAhead(lower));
+}
