Bound what a server's bytes that never end can take

A backend server in trouble may send bytes without end, in a head or a body.

Seven cases were not bounded: interim responses, a chunk's extension, a trailer, the body of an error, that of a rejection as not run, that of a response to another request, and an event. Heads and bytes that are no response were bounded by the parser, and a body that is forwarded by the caller's reading and the route's timeout. The same in the body of a response of the store.

The serve command has such limits already; the limit of an event is the same constant.

--- a/src/core/placement_queue.h
+++ b/src/core/placement_queue.h
@@ -2,7 +2,6 @@
 // TieredQueue.)
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -23,7 +22,10 @@
   std::string service;
   bool tolerates_pauses = false;
 
-  auto operator<=>(const PlacementQueueKey&) const = default;
+  bool operator<(const PlacementQueueKey& other) const {
+    return std::tie(this->service, this->tolerates_pauses) <
+           std::tie(other.service, other.tolerates_pauses);
+  }
 };
 
 // What a queued request waits for.
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -19,6 +19,8 @@
 // considered unreachable. A round trip takes a few milliseconds, and lost
 // packets are retransmitted within a few hundred.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
+// A response to another request with a larger body counts as endless.
+constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20U;
 // Idle timeout of a connection when the server does not send one.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
 // Subtracted from the server's idle timeout, so that the server does not close
@@ -57,6 +59,7 @@
   this->reader = std::make_unique<ResponseReader>(head_request);
   this->head_reported = false;
   this->skipping = false;
+  this->skipped_bytes = 0;
   if (this->connected) {
     this->Write();
     this->Read();
@@ -202,6 +205,14 @@
         return;
       }
     }
+    if (this->skipping) {
+      this->skipped_bytes += this->reader->TakeBody().size();
+      if (this->skipped_bytes > kMaxSkippedBytes) {
+        this->Fail(FailureKind::kNoResponse,
+                   "endless response to another request");
+        return;
+      }
+    }
     if (progress == ResponseReader::Progress::kNeedMore) {
       return;
     }
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -102,6 +102,8 @@
   bool head_reported = false;
   // The current response belongs to another request.
   bool skipping = false;
+  // Body bytes of such responses that were dropped.
+  std::size_t skipped_bytes = 0;
   bool connected = false;
   bool connecting = false;
   bool writing = false;
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -15,6 +15,10 @@
  public:
   // Adds bytes of the stream and returns the events that they complete.
   std::string Feed(std::string_view bytes);
+  // The size in bytes of the incomplete event at the end of the stream.
+  [[nodiscard]] std::size_t partial_event_bytes() const {
+    return this->buffer.size();
+  }
   // Returns the bytes of an incomplete event at the end of the stream. Feed
   // must not be called afterwards, except after DiscardPartialEvent.
   std::string TakePartialEvent() { return std::move(this->buffer); }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "http/http_status.h"
+#include "http/sse_parser.h"
 
 namespace rosemarycove {
 namespace {
@@ -11,6 +12,9 @@
 // Responses up to this size, in bytes, are forwarded once they are complete, so
 // that the request can be retried at another server if one ends early.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{64} << 10U;
+// Maximum size, in bytes, of the body of a response that makes the attempt
+// fail. A larger one is not read to its end.
+constexpr std::size_t kMaxFailureBytes = std::size_t{256} << 10U;
 // Reading from a server pauses while more than this many bytes wait to be sent
 // to the caller.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} << 10U;
@@ -322,6 +326,7 @@
   this->response_mode = ResponseMode::kNone;
   this->pending_failure.reset();
   this->buffered.clear();
+  this->discarded_bytes = 0;
   this->splitter.DiscardPartialEvent();
   ++this->attempts;
   this->context.placer.RecordSend(this->query, chosen, now);
@@ -438,10 +443,23 @@
   this->last_bytes_at = std::chrono::steady_clock::now();
   switch (this->response_mode) {
     case ResponseMode::kNone:
+      return;
     case ResponseMode::kDiscarded:
+      this->discarded_bytes += bytes.size();
+      if (this->discarded_bytes > kMaxFailureBytes) {
+        this->AbandonResponse(
+            *std::exchange(this->pending_failure, std::nullopt));
+      }
       return;
     case ResponseMode::kBuffered:
       this->buffered.append(bytes);
+      if (this->pending_failure && this->buffered.size() > kMaxFailureBytes) {
+        this->pending_failure.reset();
+        this->AbandonResponse({.result = SendResult::kMalformed,
+                               .may_have_executed = true,
+                               .reason = "endless error response"});
+        return;
+      }
       if (this->buffered.size() > kMaxBufferedBytes && !this->pending_failure) {
         this->response_mode = ResponseMode::kForwarded;
         this->ForwardHead(this->response, this->response.length
@@ -456,10 +474,22 @@
       return;
     case ResponseMode::kStream:
       this->ForwardEvents(this->splitter.Feed(bytes));
+      if (this->splitter.partial_event_bytes() > SseParser::kMaxEventBytes) {
+        this->AbandonResponse({.result = SendResult::kMalformed,
+                               .may_have_executed = true,
+                               .reason = "endless event"});
+      }
       return;
   }
 }
 
+void Exchange::AbandonResponse(const Failure& failure) {
+  this->connection->Abort();
+  this->connection.reset();
+  this->ClearResponse();
+  this->FailAttempt(failure);
+}
+
 void Exchange::ForwardBuffered() {
   if (this->buffered.empty()) {
     return;
@@ -770,12 +800,9 @@
     return;
   }
   this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
-  this->connection->Abort();
-  this->connection.reset();
-  this->ClearResponse();
-  this->FailAttempt({.result = SendResult::kSilent,
-                     .may_have_executed = true,
-                     .reason = "silent"});
+  this->AbandonResponse({.result = SendResult::kSilent,
+                         .may_have_executed = true,
+                         .reason = "silent"});
 }
 
 void Exchange::OnCallerDisconnected() {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -104,6 +104,9 @@
   // Ends the current attempt as failed, then starts another one or ends the
   // request.
   void FailAttempt(const Failure& failure);
+  // Closes the connection without reading the rest of the response, and fails
+  // the attempt.
+  void AbandonResponse(const Failure& failure);
   // Returns whether another attempt is allowed, and spends retry budget on it
   // if a request was sent before. `no_retry_reason` is set if it is not
   // allowed.
@@ -195,6 +198,8 @@
   ResponseHead response;
   // Bytes of the body that were received and not yet forwarded.
   std::string buffered;
+  // Bytes of the body that were received in mode kDiscarded.
+  std::size_t discarded_bytes = 0;
   EventSplitter splitter;
 
   // Over all attempts.
--- a/src/proxy/http_client.cc
+++ b/src/proxy/http_client.cc
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace rosemarycove {
+namespace {
+
+// Maximum size of a response's body, in bytes.
+constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 20U;
+
+}  // namespace
 
 HttpClient::~HttpClient() {
   if (this->connection) {
@@ -37,6 +43,16 @@
   return HeadDecision::kAccept;
 }
 
+void HttpClient::OnBody(std::string bytes) {
+  this->body.append(bytes);
+  if (this->body.size() > kMaxBodyBytes) {
+    this->connection->Abort();
+    this->connection.reset();
+    this->body = {};
+    this->End(tl::unexpected(HttpError{.message = "response is too large"}));
+  }
+}
+
 void HttpClient::OnComplete() {
   this->End(
       HttpResponse{.status = this->status, .body = std::move(this->body)});
--- a/src/proxy/http_client.h
+++ b/src/proxy/http_client.h
@@ -28,7 +28,7 @@
 
 // Sends one request at a time over a persistent BackendConnection. The
 // connection is closed whenever a response was incomplete, since the rest of it
-// may still arrive. Used on the event loop's thread only.
+// may still arrive, or too large. Used on the event loop's thread only.
 class HttpClient : private ResponseListener {
  public:
   using Done = std::function<void(tl::expected<HttpResponse, HttpError>)>;
@@ -53,7 +53,7 @@
  private:
   void OnSendStarted() override {}
   HeadDecision OnHead(const ResponseHead& head) override;
-  void OnBody(std::string bytes) override { this->body.append(bytes); }
+  void OnBody(std::string bytes) override;
   void OnComplete() override;
   void OnFailed(FailureKind kind, const std::string& reason) override;
   void End(tl::expected<HttpResponse, HttpError> result);
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -16,6 +16,11 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 // Lower status codes (1xx) are interim responses.
 constexpr int kFirstFinalStatus = 200;
+// Maximum number of interim responses before the final one.
+constexpr int kMaxInterimResponses = 16;
+// Maximum size, in bytes, of an incomplete chunk header or trailer, which the
+// parser takes only as a whole.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10U;
 
 // Feeds the parser and removes the bytes it consumed from the front of `bytes`.
 template <bool kIsRequest>
@@ -172,12 +177,19 @@
     }
     if (!this->head_received && this->parser->has_head) {
       if (this->parser->status < kFirstFinalStatus) {
+        if (++this->interim_responses > kMaxInterimResponses) {
+          return Progress::kMalformed;
+        }
         this->ResetParser();
         continue;
       }
       this->StoreHead();
     }
-    return this->parser->is_done() ? Progress::kComplete : Progress::kNeedMore;
+    if (this->parser->is_done()) {
+      return Progress::kComplete;
+    }
+    return bytes.size() > kMaxUnparsedBytes ? Progress::kMalformed
+                                            : Progress::kNeedMore;
   }
 }
 
--- a/src/proxy/http_reader.h
+++ b/src/proxy/http_reader.h
@@ -124,7 +124,8 @@
   explicit ResponseReader(bool is_head_request);
 
   // Removes the bytes that it parses from the front of `bytes`; bytes after a
-  // complete response remain. Interim responses (1xx) are skipped.
+  // complete response remain. Interim responses (1xx) are skipped, up to a
+  // maximum number.
   Progress Feed(std::string& bytes);
   // Handles an orderly end of the connection, which completes a body without a
   // stated length. Returns kMalformed if the response is incomplete.
@@ -144,6 +145,7 @@
   std::optional<MessageParser<false>> parser;
   ResponseHead response;
   bool head_received = false;
+  int interim_responses = 0;
 };
 
 }  // namespace rosemarycove
