--- a/src/core/placement_queue.h
+++ b/src/core/placement_queue.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <string>
 #include <tuple>
 #include <vector>
 
@@ -15,19 +14,6 @@
 
 namespace rosemarycove {
 
-// Identifies a queue. Requests for the two sides of a service's partition (see
-// Placer) wait in separate queues, since one side may have capacity while the
-// other has none.
-struct PlacementQueueKey {
-  std::string service;
-  bool tolerates_pauses = false;
-
-  bool operator<(const PlacementQueueKey& other) const {
-    return std::tie(this->service, this->tolerates_pauses) <
-           std::tie(other.service, other.tolerates_pauses);
-  }
-};
-
 // What a queued request waits for.
 enum class WaitReason : std::uint8_t {
   kCapacity,  // No server has capacity for it.
@@ -36,9 +22,8 @@
   kAffinity,
 };
 
-// Orders waiting requests of one instance by urgency, then by latest start, and
-// predicts how long a new request would wait. The proxy owns the queues and
-// uses them on its event loop.
+// Orders waiting requests by urgency, then by latest start, and predicts how
+// long a new request would wait. Part of PlacementQueues.
 class PlacementQueue {
  public:
   // Adds a request. `latest_start` is the latest start at which it is expected
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -13,6 +13,7 @@
 #include "core/fleet_report.h"
 #include "core/latency_model.h"
 #include "core/load_ledger.h"
+#include "core/placement_queues.h"
 #include "core/prompt_cache_map.h"
 #include "core/routing_configuration.h"
 #include "core/server_health.h"
@@ -20,14 +21,6 @@
 
 namespace rosemarycove {
 
-// The engines of a service for which more urgent requests wait, by side of the
-// partition (see Placer). A service that is not partitioned has one side.
-struct EngineClaims {
-  // The engines reserved for routes that tolerate pauses.
-  bool reserved = false;
-  bool unreserved = false;
-};
-
 // The properties of a request that decide its placement.
 struct PlacementQuery {
   const Route* route = nullptr;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -199,11 +199,8 @@
     return;
   }
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
-  this->query.claims = this->ClaimsOfOtherQueue();
-  if (this->Queue().HasMoreUrgent(this->RequestUrgency())) {
-    (this->query.tolerates_pauses ? this->query.claims.reserved
-                                  : this->query.claims.unreserved) = true;
-  }
+  this->query.claims = this->context.placement_queues.ClaimsOnArrival(
+      this->service_name, this->RequestUrgency());
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
   if (!chosen && MayWait(no_choice)) {
     this->StartWaiting(WaitReasonOf(no_choice));
@@ -227,20 +224,8 @@
 }
 
 PlacementQueue& Exchange::Queue() const {
-  return this->context
-      .placement_queues[{.service = this->service_name,
-                         .tolerates_pauses = this->query.tolerates_pauses}];
-}
-
-EngineClaims Exchange::ClaimsOfOtherQueue() const {
-  const bool tolerates_pauses = !this->query.tolerates_pauses;
-  const auto other = this->context.placement_queues.find(
-      {.service = this->service_name, .tolerates_pauses = tolerates_pauses});
-  const bool has_more_urgent =
-      other != this->context.placement_queues.end() &&
-      other->second.HasMoreUrgent(this->RequestUrgency());
-  return {.reserved = has_more_urgent && tolerates_pauses,
-          .unreserved = has_more_urgent && !tolerates_pauses};
+  return this->context.placement_queues.Of(this->service_name,
+                                           this->query.tolerates_pauses);
 }
 
 Urgency Exchange::RequestUrgency() const {
@@ -275,7 +260,8 @@
 
 AdmitResult Exchange::TryAdmit(TimePoint now) {
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
-  this->query.claims = this->ClaimsOfOtherQueue();
+  this->query.claims = this->context.placement_queues.ClaimsWhileWaiting(
+      this->service_name, this->query.tolerates_pauses, this->RequestUrgency());
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
   if (!chosen && MayWait(no_choice)) {
     const WaitReason reason = WaitReasonOf(no_choice);
@@ -292,18 +278,28 @@
   return AdmitResult::kLeftQueue;
 }
 
+namespace {
+
+void AdmitWaitingOf(const PlacementQueue& queue, ProxyContext& context,
+                    TimePoint now) {
+  int failed = 0;
+  for (const RequestId id : queue.OrderedIds()) {
+    const auto found = context.waiting_requests.find(id);
+    if (found != context.waiting_requests.end() &&
+        found->second->TryAdmit(now) == AdmitResult::kNoCapacity &&
+        ++failed >= kMaxFailedPlacements) {
+      return;
+    }
+  }
+}
+
+}  // namespace
+
 void AdmitWaiting(ProxyContext& context) {
   const TimePoint now = std::chrono::steady_clock::now();
-  for (const auto& [key, queue] : context.placement_queues) {
-    int failed = 0;
-    for (const RequestId id : queue.OrderedIds()) {
-      const auto found = context.waiting_requests.find(id);
-      if (found != context.waiting_requests.end() &&
-          found->second->TryAdmit(now) == AdmitResult::kNoCapacity &&
-          ++failed >= kMaxFailedPlacements) {
-        break;
-      }
-    }
+  for (const auto& [service, queues] : context.placement_queues.all()) {
+    AdmitWaitingOf(queues.unreserved, context, now);
+    AdmitWaitingOf(queues.reserved, context, now);
   }
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -122,9 +122,6 @@
   void GiveUpWithoutServer(NoChoiceReason reason);
   // The queue of the side of the service's partition that the route prefers.
   [[nodiscard]] PlacementQueue& Queue() const;
-  // Returns the engines for which more urgent requests of the other side's
-  // queue wait.
-  [[nodiscard]] EngineClaims ClaimsOfOtherQueue() const;
   [[nodiscard]] Urgency RequestUrgency() const;
   // Queues the request for placement, or gives up if the expected wait for
   // capacity is too long.
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -11,7 +11,7 @@
 
 #include "core/backend_directory.h"
 #include "core/fleet_retry_budget.h"
-#include "core/placement_queue.h"
+#include "core/placement_queues.h"
 #include "core/placer.h"
 #include "core/routing_configuration.h"
 #include "proxy/call_dialect.h"
@@ -36,7 +36,7 @@
   // from start to end.
   std::shared_ptr<const RoutingConfiguration> configuration;
   // Requests that wait for capacity, and their exchanges by id.
-  std::map<PlacementQueueKey, PlacementQueue> placement_queues = {};
+  PlacementQueues placement_queues = {};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
   RequestId next_request_id = 1;
   // The instance is stopping; responses ask callers to close their connections.
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -11,7 +11,7 @@
 
 #include "core/backend_directory.h"
 #include "core/fleet_retry_budget.h"
-#include "core/placement_queue.h"
+#include "core/placement_queues.h"
 #include "core/placer.h"
 #include "core/relay_throttle.h"
 
@@ -642,6 +642,24 @@
   CHECK(!queue.HasMoreUrgent({.tier = 0, .route_tier = 1}));
 }
 
+TEST(Routing, WaitingRequestClaimsTheEnginesOfItsSideOnly) {
+  const Urgency first{.tier = 0, .route_tier = 2};
+  const Urgency lower{.tier = 1, .route_tier = 0};
+  PlacementQueues queues;
+  CHECK(queues.ClaimsOnArrival("model", lower) == EngineClaims{});
+  queues.Of("model", true).Add(1, first, kStart);
+  CHECK(queues.ClaimsOnArrival("model", lower) ==
+        EngineClaims{.reserved = true});
+  CHECK(queues.ClaimsOnArrival("model", first) == EngineClaims{});
+  CHECK(queues.ClaimsOnArrival("other", lower) == EngineClaims{});
+  CHECK(queues.ClaimsWhileWaiting("model", false, lower) ==
+        EngineClaims{.reserved = true});
+  CHECK(queues.ClaimsWhileWaiting("model", true, lower) == EngineClaims{});
+  queues.Of("model", false).Add(2, first, kStart);
+  CHECK(queues.ClaimsWhileWaiting("model", true, lower) ==
+        EngineClaims{.unreserved = true});
+}
+
 TEST(Routing, RequestThatAwaitsItsAffinityServerIsNotAheadOfOthers) {
   PlacementQueue queue;
   const Urgency lower{.tier = 1, .route_tier = 0};
