Failing tests: configurations in quick succession are relayed by everyone

An instance relays a configuration to one that lags, first two of them, twice as many every 600 ms. A receiver counts as lagging until it has the sender's own latest version; reports are 520 ms old, so while versions change faster it always lags. Nobody is known to have the latest version either, so each instance ranks first among its senders.

The throttle gets the receiver's revision as an argument; it is not used yet.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -423,7 +423,8 @@
   const int rank = this->links.SenderRank(peer, [&](const FleetPeer& other) {
     return other.*peer_revision >= revision;
   });
-  return throttle.MaySend(peer.identity.address, rank, now);
+  return throttle.MaySend(peer.identity.address, peer.*peer_revision, rank,
+                          now);
 }
 
 FleetReport Gateway::MakeReport() {
--- a/src/core/relay_throttle.cc
+++ b/src/core/relay_throttle.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-bool RelayThrottle::MaySend(const std::string& receiver, int rank,
+bool RelayThrottle::MaySend(const std::string& receiver,
+                            std::uint64_t /*revision*/, int rank,
                             TimePoint now) {
   if (this->lagging_since.size() > kMaxReceivers) {
     this->lagging_since.clear();
--- a/src/core/relay_throttle.h
+++ b/src/core/relay_throttle.h
@@ -1,6 +1,7 @@
 // Limits how many instances relay a document to one that lags behind.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -16,10 +17,12 @@
  public:
   // Returns whether this instance may send to the receiver, which lags behind.
   // The first call for a receiver starts the measurement of its lag; no
-  // instance may relay before kInitialDelay has passed. `rank` is the number of
-  // instances that could send as well and rank before this one for this
+  // instance may relay before kInitialDelay has passed. `revision` is the
+  // revision up to which the receiver has the documents. `rank` is the number
+  // of instances that could send as well and rank before this one for this
   // receiver (FleetLinks::SenderRank).
-  bool MaySend(const std::string& receiver, int rank, TimePoint now);
+  bool MaySend(const std::string& receiver, std::uint64_t revision, int rank,
+               TimePoint now);
   // Records that the receiver does not lag behind.
   void MarkUpToDate(const std::string& receiver) {
     this->lagging_since.erase(receiver);
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -251,9 +251,10 @@
   const auto senders = [&throttles](TimePoint now) {
     int count = 0;
     for (int rank = 0; rank < kInstances; ++rank) {
-      count += throttles[static_cast<std::size_t>(rank)].MaySend("p", rank, now)
-                   ? 1
-                   : 0;
+      count +=
+          throttles[static_cast<std::size_t>(rank)].MaySend("p", 1, rank, now)
+              ? 1
+              : 0;
     }
     return count;
   };
@@ -267,6 +268,32 @@
   CHECK_EQUAL(0, senders(kStart + seconds(7)));
 }
 
+// Guards against a fleet whose links are filled by relayed configurations: when
+// versions follow each other faster than reports, every receiver seems to lag.
+TEST(Routing, ReceiverThatGetsNewRevisionsIsNotRelayedTo) {
+  constexpr auto kVersionInterval = milliseconds(170);
+  constexpr auto kReportInterval = milliseconds(520);
+  RelayThrottle throttle;
+  int sent = 0;
+  for (TimePoint now = kStart; now < kStart + seconds(5);
+       now += kReportInterval) {
+    const auto latest = static_cast<std::uint64_t>(
+        (now - kStart) / Duration(kVersionInterval) + 10);
+    // The receiver has had each version at once; its report is older. No other
+    // instance is known to have the latest version, so the rank is 0.
+    sent += throttle.MaySend("p", latest - 3, 0, now) ? 1 : 0;
+  }
+  CHECK_EQUAL(0, sent);
+}
+
+TEST(Routing, ReceiverThatStopsGettingRevisionsIsRelayedTo) {
+  RelayThrottle throttle;
+  CHECK(!throttle.MaySend("p", 1, 0, kStart));
+  CHECK(!throttle.MaySend("p", 2, 0, kStart + milliseconds(500)));
+  CHECK(throttle.MaySend("p", 2, 1, kStart + milliseconds(800)));
+  CHECK(!throttle.MaySend("p", 2, 2, kStart + milliseconds(800)));
+}
+
 TEST(Routing, UnchangedHeartbeatIsNotRelayed) {
   const ColonDecoder decoder;
   BackendDirectory directory(decoder);
