Relay only to instances that get no new revisions

While an operator made a change every 170 ms for 3 s, most callers of a fleet of 65 got no answer for several seconds: the links were full of configurations that the instances relayed to each other, and all readiness checks failed.

Cause: a receiver counted as lagging until it had the sender's own latest version, and reports are half a second old. While versions change faster, every receiver always lags; the number of senders doubles every 600 ms. The senders' ranks don't limit it either: nobody is known to have the latest version, so each sender ranks first. The directory of servers is relayed by the same rule.

Ruled out: the store (all its calls were answered in those seconds) and the instances' processors (3 percent).

The lag now starts again when the receiver's revision changes: it gets documents from the store or from others, and a relay would only repeat what it has. An instance that gets nothing is relayed to as before, within a report interval and a quarter of a second, by two others first.

--- a/src/core/relay_throttle.cc
+++ b/src/core/relay_throttle.cc
@@ -20,15 +20,18 @@
 
 }  // namespace
 
-bool RelayThrottle::MaySend(const std::string& receiver,
-                            std::uint64_t /*revision*/, int rank,
-                            TimePoint now) {
-  if (this->lagging_since.size() > kMaxReceivers) {
-    this->lagging_since.clear();
+bool RelayThrottle::MaySend(const std::string& receiver, std::uint64_t revision,
+                            int rank, TimePoint now) {
+  if (this->lags.size() > kMaxReceivers) {
+    this->lags.clear();
   }
-  const TimePoint since =
-      this->lagging_since.try_emplace(receiver, now).first->second;
-  const Duration lag = now - since - kInitialDelay;
+  Lag& known =
+      this->lags.try_emplace(receiver, Lag{.revision = revision, .since = now})
+          .first->second;
+  if (revision != known.revision) {
+    known = {.revision = revision, .since = now};
+  }
+  const Duration lag = now - known.since - kInitialDelay;
   if (lag < Duration{}) {
     return false;
   }
