Call the engines kept for a waiting request withheld

"Claim" is the term for the record of an idempotency key (docs/GLOSSARY.md). No behaviour changes; the tests pass as before.

--- a/src/core/placement_queues.cc
+++ b/src/core/placement_queues.cc
@@ -7,8 +7,8 @@
   return this->queues[service].Of(tolerates_pauses);
 }
 
-EngineClaims PlacementQueues::ClaimsOnArrival(const std::string& service,
-                                              Urgency urgency) const {
+WithheldEngines PlacementQueues::WithheldOnArrival(const std::string& service,
+                                                   Urgency urgency) const {
   const auto found = this->queues.find(service);
   if (found == this->queues.end()) {
     return {};
@@ -17,12 +17,11 @@
           .unreserved = found->second.unreserved.HasMoreUrgent(urgency)};
 }
 
-EngineClaims PlacementQueues::ClaimsWhileWaiting(const std::string& service,
-                                                 bool tolerates_pauses,
-                                                 Urgency urgency) const {
-  EngineClaims claims = this->ClaimsOnArrival(service, urgency);
-  (tolerates_pauses ? claims.reserved : claims.unreserved) = false;
-  return claims;
+WithheldEngines PlacementQueues::WithheldWhileWaiting(
+    const std::string& service, bool tolerates_pauses, Urgency urgency) const {
+  WithheldEngines withheld = this->WithheldOnArrival(service, urgency);
+  (tolerates_pauses ? withheld.reserved : withheld.unreserved) = false;
+  return withheld;
 }
 
 }  // namespace rosemarycove
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -171,8 +171,8 @@
       return "brittle_streams";
     case CapacityLimit::kTooSlow:
       return "too_slow";
-    case CapacityLimit::kClaimed:
-      return "claimed";
+    case CapacityLimit::kWithheld:
+      return "withheld";
   }
   return "unknown";
 }
@@ -233,16 +233,16 @@
          found->second.reserved_servers.contains(server);
 }
 
-bool Placer::IsClaimed(const PlacementQuery& query,
-                       const std::string& server) const {
-  const EngineClaims& claims = query.claims;
+bool Placer::IsWithheld(const PlacementQuery& query,
+                        const std::string& server) const {
+  const WithheldEngines& withheld = query.withheld;
   const auto found = this->engine_partitions.find(query.service->name);
   if (found == this->engine_partitions.end() ||
       found->second.reserved_servers.empty()) {
-    return claims.reserved || claims.unreserved;
+    return withheld.reserved || withheld.unreserved;
   }
-  return found->second.reserved_servers.contains(server) ? claims.reserved
-                                                         : claims.unreserved;
+  return found->second.reserved_servers.contains(server) ? withheld.reserved
+                                                         : withheld.unreserved;
 }
 
 void Placer::RecentWork::DecayTo(TimePoint now) {
@@ -492,8 +492,8 @@
   if (!query.service->IsModel()) {
     return CapacityLimit::kNone;
   }
-  if (this->IsClaimed(query, candidate.server->id)) {
-    return CapacityLimit::kClaimed;
+  if (this->IsWithheld(query, candidate.server->id)) {
+    return CapacityLimit::kWithheld;
   }
   ServerLoad load = candidate.load;
   // Affinity servers differ between prompts, so the instances do not all choose
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -43,7 +43,7 @@
   // again.
   TimePoint affinity_wait_until;
   // The request must not take these engines.
-  EngineClaims claims;
+  WithheldEngines withheld;
 };
 
 // Why a server was chosen.
@@ -69,7 +69,7 @@
   kGapSensitiveStreams,  // The prefill would pause too many streams.
   // The request, or typical requests on the same server, would miss the target.
   kTooSlow,
-  kClaimed,  // A more urgent request waits for the server.
+  kWithheld,  // A more urgent request waits for the server.
 };
 
 // Returns the word that logs use.
@@ -285,8 +285,8 @@
   [[nodiscard]] bool IsReserved(const PlacementQuery& query,
                                 const std::string& server) const;
   // Returns whether a more urgent request waits for the server.
-  [[nodiscard]] bool IsClaimed(const PlacementQuery& query,
-                               const std::string& server) const;
+  [[nodiscard]] bool IsWithheld(const PlacementQuery& query,
+                                const std::string& server) const;
   void UpdatePartition(const std::string& service, TimePoint now);
   // Returns the share of pause-tolerant routes in the service's recent work at
   // all instances.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -199,7 +199,7 @@
     return;
   }
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
-  this->query.claims = this->context.placement_queues.ClaimsOnArrival(
+  this->query.withheld = this->context.placement_queues.WithheldOnArrival(
       this->service_name, this->RequestUrgency());
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
   if (!chosen && MayWait(no_choice)) {
@@ -260,7 +260,7 @@
 
 AdmitResult Exchange::TryAdmit(TimePoint now) {
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
-  this->query.claims = this->context.placement_queues.ClaimsWhileWaiting(
+  this->query.withheld = this->context.placement_queues.WithheldWhileWaiting(
       this->service_name, this->query.tolerates_pauses, this->RequestUrgency());
   const std::optional<ServerChoice> chosen = this->ChooseServer(now, no_choice);
   if (!chosen && MayWait(no_choice)) {
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -495,20 +495,20 @@
     return !choice ? "none" : choice->is_reserved ? "reserved" : "unreserved";
   };
   STRCMP_EQUAL("unreserved", chosen_side().c_str());
-  query.claims = {.reserved = true};
+  query.withheld = {.reserved = true};
   STRCMP_EQUAL("unreserved", chosen_side().c_str());
-  query.claims = {.unreserved = true};
+  query.withheld = {.unreserved = true};
   STRCMP_EQUAL("reserved", chosen_side().c_str());
-  query.claims = {.reserved = true, .unreserved = true};
+  query.withheld = {.reserved = true, .unreserved = true};
   STRCMP_EQUAL("none", chosen_side().c_str());
   CHECK(engines.why_not == NoChoiceReason::kHeldBack);
 }
 
-TEST(Routing, ServiceWithoutAPartitionIsClaimedAsAWhole) {
+TEST(Routing, ServiceWithoutAPartitionIsWithheldAsAWhole) {
   Engines engines(2);
   PlacementQuery query = QueryOf(kStream);
   CHECK(engines.Choose(query).has_value());
-  query.claims = {.reserved = true};
+  query.withheld = {.reserved = true};
   CHECK(!engines.Choose(query).has_value());
 }
 
@@ -669,22 +669,22 @@
   CHECK(!queue.HasMoreUrgent({.tier = 0, .route_tier = 1}));
 }
 
-TEST(Routing, WaitingRequestClaimsTheEnginesOfItsSideOnly) {
+TEST(Routing, EnginesOfOneSideAreWithheldForAWaitingRequest) {
   const Urgency first{.tier = 0, .route_tier = 2};
   const Urgency lower{.tier = 1, .route_tier = 0};
   PlacementQueues queues;
-  CHECK(queues.ClaimsOnArrival("model", lower) == EngineClaims{});
+  CHECK(queues.WithheldOnArrival("model", lower) == WithheldEngines{});
   queues.Of("model", true).Add(1, first, kStart);
-  CHECK(queues.ClaimsOnArrival("model", lower) ==
-        EngineClaims{.reserved = true});
-  CHECK(queues.ClaimsOnArrival("model", first) == EngineClaims{});
-  CHECK(queues.ClaimsOnArrival("other", lower) == EngineClaims{});
-  CHECK(queues.ClaimsWhileWaiting("model", false, lower) ==
-        EngineClaims{.reserved = true});
-  CHECK(queues.ClaimsWhileWaiting("model", true, lower) == EngineClaims{});
+  CHECK(queues.WithheldOnArrival("model", lower) ==
+        WithheldEngines{.reserved = true});
+  CHECK(queues.WithheldOnArrival("model", first) == WithheldEngines{});
+  CHECK(queues.WithheldOnArrival("other", lower) == WithheldEngines{});
+  CHECK(queues.WithheldWhileWaiting("model", false, lower) ==
+        WithheldEngines{.reserved = true});
+  CHECK(queues.WithheldWhileWaiting("model", true, lower) == WithheldEngines{});
   queues.Of("model", false).Add(2, first, kStart);
-  CHECK(queues.ClaimsWhileWaiting("model", true, lower) ==
-        EngineClaims{.unreserved = true});
+  CHECK(queues.WithheldWhileWaiting("model", true, lower) ==
+        WithheldEngines{.unreserved = true});
 }
 
 TEST(Routing, RequestThatAwaitsItsAffinityServerIsNotAheadOfOthers) {
