Log how the server marked the end of a response

The logs of the broken-off streams could not tell a response that ended with its connection from one with a length or chunks, nor an end within an event from one between two. call_ended now has framing and partial_event_bytes. No change of what callers get.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -84,6 +84,8 @@
        {"first_event_ms", ToLogMilliseconds(record.time_to_first_event)},
        {"whole_ms", ToLogMilliseconds(record.total_time)},
        {"events", record.event_count},
+       {"framing", ToString(record.response_framing)},
+       {"partial_event_bytes", record.partial_event_bytes},
        {"retry_after_ms", ToLogMilliseconds(record.retry_after)},
        {"on_target", record.on_target},
        {"servers_lacked", FormatLimitCounts(record.no_capacity_counts)},
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -15,13 +15,10 @@
  public:
   // Adds bytes of the stream and returns the events that they complete.
   std::string Feed(std::string_view bytes);
-  // The size in bytes of the incomplete event at the end of the stream.
-  [[nodiscard]] std::size_t partial_event_bytes() const {
-    return this->buffer.size();
+  // The bytes of an incomplete event at the end of the stream.
+  [[nodiscard]] const std::string& partial_event() const {
+    return this->buffer;
   }
-  // Returns the bytes of an incomplete event at the end of the stream. Feed
-  // must not be called afterwards, except after DiscardPartialEvent.
-  std::string TakePartialEvent() { return std::move(this->buffer); }
   // Discards the bytes of an incomplete event, so that the stream of the next
   // attempt can be added.
   void DiscardPartialEvent() {
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -369,6 +369,7 @@
   const TimePoint now = std::chrono::steady_clock::now();
   this->last_bytes_at = now;
   this->response = head;
+  this->response_framing = head.framing;
   if (response_info.load) {
     this->context.placer.ApplyLoadReport(this->choice->server.id,
                                          response_info.load->running,
@@ -470,7 +471,7 @@
       return;
     case ResponseMode::kStream:
       this->ForwardEvents(this->splitter.Feed(bytes));
-      if (this->splitter.partial_event_bytes() > SseParser::kMaxEventBytes) {
+      if (this->splitter.partial_event().size() > SseParser::kMaxEventBytes) {
         this->AbandonResponse({.result = SendResult::kMalformed,
                                .may_have_executed = true,
                                .reason = "endless event"});
@@ -543,7 +544,7 @@
     case ResponseMode::kForwarded:
       break;
     case ResponseMode::kStream:
-      this->buffered = this->splitter.TakePartialEvent();
+      this->buffered = this->splitter.partial_event();
       break;
   }
   this->ForwardBuffered();
@@ -848,6 +849,8 @@
            has_first_event ? this->first_event_at - this->arrival : Duration{},
        .total_time = now - this->arrival,
        .event_count = this->splitter.event_count(),
+       .response_framing = this->response_framing,
+       .partial_event_bytes = this->splitter.partial_event().size(),
        .retry_after = this->retry_after,
        .on_target = on_target,
        .no_capacity_counts = this->no_capacity_counts,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -193,6 +193,8 @@
   // is complete; nullopt otherwise.
   std::optional<Failure> pending_failure;
   ResponseHead response;
+  // How the server marked the end of the last response.
+  BodyFraming response_framing = BodyFraming::kNone;
   // Bytes of the body that were received and not yet forwarded.
   std::string buffered;
   // Bytes of the body that were received in mode kDiscarded.
@@ -208,6 +210,7 @@
   // Attempts that may have been executed.
   int possible_executions = 0;
   bool head_forwarded = false;
+  // How the end of the response is marked for the caller.
   BodyFraming framing = BodyFraming::kNone;
   // When the first event was received; TimePoint{} before.
   TimePoint first_event_at;
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -85,6 +85,20 @@
          !(connection && ListContainsToken(*connection, "close"));
 }
 
+std::string_view ToString(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kNone:
+      return "none";
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kUntilClose:
+      return "until_close";
+  }
+  return "none";
+}
+
 std::string_view ReasonPhrase(int status) {
   switch (status) {
     case http_status::kOk:
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -61,10 +61,22 @@
   [[nodiscard]] std::string_view Path() const;
 };
 
+// How the end of a response's body is marked.
+enum class BodyFraming : std::uint8_t {
+  kNone,        // The response has no body.
+  kLength,      // Content-Length states the length of the body.
+  kChunked,     // The body is sent in chunks and ends with an empty one.
+  kUntilClose,  // The connection is closed after the body. Callers that use
+                // HTTP/1.0 don't support chunks, and servers may omit both.
+};
+std::string_view ToString(BodyFraming framing);
+
 // The start line and fields of a response.
 struct ResponseHead : MessageHead {
   int status = 0;
   std::string reason;
+  // How the sender marks the end of the body.
+  BodyFraming framing = BodyFraming::kNone;
   // Length of the body in bytes; nullopt if it is chunked or ends with the
   // connection.
   std::optional<std::uint64_t> length;
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -166,6 +166,11 @@
   this->response.fields = this->parser->fields;
   if (const auto length = this->parser->content_length()) {
     this->response.length = *length;
+    this->response.framing = BodyFraming::kLength;
+  } else if (this->parser->chunked()) {
+    this->response.framing = BodyFraming::kChunked;
+  } else if (this->parser->need_eof()) {
+    this->response.framing = BodyFraming::kUntilClose;
   }
 }
 
--- a/src/proxy/message_writer.h
+++ b/src/proxy/message_writer.h
@@ -13,15 +13,6 @@
 
 namespace rosemarycove {
 
-// How the end of a response's body is marked.
-enum class BodyFraming : std::uint8_t {
-  kNone,        // The response has no body.
-  kLength,      // Content-Length states the length of the body.
-  kChunked,     // The body is sent in chunks and ends with kLastChunk.
-  kUntilClose,  // The connection is closed after the body; for HTTP/1.0
-                // callers, which don't support chunks.
-};
-
 // Returns the head of a caller's request for a backend server: method and
 // target unchanged, the end-to-end fields in order, then the fields of the
 // attempt.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -7,6 +7,7 @@
 #include "core/actions.h"
 #include "core/placer.h"
 #include "core/types.h"
+#include "proxy/http_head.h"
 
 namespace rosemarycove {
 
@@ -74,6 +75,10 @@
   // From arrival to the end.
   Duration total_time{};
   int event_count = 0;
+  // How the server marked the end of the last response.
+  BodyFraming response_framing = BodyFraming::kNone;
+  // The bytes of that response that follow its last complete event.
+  std::size_t partial_event_bytes = 0;
   // Retry-After of the response; zero if it has none.
   Duration retry_after{};
   // The request was completed within the targets of its route.
