--- /dev/null
+++ b/tests/test_event_streams.cc
@@ -0,0 +1,147 @@
+// Tests of event streams that backend servers end in different ways.
+#include <atomic>
+#include <string>
+
+#include "tests/gateway_fixture.h"
+
+// Included last, since CppUTest defines macros that break standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace rosemarycove;            // NOLINT
+using namespace rosemarycove::platform;  // NOLINT
+
+namespace {
+
+constexpr char kEventStream[] = "Content-Type: text/event-stream\r\n";
+
+// Returns a response whose body ends with the connection.
+std::string CloseDelimited(const std::string& request, const std::string& body,
+                           const std::string& extra_fields = kEventStream) {
+  return "HTTP/1.1 200 OK\r\nRosemarycove-Request-Id: " +
+         HeaderValue(request, "Rosemarycove-Request-Id") +
+         "\r\nRosemarycove-Server-Seal: seal\r\n" + extra_fields + "\r\n" +
+         body;
+}
+
+// Returns a handler that answers one request with what `respond` returns and
+// then closes the connection in order.
+RawServer::Handler RespondAndClose(
+    std::function<std::string(const std::string& request)> respond) {
+  return [respond = std::move(respond)](RawConnection& connection) {
+    if (const auto request = connection.ReadMessage()) {
+      connection.Send(respond(*request));
+      connection.Close();
+    }
+  };
+}
+
+// A gateway with one engine, and the connection of a caller.
+class StreamFixture {
+ public:
+  explicit StreamFixture(RawServer::Handler handler)
+      : platform(std::move(handler)), gateway("a", platform.store.address()) {
+    this->gateway.AwaitReady();
+  }
+  // Returns all bytes that a caller gets until its connection ends.
+  std::string Send(const std::string& path = "/stream/x",
+                   const std::string& version = "1.1", bool* reset = nullptr) {
+    const auto caller = this->gateway.Connect();
+    std::string request =
+        PlatformFixture::Request(path, "r1", "Connection: close\r\n");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/" + version);
+    caller->Send(request);
+    return caller->ReadToEnd(reset);
+  }
+
+  PlatformFixture platform;
+  RunningGateway gateway;
+};
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(EventStreams){};
+
+// Guards against a stream that its server breaks off within an event, by
+// closing the connection in order, being framed as complete for the caller.
+TEST(EventStreams, CloseWithinAnEventDoesNotCompleteTheStream) {
+  StreamFixture fixture(RespondAndClose([](const std::string& request) {
+    return CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\nda");
+  }));
+  const std::string response = fixture.Send();
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(Contains(response, "id: 1\ndata: a\n\n"));
+  CHECK(!Contains(response, "id: 2"));
+  CHECK(!response.ends_with(kLastChunk));
+}
+
+// Guards against the same with a server that frames the rest properly.
+TEST(EventStreams, LastChunkWithinAnEventDoesNotCompleteTheStream) {
+  StreamFixture fixture(RespondAndClose([](const std::string& request) {
+    return StreamResponseHead(request) +
+           Chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n") +
+           std::string(kLastChunk);
+  }));
+  const std::string response = fixture.Send();
+  CHECK(Contains(response, "id: 1\ndata: a\n\n"));
+  CHECK(!Contains(response, "id: 2"));
+  CHECK(!response.ends_with(kLastChunk));
+}
+
+// Guards against a stream that its server breaks off before the first event
+// being framed as a complete, empty stream.
+TEST(EventStreams, CloseBeforeTheFirstEventDoesNotCompleteTheStream) {
+  StreamFixture fixture(RespondAndClose(
+      [](const std::string& request) { return CloseDelimited(request, ""); }));
+  CHECK(!fixture.Send().ends_with(kLastChunk));
+}
+
+// Guards against a broken-off stream looking complete to a caller for which the
+// end of the connection is the end of the stream.
+TEST(EventStreams, BrokenStreamResetsTheConnectionOfAnHttp10Caller) {
+  StreamFixture fixture(RespondAndClose([](const std::string& request) {
+    return CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\nda");
+  }));
+  bool reset = false;
+  const std::string response = fixture.Send("/stream/x", "1.0", &reset);
+  CHECK(Contains(response, "id: 1\ndata: a\n\n"));
+  CHECK(!Contains(response, "id: 2"));
+  CHECK(reset);
+}
+
+// Guards against a resumable stream that is broken off by an orderly close
+// being ended instead of resumed.
+TEST(EventStreams, CloseWithinAnEventResumesTheStreamAtAnotherServer) {
+  std::atomic<int> calls = 0;
+  const auto handler = RespondAndClose([&](const std::string& request) {
+    if (HeaderValue(request, "Last-Event-Id") == "1") {
+      return CloseDelimited(request, "id: 2\ndata: b\n\n");
+    }
+    ++calls;
+    return CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\nda");
+  });
+  StreamFixture fixture(handler);
+  const RawServer other(handler);
+  fixture.platform.AddServer("engine-2", "model", other.address());
+  std::string response;
+  // The gateway learns of the second server within a second.
+  for (int i = 0; i < 100 && !response.ends_with(kLastChunk); ++i) {
+    response = fixture.Send();
+  }
+  CHECK(response.ends_with(kLastChunk));
+  CHECK(Contains(response, "id: 1\ndata: a\n\n"));
+  CHECK(Contains(response, "id: 2\ndata: b\n\n"));
+  CHECK(!Contains(response, "id: 2\nda\r\n"));
+}
+
+TEST(EventStreams, CloseAfterAnEventCompletesTheStream) {
+  StreamFixture fixture(RespondAndClose([](const std::string& request) {
+    return CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }));
+  const std::string response = fixture.Send();
+  CHECK(Contains(response, "id: 2\ndata: b\n\n"));
+  CHECK(response.ends_with(kLastChunk));
+}
