Split events at all line ends that event streams may have

A stream whose lines end with CR alone was held back to its end, since only LF ended a line. Found while looking at how a stream's last event is recognized; no caller reported it. EventSplitter, LinesEndWithAnyOfTheLineEndsAtAnyChunkBoundary failed before and passes now.

--- a/src/proxy/event_splitter.cc
+++ b/src/proxy/event_splitter.cc
@@ -10,25 +10,33 @@
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view bytes) {
+  std::size_t at = this->buffer.size();
   this->buffer.append(bytes);
-  // An event ends with an empty line.
+  // An event ends with an empty line. Lines end with CR, LF or both.
   std::size_t events_end = 0;
-  std::size_t line = this->scanned;
-  while (true) {
-    const std::size_t newline = this->buffer.find('\n', line);
-    if (newline == std::string::npos) {
-      break;
+  for (; at < this->buffer.size(); ++at) {
+    const char byte = this->buffer[at];
+    if (byte == '\n' && this->after_carriage_return) {
+      this->after_carriage_return = false;
+      // The second half of the end of a line that was counted.
+      if (events_end == at) {
+        events_end = at + 1;
+      }
+      continue;
+    }
+    this->after_carriage_return = byte == '\r';
+    if (byte != '\r' && byte != '\n') {
+      this->at_line_start = false;
+      continue;
     }
-    const std::size_t length = newline - line;
-    if (length == 0 || (length == 1 && this->buffer[line] == '\r')) {
-      events_end = newline + 1;
+    if (this->at_line_start) {
+      events_end = at + 1;
       ++this->count;
     }
-    line = newline + 1;
+    this->at_line_start = true;
   }
   std::string events = this->buffer.substr(0, events_end);
   this->buffer.erase(0, events_end);
-  this->scanned = line - events_end;
   this->UpdateLastId(events);
   return events;
 }
@@ -38,7 +46,7 @@
   std::size_t at = events.size();
   while (at > 0) {
     const std::size_t newline =
-        at < 2 ? std::string_view::npos : events.rfind('\n', at - 2);
+        at < 2 ? std::string_view::npos : events.find_last_of("\r\n", at - 2);
     const std::size_t start =
         newline == std::string_view::npos ? 0 : newline + 1;
     std::string_view line = events.substr(start, at - start);
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -23,7 +23,8 @@
   // attempt can be added.
   void DiscardPartialEvent() {
     this->buffer.clear();
-    this->scanned = 0;
+    this->at_line_start = true;
+    this->after_carriage_return = false;
   }
 
   // The last id among the complete events; empty if none had an id.
@@ -35,8 +36,10 @@
   void UpdateLastId(std::string_view events);
 
   std::string buffer;
-  // Offset in the buffer at which the search for the end of an event resumes.
-  std::size_t scanned = 0;
+  // The next byte begins a line.
+  bool at_line_start = true;
+  // The last byte was CR, which ended a line; LF may follow it.
+  bool after_carriage_return = false;
   std::string id;
   int count = 0;
 };
--- a/tests/test_event_streams.cc
+++ b/tests/test_event_streams.cc
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <string>
 
+#include "proxy/event_splitter.h"
 #include "tests/gateway_fixture.h"
 
 // Included last, since CppUTest defines macros that break standard headers.
@@ -145,3 +146,34 @@
   CHECK(Contains(response, "id: 2\ndata: b\n\n"));
   CHECK(response.ends_with(kLastChunk));
 }
+
+TEST_GROUP(EventSplitter){};
+
+// Guards against events whose lines end with CR, which server-sent events
+// allow, being held back to the end of the stream.
+TEST(EventSplitter, LinesEndWithAnyOfTheLineEndsAtAnyChunkBoundary) {
+  for (const std::string line_end : {"\n", "\r\n", "\r"}) {
+    const std::string first = "id: 1" + line_end + "data: a" + line_end;
+    const std::string second = "id: 2" + line_end + "data: b" + line_end;
+    const std::string stream = first + line_end + second + line_end;
+    for (std::size_t split = 0; split <= stream.size(); ++split) {
+      EventSplitter splitter;
+      std::string events = splitter.Feed(stream.substr(0, split));
+      CHECK(split < first.size() + 1 || events.starts_with(first));
+      events += splitter.Feed(stream.substr(split));
+      STRCMP_EQUAL(stream.c_str(), events.c_str());
+      CHECK(splitter.partial_event().empty());
+      CHECK_EQUAL(2, splitter.event_count());
+      STRCMP_EQUAL("2", splitter.last_id().c_str());
+    }
+  }
+}
+
+TEST(EventSplitter, IncompleteEventIsKeptBack) {
+  EventSplitter splitter;
+  STRCMP_EQUAL("data: a\r\n\r\n",
+               splitter.Feed("data: a\r\n\r\ndata: b\r\n").c_str());
+  STRCMP_EQUAL("data: b\r\n", splitter.partial_event().c_str());
+  splitter.DiscardPartialEvent();
+  STRCMP_EQUAL("data: c\n\n", splitter.Feed("data: c\n\n").c_str());
+}
