Don't complete a stream that ends within an event

Cause: the end of the framing was taken as the end of the content. An engine that breaks off a stream without length and chunks closes its connection in order, which HTTP defines as the end of such a body. The gateway holds back the bytes after the last complete event, but at the end it forwarded them and ended its own chunks.

Now an event stream is complete only if its framing ends between two events, and, if it ends with its connection, after at least one event. Otherwise the attempt has failed: a resumable stream is resumed at another server, another one is broken off towards its caller. A response is an event stream by its content type, or by its route if it has none, so that other bodies of stream routes keep their end and event streams of other routes are checked.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -74,6 +74,14 @@
                                                    : WaitReason::kCapacity;
 }
 
+// Returns whether the response is a stream of events. On stream routes the type
+// may be missing.
+bool IsEventStream(const Route& route, const ResponseHead& response) {
+  const std::string_view type = response.MediaType();
+  return type.empty() ? route.kind == RouteKind::kStream
+                      : TokensEqual(type, "text/event-stream");
+}
+
 bool HasNoBody(const RequestHead& request, const ResponseHead& response) {
   return request.method == "HEAD" || response.status == kNoContent ||
          response.status == kNotModified;
@@ -397,7 +405,7 @@
     this->response_mode = ResponseMode::kBuffered;
     return HeadDecision::kAccept;
   }
-  if (this->query.route->kind == RouteKind::kStream && head.IsSuccess() &&
+  if (head.IsSuccess() && IsEventStream(*this->query.route, head) &&
       !HasNoBody(this->request, head)) {
     this->response_mode = ResponseMode::kStream;
     if (!this->head_forwarded) {
@@ -526,6 +534,16 @@
     this->FailAttempt(*std::exchange(this->pending_failure, std::nullopt));
     return;
   }
+  if (this->response_mode == ResponseMode::kStream) {
+    const std::string_view reason = this->IncompleteStreamReason();
+    if (!reason.empty()) {
+      this->ClearResponse();
+      this->FailAttempt({.result = SendResult::kMalformed,
+                         .may_have_executed = true,
+                         .reason = std::string(reason)});
+      return;
+    }
+  }
   this->RecordFirstEvent();
   switch (this->response_mode) {
     case ResponseMode::kNone:
@@ -542,9 +560,7 @@
                                             : BodyFraming::kNone);
       break;
     case ResponseMode::kForwarded:
-      break;
     case ResponseMode::kStream:
-      this->buffered = this->splitter.partial_event();
       break;
   }
   this->ForwardBuffered();
@@ -557,6 +573,17 @@
             this->response.status);
 }
 
+std::string_view Exchange::IncompleteStreamReason() const {
+  if (!this->splitter.partial_event().empty()) {
+    return "stream ended within an event";
+  }
+  if (this->response.framing == BodyFraming::kUntilClose &&
+      !this->first_event_received) {
+    return "connection closed before the first event";
+  }
+  return {};
+}
+
 void Exchange::OnFailed(FailureKind kind, const std::string& reason) {
   this->connection.reset();
   if (this->pending_failure) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -140,6 +140,10 @@
   // to be sent to the caller.
   void ForwardBuffered();
   void ForwardEvents(std::string events);
+  // Returns why a stream whose framing ended is not complete: a server that
+  // breaks it off may still close the connection in order. Empty if it is
+  // complete.
+  [[nodiscard]] std::string_view IncompleteStreamReason() const;
   // Records the first event of the current attempt, which is the complete
   // response if it is not a stream.
   void RecordFirstEvent();
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -85,6 +85,11 @@
          !(connection && ListContainsToken(*connection, "close"));
 }
 
+std::string_view MessageHead::MediaType() const {
+  const std::string_view type = this->fields.Find("content-type").value_or("");
+  return Trim(type.substr(0, type.find(';')));
+}
+
 std::string_view ToString(BodyFraming framing) {
   switch (framing) {
     case BodyFraming::kNone:
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -49,6 +49,9 @@
 
   // Returns whether the sender allows the connection to be reused.
   [[nodiscard]] bool KeepsAlive() const;
+  // Returns the media type of the body without its parameters; empty if
+  // Content-Type is missing.
+  [[nodiscard]] std::string_view MediaType() const;
 };
 
 // The start line and fields of a request.
--- a/tests/test_event_streams.cc
+++ b/tests/test_event_streams.cc
@@ -1,5 +1,5 @@
 // Tests of event streams that backend servers end in different ways.
-#include <atomic>
+#include <optional>
 #include <string>
 
 #include "proxy/event_splitter.h"
@@ -36,17 +36,22 @@
   };
 }
 
-// A gateway with one engine, and the connection of a caller.
+// A gateway with one engine, or two if the address of another one is given.
 class StreamFixture {
  public:
-  explicit StreamFixture(RawServer::Handler handler)
-      : platform(std::move(handler)), gateway("a", platform.store.address()) {
-    this->gateway.AwaitReady();
+  explicit StreamFixture(RawServer::Handler handler,
+                         const std::string& second_engine = "")
+      : platform(std::move(handler)) {
+    if (!second_engine.empty()) {
+      this->platform.AddServer("engine-2", "model", second_engine);
+    }
+    this->gateway.emplace("a", this->platform.store.address());
+    this->gateway->AwaitReady();
   }
   // Returns all bytes that a caller gets until its connection ends.
   std::string Send(const std::string& path = "/stream/x",
                    const std::string& version = "1.1", bool* reset = nullptr) {
-    const auto caller = this->gateway.Connect();
+    const auto caller = this->gateway->Connect();
     std::string request =
         PlatformFixture::Request(path, "r1", "Connection: close\r\n");
     request.replace(request.find("HTTP/1.1"), 8, "HTTP/" + version);
@@ -55,7 +60,7 @@
   }
 
   PlatformFixture platform;
-  RunningGateway gateway;
+  std::optional<RunningGateway> gateway;
 };
 
 bool Contains(const std::string& text, const std::string& part) {
@@ -116,26 +121,18 @@
 // Guards against a resumable stream that is broken off by an orderly close
 // being ended instead of resumed.
 TEST(EventStreams, CloseWithinAnEventResumesTheStreamAtAnotherServer) {
-  std::atomic<int> calls = 0;
-  const auto handler = RespondAndClose([&](const std::string& request) {
-    if (HeaderValue(request, "Last-Event-Id") == "1") {
-      return CloseDelimited(request, "id: 2\ndata: b\n\n");
-    }
-    ++calls;
-    return CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\nda");
+  const auto handler = RespondAndClose([](const std::string& request) {
+    return HeaderValue(request, "Last-Event-Id") == "1"
+               ? CloseDelimited(request, "id: 2\ndata: b\n\n")
+               : CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\nda");
   });
-  StreamFixture fixture(handler);
   const RawServer other(handler);
-  fixture.platform.AddServer("engine-2", "model", other.address());
-  std::string response;
-  // The gateway learns of the second server within a second.
-  for (int i = 0; i < 100 && !response.ends_with(kLastChunk); ++i) {
-    response = fixture.Send();
-  }
-  CHECK(response.ends_with(kLastChunk));
+  StreamFixture fixture(handler, other.address());
+  const std::string response = fixture.Send();
   CHECK(Contains(response, "id: 1\ndata: a\n\n"));
   CHECK(Contains(response, "id: 2\ndata: b\n\n"));
   CHECK(!Contains(response, "id: 2\nda\r\n"));
+  CHECK(response.ends_with(kLastChunk));
 }
 
 TEST(EventStreams, CloseAfterAnEventCompletesTheStream) {
@@ -147,6 +144,27 @@
   CHECK(response.ends_with(kLastChunk));
 }
 
+// Guards against a body that is no event stream being taken for a stream that
+// ends within an event.
+TEST(EventStreams, OtherBodiesOfAStreamRouteAreCompleteAtTheirEnd) {
+  StreamFixture fixture(RespondAndClose([](const std::string& request) {
+    return CloseDelimited(request, "{}", "Content-Type: application/json\r\n");
+  }));
+  CHECK(fixture.Send().ends_with("\r\n\r\n{}"));
+}
+
+// Guards against an event stream of another route being framed as complete
+// although it ends within an event.
+TEST(EventStreams, EventStreamsOfOtherRoutesEndWithACompleteEvent) {
+  StreamFixture fixture(RespondAndClose([](const std::string& request) {
+    return CloseDelimited(request, "data: a\n\nda",
+                          "Content-Type: Text/Event-Stream; charset=utf-8\r\n");
+  }));
+  const std::string response = fixture.Send("/once/x");
+  CHECK(Contains(response, "data: a\n\n"));
+  CHECK(!response.ends_with(kLastChunk));
+}
+
 TEST_GROUP(EventSplitter){};
 
 // Guards against events whose lines end with CR, which server-sent events
