Send what was received of a response before breaking it off

A response that broke off while earlier bytes of it waited to be sent lost them: the caller's connection was closed at once. Complete events that arrived together with the break never reached the caller.

The connection is closed, or reset for a caller to which an orderly close would mark the end, once all is sent. A caller that does not read is still cut off after its idle timeout.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -167,7 +167,7 @@
           self->exchange->OnOutputSent();
         }
         if (self->closing && self->unsent_bytes() == 0) {
-          self->ShutDownSending();
+          self->EndSending();
         }
       });
 }
@@ -201,17 +201,14 @@
   this->received.clear();
   this->close_at = std::chrono::steady_clock::now() + kLingerTime;
   if (this->unsent_bytes() == 0) {
-    this->ShutDownSending();
+    this->EndSending();
   }
   this->Read();
 }
 
 void CallerConnection::Abort(bool reset) {
-  if (reset) {
-    error_code ignored;
-    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-  }
-  this->Close();
+  this->reset_after_flush = reset;
+  this->Finish(false);
 }
 
 void CallerConnection::Tick(TimePoint now) {
@@ -259,9 +256,14 @@
   }
 }
 
-void CallerConnection::ShutDownSending() {
-  // The error is ignored: the caller may have disconnected meanwhile.
+void CallerConnection::EndSending() {
+  // Errors are ignored: the caller may have disconnected meanwhile.
   error_code ignored;
+  if (this->reset_after_flush) {
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    this->Close();
+    return;
+  }
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -54,7 +54,8 @@
   // Starts to send `outgoing`, unless a write is pending.
   void Flush();
   void CloseAfterFlush();
-  void ShutDownSending();
+  // Ends the connection towards the caller once all is sent.
+  void EndSending();
   // Handles a caller that disconnected or does not read its response.
   void OnCallerLost();
   [[nodiscard]] CallerLimits Limits() const;
@@ -74,6 +75,8 @@
   bool finishing = false;
   // No further request is accepted; the connection closes once all is sent.
   bool closing = false;
+  // A closing connection is reset instead of closed in order.
+  bool reset_after_flush = false;
   bool closed = false;
   // When the wait for the request that is read now, or for the next one, began.
   TimePoint waiting_since;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -20,9 +20,10 @@
   // The response is complete. `keep_open`: the connection may be used for
   // another request.
   virtual void Finish(bool keep_open) = 0;
-  // The response can't be completed. Closes the connection, so that the part
-  // that was written does not look complete. `reset`: resets the connection,
-  // since an orderly close would mark the end of the response.
+  // The response can't be completed. Closes the connection once the part that
+  // was written is sent, so that this part does not look complete. `reset`:
+  // resets the connection, since an orderly close would mark the end of the
+  // response.
   virtual void Abort(bool reset) = 0;
   // The number of bytes passed to Write and not yet sent to the caller.
   [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
