Don't write the head of another answer into a stream

When the server that is asked to resume a broken stream answers with anything but a stream, such as status 404 or a JSON body, the gateway wrote that answer with its head into the middle of the stream, and ended it as complete. Found by looking for the cause of the truncated streams elsewhere; no caller reported it.

Now the attempt has failed, and its answer is discarded. Test: AnswerThatIsNoStreamDoesNotContinueAStream failed before and passes now.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -405,8 +405,19 @@
     this->response_mode = ResponseMode::kBuffered;
     return HeadDecision::kAccept;
   }
-  if (head.IsSuccess() && IsEventStream(*this->query.route, head) &&
-      !HasNoBody(this->request, head)) {
+  const bool is_stream = head.IsSuccess() &&
+                         IsEventStream(*this->query.route, head) &&
+                         !HasNoBody(this->request, head);
+  if (this->head_forwarded && !is_stream) {
+    this->pending_failure =
+        Failure{.result = SendResult::kError,
+                .may_have_executed = true,
+                .reason = "status " + std::to_string(head.status) +
+                          " instead of the rest of the stream"};
+    this->response_mode = ResponseMode::kDiscarded;
+    return HeadDecision::kAccept;
+  }
+  if (is_stream) {
     this->response_mode = ResponseMode::kStream;
     if (!this->head_forwarded) {
       this->ForwardHead(head, this->request.is_http_1_0
--- a/tests/test_event_streams.cc
+++ b/tests/test_event_streams.cc
@@ -135,6 +135,25 @@
   CHECK(response.ends_with(kLastChunk));
 }
 
+// Guards against the answer of the server that is asked to resume a stream
+// being written, with its head, into the middle of the stream.
+TEST(EventStreams, AnswerThatIsNoStreamDoesNotContinueAStream) {
+  for (const std::string status : {"404 Not Found", "200 OK"}) {
+    const auto handler = RespondAndClose([&](const std::string& request) {
+      return HeaderValue(request, "Last-Event-Id") == "1"
+                 ? EngineResponse(request, "{}", status,
+                                  "Content-Type: application/json\r\n")
+                 : CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\nda");
+    });
+    const RawServer other(handler);
+    StreamFixture fixture(handler, other.address());
+    const std::string response = fixture.Send();
+    CHECK(Contains(response, "id: 1\ndata: a\n\n"));
+    CHECK(!Contains(response.substr(1), "HTTP/1.1"));
+    CHECK(!response.ends_with(kLastChunk));
+  }
+}
+
 TEST(EventStreams, CloseAfterAnEventCompletesTheStream) {
   StreamFixture fixture(RespondAndClose([](const std::string& request) {
     return CloseDelimited(request, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
