Log the shared prompt parts of failed attempts

The log of the engine crashes could not show what the requests at an engine had in common. attempt_failed now has first_event and shared_parts.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -1,5 +1,7 @@
 #include "app/gateway_observer.h"
 
+#include <fmt/format.h>
+
 #include <cmath>
 
 namespace rosemarycove {
@@ -25,6 +27,15 @@
   return text;
 }
 
+// Formats the ids of the parts like "5c1e07a2,91bd3f06".
+std::string FormatParts(std::span<const PromptPart> parts) {
+  std::string text;
+  for (const PromptPart& part : parts) {
+    text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.id);
+  }
+  return text;
+}
+
 void GatewayObserver::OnPlaced(const PlacedRecord& record) {
   const ServerChoice& choice = record.choice;
   this->log.Write(
@@ -62,6 +73,8 @@
        {"why", record.reason},
        {"elapsed_ms", ToLogMilliseconds(record.elapsed)},
        {"may_have_run", record.may_have_executed},
+       {"first_event", record.has_first_event},
+       {"shared_parts", FormatParts(record.shared_parts)},
        {"next", record.next == NextStep::kAnotherServer ? "another_server"
                                                         : "given_up"},
        {"next_why", record.next_reason}});
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -103,12 +103,11 @@
 
 constexpr double kMillisecondsPerSecond = 1000;
 
-// Returns the tokens of the prompt parts that other requests share: all but the
-// last part.
+// Returns the tokens of the prompt parts that other requests share.
 int SharedTokens(const PlacementQuery& query) {
   int tokens = 0;
-  for (std::size_t i = 0; i + 1 < query.parts.size(); ++i) {
-    tokens += query.parts[i].tokens;
+  for (const PromptPart& part : SharedParts(query.parts)) {
+    tokens += part.tokens;
   }
   return tokens;
 }
--- a/src/core/prompt_cache_map.cc
+++ b/src/core/prompt_cache_map.cc
@@ -15,6 +15,10 @@
 
 }  // namespace
 
+std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& parts) {
+  return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1);
+}
+
 void PromptCacheMap::RecordPrompt(const std::string& server,
                                   const std::vector<PromptPart>& parts,
                                   TimePoint now) {
--- a/src/core/prompt_cache_map.h
+++ b/src/core/prompt_cache_map.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +21,10 @@
   int tokens = 0;
 };
 
+// Returns the parts that other requests may have too: all but the last, which
+// belongs to the request itself or to its session.
+std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& parts);
+
 // Records to which servers parts were sent. This is only an estimate of what is
 // cached, since servers evict parts without notice. Owned by a Placer.
 class PromptCacheMap {
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -673,6 +673,8 @@
        .reason = failure.reason,
        .elapsed = now - this->sent_at,
        .may_have_executed = failure.may_have_executed,
+       .has_first_event = this->first_event_received,
+       .shared_parts = SharedParts(this->query.parts),
        .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
        .next_reason = no_retry_reason});
   if (retry) {
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 
 #include "core/actions.h"
@@ -49,6 +50,10 @@
   // Time since the attempt started.
   Duration elapsed{};
   bool may_have_executed = false;
+  // The first event of the attempt had arrived.
+  bool has_first_event = false;
+  // See SharedParts; valid during the call only.
+  std::span<const PromptPart> shared_parts;
   NextStep next = NextStep::kGiveUp;
   // Why no further attempt is allowed; empty for kAnotherServer.
   std::string next_reason;
