Quarantine parts of prompts that crash servers

Cause: a crash counted against its engine only. Nothing related the requests at a crashed engine to those at others, and the requests arrive at any instance.

Instances now report crashes during requests without an event to each other, with the shared parts of the prompts. A part that no server has survived lately is quarantined after three crashes of different servers at two moments or more; of several parts in the same requests, the most specific one explains the crashes. Requests with it are refused as not run, at all instances. Single trials of one instance release the part once a server survives it.

Ruled out: retries (attempts after the first are rare and follow refused connections), affinity (each crash is at another engine).

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -42,6 +42,7 @@
     {LogEvent::kServerEjected, "server_ejected", LogLevel::kWarning},
     {LogEvent::kDataCentresSuspected, "data_centres_suspected",
      LogLevel::kWarning},
+    {LogEvent::kPartQuarantine, "part_quarantine", LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -49,6 +49,7 @@
   kServerChanged = 5002,
   kServerEjected = 5003,
   kDataCentresSuspected = 5004,
+  kPartQuarantine = 5005,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -114,12 +114,14 @@
       placer({.data_centre = this->options.data_centre,
               .instance = this->options.instance},
              this->directory),
+      quarantine(std::mt19937_64(std::random_device()())()),
       retry_budget(this->options.retry_budget),
       pool(io),
       context{.io = io,
               .dialect = this->platform.dialect,
               .directory = this->directory,
               .placer = this->placer,
+              .quarantine = this->quarantine,
               .retry_budget = this->retry_budget,
               .pool = this->pool,
               .observer = this->observer,
@@ -265,6 +267,7 @@
     this->placer.LeadPartitioning();
   }
   this->UpdateSuspectedDataCentres();
+  this->UpdateQuarantine(now);
   AdmitWaiting(this->context);
   this->proxy_server.Tick(now);
   this->pool.CloseExpired(now);
@@ -385,6 +388,19 @@
   this->placer.SetSuspectedDataCentres(std::move(silent));
 }
 
+void Gateway::UpdateQuarantine(TimePoint now) {
+  this->quarantine.SetLeadsTrials(this->links.Rank() == 0);
+  this->quarantine.Tick(now);
+  for (const QuarantineChange& item : this->quarantine.TakeChanges()) {
+    this->log.Write(LogEvent::kPartQuarantine,
+                    {{"part", FormatPartId(item.part)},
+                     {"change", ToString(item.kind)},
+                     {"crashes", item.crashes},
+                     {"remaining_ms", ToLogMilliseconds(item.remaining)}});
+    this->links.ScheduleReport();
+  }
+}
+
 void Gateway::LogDroppedLines(TimePoint now) {
   const std::uint64_t dropped = this->log.dropped();
   if (dropped == this->logged_drops ||
@@ -436,6 +452,7 @@
           .directory_read_id = this->directory.last_read_id(),
           .server_loads = this->placer.ledger().OwnLoads(),
           .partitions = this->placer.Partitions(now),
+          .suspected_parts = this->quarantine.Records(now),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -471,6 +488,7 @@
   this->placer.ledger().SetPeerLoads(peer.identity.instance,
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
+  this->quarantine.Merge(report.suspected_parts, now);
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
@@ -508,6 +526,8 @@
   add("rosemarycove_caller_connections", this->proxy_server.connection_count());
   add("rosemarycove_idle_backend_connections", this->pool.idle_count());
   add("rosemarycove_backend_servers", this->directory.servers().size());
+  add("rosemarycove_quarantined_parts",
+      static_cast<std::uint64_t>(this->quarantine.quarantined_count()));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -126,6 +126,8 @@
   void HandleDirectoryChanges(const std::vector<ServerChange>& changes,
                               const std::string& from);
   void UpdateSuspectedDataCentres();
+  // Advances the quarantine, logs its changes and reports them at once.
+  void UpdateQuarantine(TimePoint now);
   // `feed` names the feed that lost or regained the store, `revision` is the
   // last one that it has read.
   void LogStoreLost(const char* feed, const std::string& why,
@@ -143,6 +145,7 @@
   GatewayObserver observer;
   BackendDirectory directory;
   Placer placer;
+  PromptQuarantine quarantine;
   FleetRetryBudget retry_budget;
   ConnectionPool pool;
   ProxyContext context;
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -27,11 +27,15 @@
   return text;
 }
 
+std::string FormatPartId(std::uint64_t part) {
+  return fmt::format("{:x}", part);
+}
+
 // Formats the ids of the parts like "5c1e07a2,91bd3f06".
 std::string FormatParts(std::span<const PromptPart> parts) {
   std::string text;
   for (const PromptPart& part : parts) {
-    text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.id);
+    text += (text.empty() ? "" : ",") + FormatPartId(part.id);
   }
   return text;
 }
@@ -104,6 +108,9 @@
        {"servers_lacked", FormatLimitCounts(record.no_capacity_counts)},
        {"waiting_ahead", record.waiting_ahead},
        {"expected_wait_ms", ToLogMilliseconds(record.expected_wait)},
+       {"quarantined_part", record.quarantined_part == 0
+                                ? ""
+                                : FormatPartId(record.quarantined_part)},
        {"configuration", record.configuration_version}});
   this->metrics.Observe({.outcome = record.outcome,
                          .cause = record.cause,
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -24,6 +24,8 @@
   Metrics& metrics;
 };
 
+// The id of a prompt's part in hexadecimal, as written in log lines.
+std::string FormatPartId(std::uint64_t part);
 // Milliseconds with one decimal, as written in log lines.
 double ToLogMilliseconds(Duration duration);
 
--- a/src/core/actions.cc
+++ b/src/core/actions.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Indexed by EndCause.
-constexpr std::array<std::string_view, 24> kCauseNames = {
+constexpr std::array<std::string_view, 25> kCauseNames = {
     "answered",          "unknown_model",  "unknown_service",
     "class_not_allowed", "customer_limit", "class_limit",
     "queue_full",        "evicted",        "late",
@@ -14,7 +14,8 @@
     "no_backend",        "backend_error",  "answer_lost",
     "answer_malformed",  "answer_crossed", "caller_left",
     "key_taken",         "key_reused",     "store_unavailable",
-    "unknown_route",     "unknown_key",    "ambiguous"};
+    "unknown_route",     "unknown_key",    "ambiguous",
+    "quarantined"};
 
 }  // namespace
 
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -8,6 +8,7 @@
 
 #include "core/backend_directory.h"
 #include "core/load_ledger.h"
+#include "core/prompt_quarantine.h"
 #include "core/shared_document.h"
 #include "core/types.h"
 
@@ -51,6 +52,7 @@
   StoreReadId directory_read_id;
   std::vector<ServerLoadEntry> server_loads;
   std::vector<ServicePartition> partitions;
+  std::vector<PartCrashes> suspected_parts;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -151,15 +151,21 @@
           self->FinishResponse();
           return;
         }
-        self->Fail(self->CurrentFailureKind(), failure.message());
+        self->Fail(self->FailureKindOf(failure), failure.message());
       });
 }
 
-FailureKind BackendConnection::CurrentFailureKind() const {
-  if (this->head_reported) {
-    return FailureKind::kDuringResponse;
+FailureKind BackendConnection::FailureKindOf(error_code failure) const {
+  if (this->written == 0 && !this->head_reported) {
+    return FailureKind::kNotSent;
   }
-  return this->written == 0 ? FailureKind::kNotSent : FailureKind::kNoResponse;
+  const bool ended_by_server = failure == boost::asio::error::eof ||
+                               failure == boost::asio::error::connection_reset;
+  if (!ended_by_server) {
+    return FailureKind::kTimedOut;
+  }
+  return this->head_reported ? FailureKind::kDuringResponse
+                             : FailureKind::kNoResponse;
 }
 
 void BackendConnection::OnBytesRead(std::size_t count) {
@@ -180,9 +186,7 @@
     const ResponseReader::Progress progress =
         this->reader->Feed(this->received);
     if (progress == ResponseReader::Progress::kMalformed) {
-      this->Fail(this->head_reported ? FailureKind::kDuringResponse
-                                     : FailureKind::kMalformedResponse,
-                 "malformed response");
+      this->Fail(FailureKind::kMalformedResponse, "malformed response");
       return;
     }
     if (this->reader->has_head() && !this->head_reported && !this->skipping) {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -19,8 +19,10 @@
   kNoResponse,         // It was sent, at least in part, and may have been
                        // executed. No head of a response was received.
   kMalformedResponse,  // The bytes received are not an HTTP response.
-  kDuringResponse,     // The head of the response was received, but not all of
-                       // its body.
+  kDuringResponse,     // The head of the response was received, and the
+                       // connection ended before the end of its body.
+  kTimedOut,           // Like the two above, but the network ended the
+                       // connection, not the server.
 };
 
 // What to do with a response whose head was received.
@@ -85,8 +87,9 @@
   void FinishResponse();
   void Fail(FailureKind kind, const std::string& reason);
   void Close();
-  // Returns the kind of a failure that happens now.
-  [[nodiscard]] FailureKind CurrentFailureKind() const;
+  // Returns the kind of a failure to read.
+  [[nodiscard]] FailureKind FailureKindOf(
+      boost::system::error_code failure) const;
 
   boost::asio::ip::tcp::socket socket;
   boost::asio::ip::tcp::endpoint endpoint;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -50,6 +50,12 @@
 // Once this many waiting requests of a queue found no capacity, the rest are
 // not tried in this round, since they differ only in size.
 constexpr int kMaxFailedPlacements = 3;
+// A reused connection that ends within this time of a send, without a response,
+// had been closed before.
+constexpr Duration kStaleConnectionTime = std::chrono::milliseconds(50);
+// A server that sends events for this long after the first one has survived the
+// prompt.
+constexpr Duration kSurvivalTime = std::chrono::milliseconds(250);
 constexpr int kFirstServerError = 500;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -200,8 +206,23 @@
   return this->deadline - now;
 }
 
+bool Exchange::GiveUpIfQuarantined(TimePoint now) {
+  const std::optional<QuarantinedPart> found =
+      this->context.quarantine.FindQuarantined(SharedParts(this->query.parts),
+                                               now);
+  if (!found) {
+    return false;
+  }
+  this->quarantined_part = found->part;
+  this->GiveUp(EndCause::kQuarantined, found->remaining);
+  return true;
+}
+
 void Exchange::Place() {
   const TimePoint now = std::chrono::steady_clock::now();
+  if (this->GiveUpIfQuarantined(now)) {
+    return;
+  }
   if (this->query.service == nullptr) {
     this->GiveUpWithoutServer(NoChoiceReason::kNoServer);
     return;
@@ -267,6 +288,9 @@
 }
 
 AdmitResult Exchange::TryAdmit(TimePoint now) {
+  if (this->GiveUpIfQuarantined(now)) {
+    return AdmitResult::kLeftQueue;
+  }
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
   this->query.withheld = this->context.placement_queues.WithheldWhileWaiting(
       this->service_name, this->query.tolerates_pauses, this->RequestUrgency());
@@ -327,6 +351,7 @@
   this->sent_at = now;
   this->last_bytes_at = now;
   this->first_event_received = false;
+  this->survival_recorded = false;
   this->response_mode = ResponseMode::kNone;
   this->pending_failure.reset();
   this->buffered.clear();
@@ -334,6 +359,7 @@
   this->splitter.DiscardPartialEvent();
   ++this->attempts;
   this->context.placer.RecordSend(this->query, chosen, now);
+  this->context.quarantine.RecordSend(SharedParts(this->query.parts), now);
   this->context.observer.OnPlaced(
       {.request_id = this->request_info.request_id,
        .route = this->query.route->name,
@@ -446,6 +472,7 @@
   }
   const TimePoint now = std::chrono::steady_clock::now();
   this->first_event_received = true;
+  this->attempt_first_event_at = now;
   this->context.placer.RecordFirstEvent(this->query, *this->choice,
                                         now - this->sent_at, now);
   if (this->first_event_at == TimePoint{}) {
@@ -455,6 +482,27 @@
   this->context.placer.RecordResult(*this->choice, SendResult::kAnswered, now);
 }
 
+void Exchange::RecordSurvival(TimePoint now) {
+  if (!this->survival_recorded) {
+    this->survival_recorded = true;
+    this->context.quarantine.RecordSurvival(SharedParts(this->query.parts),
+                                            now);
+  }
+}
+
+void Exchange::RecordConnectionEnd() {
+  const TimePoint now = std::chrono::steady_clock::now();
+  // A server that had closed an idle connection resets it at once when bytes
+  // arrive.
+  const bool was_stale = this->connection_reused &&
+                         this->response.status == 0 &&
+                         now - this->sent_at < kStaleConnectionTime;
+  if (!this->first_event_received && !was_stale) {
+    this->context.quarantine.RecordCrash(this->choice->server.id,
+                                         SharedParts(this->query.parts), now);
+  }
+}
+
 void Exchange::OnBody(std::string bytes) {
   this->last_bytes_at = std::chrono::steady_clock::now();
   switch (this->response_mode) {
@@ -525,6 +573,9 @@
   }
   this->RecordFirstEvent();
   const TimePoint now = std::chrono::steady_clock::now();
+  if (now - this->attempt_first_event_at >= kSurvivalTime) {
+    this->RecordSurvival(now);
+  }
   this->max_event_gap =
       std::max(this->max_event_gap, now - this->last_event_at);
   this->last_event_at = now;
@@ -548,6 +599,7 @@
   if (this->response_mode == ResponseMode::kStream) {
     const std::string_view reason = this->IncompleteStreamReason();
     if (!reason.empty()) {
+      this->RecordConnectionEnd();
       this->ClearResponse();
       this->FailAttempt({.result = SendResult::kMalformed,
                          .may_have_executed = true,
@@ -556,6 +608,9 @@
     }
   }
   this->RecordFirstEvent();
+  if (this->response.IsSuccess()) {
+    this->RecordSurvival(std::chrono::steady_clock::now());
+  }
   switch (this->response_mode) {
     case ResponseMode::kNone:
     case ResponseMode::kDiscarded:
@@ -611,10 +666,16 @@
       failure.avoid_server = !this->connection_reused;
       break;
     case FailureKind::kNoResponse:
+      failure.may_have_executed = true;
+      this->RecordConnectionEnd();
+      break;
+    case FailureKind::kTimedOut:
       failure.may_have_executed = true;
       break;
-    case FailureKind::kMalformedResponse:
     case FailureKind::kDuringResponse:
+      this->RecordConnectionEnd();
+      [[fallthrough]];
+    case FailureKind::kMalformedResponse:
       failure.result = SendResult::kMalformed;
       failure.may_have_executed = true;
       break;
@@ -733,7 +794,7 @@
   this->GiveUp(cause);
 }
 
-void Exchange::GiveUp(EndCause cause) {
+void Exchange::GiveUp(EndCause cause, std::optional<Duration> min_delay) {
   if (this->head_forwarded) {
     this->sink.Abort(this->framing == BodyFraming::kUntilClose);
     this->End(Outcome::kFailed, cause, this->response.status);
@@ -746,11 +807,13 @@
                          cause, {});
     return;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
-  this->RejectAsNotExecuted(
-      cause, this->query.service == nullptr
-                 ? kNotReadyRetryAfter
-                 : this->context.placer.EstimateRetryDelay(this->query, now));
+  if (!min_delay) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    min_delay = this->query.service == nullptr
+                    ? kNotReadyRetryAfter
+                    : this->context.placer.EstimateRetryDelay(this->query, now);
+  }
+  this->RejectAsNotExecuted(cause, *min_delay);
 }
 
 void Exchange::RejectAsNotExecuted(EndCause cause, Duration min_delay) {
@@ -896,6 +959,7 @@
        .no_capacity_counts = this->no_capacity_counts,
        .waiting_ahead = this->waiting_ahead,
        .expected_wait = this->expected_wait,
+       .quarantined_part = this->quarantined_part,
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -97,6 +97,8 @@
   void ChooseService();
   // Sends the request to a server, queues it or gives up.
   void Place();
+  // Gives up and returns true if a part of the prompt is quarantined.
+  bool GiveUpIfQuarantined(TimePoint now);
   // `no_choice` is set to the reason if nullopt is returned.
   std::optional<ServerChoice> ChooseServer(TimePoint now,
                                            NoChoiceReason& no_choice);
@@ -117,8 +119,9 @@
   // Discards the head and the body received so far.
   void ClearResponse();
   // Ends the request without a server's response: aborts the response if its
-  // head was forwarded, else responds with an error.
-  void GiveUp(EndCause cause);
+  // head was forwarded, else responds with an error. `min_delay` is the minimum
+  // time until a retry if the request was not executed; estimated if nullopt.
+  void GiveUp(EndCause cause, std::optional<Duration> min_delay = {});
   // Gives up because no server could be chosen.
   void GiveUpWithoutServer(NoChoiceReason reason);
   // The queue of the side of the service's partition that the route prefers.
@@ -148,6 +151,12 @@
   // Records the first event of the current attempt, which is the complete
   // response if it is not a stream.
   void RecordFirstEvent();
+  // Records that the server survived the prompt; only the first call of an
+  // attempt has an effect.
+  void RecordSurvival(TimePoint now);
+  // Records that the server's connection ended, which shows a crash if there
+  // was no event yet.
+  void RecordConnectionEnd();
   // Fails the current attempt if its server has been silent for too long, which
   // causes a retry at another server or ends the request.
   void CheckSilence(TimePoint now);
@@ -180,6 +189,9 @@
   // See EndedRecord.
   int waiting_ahead = 0;
   Duration expected_wait{};
+  // The part of the prompt because of which the request was refused; 0 if there
+  // is none.
+  std::uint64_t quarantined_part = 0;
   std::string service_name;
 
   // The current attempt.
@@ -193,6 +205,9 @@
   // started.
   TimePoint last_bytes_at;
   bool first_event_received = false;
+  // When it was received.
+  TimePoint attempt_first_event_at;
+  bool survival_recorded = false;
   ResponseMode response_mode = ResponseMode::kNone;
   // Set if the response makes the attempt fail, which happens once the response
   // is complete; nullopt otherwise.
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -49,6 +49,43 @@
   return result;
 }
 
+// Converts a time to the whole milliseconds of a field.
+std::uint32_t EncodeAge(Duration age) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count(), 0,
+      std::numeric_limits<std::uint32_t>::max()));
+}
+
+Offset<wire::PartCrashes> EncodePartCrashes(FlatBufferBuilder& builder,
+                                            const PartCrashes& record) {
+  std::vector<wire::ServerCrash> crashes;
+  for (const ServerCrash& crash : record.crashes) {
+    crashes.emplace_back(crash.id, crash.server_hash, EncodeAge(crash.age),
+                         Saturate<std::uint16_t>(crash.position));
+  }
+  const auto crash_vector = builder.CreateVectorOfStructs(crashes);
+  return wire::CreatePartCrashes(
+      builder, record.part, record.survival_age.has_value(),
+      EncodeAge(record.survival_age.value_or(Duration{})), crash_vector);
+}
+
+PartCrashes DecodePartCrashes(const wire::PartCrashes& frame) {
+  PartCrashes record{.part = frame.part()};
+  if (frame.survived()) {
+    record.survival_age = std::chrono::milliseconds(frame.survival_age_ms());
+  }
+  if (frame.crashes() != nullptr) {
+    for (const wire::ServerCrash* crash : *frame.crashes()) {
+      record.crashes.push_back(
+          {.id = crash->id(),
+           .server_hash = crash->server(),
+           .position = crash->position(),
+           .age = std::chrono::milliseconds(crash->age_ms())});
+    }
+  }
+  return record;
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -85,6 +122,11 @@
                                    .other_work = division->other_work()});
     }
   }
+  if (frame.suspected_parts() != nullptr) {
+    for (const wire::PartCrashes* record : *frame.suspected_parts()) {
+      report.suspected_parts.push_back(DecodePartCrashes(*record));
+    }
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -148,17 +190,21 @@
   if (!servers.empty()) {
     server_vector = builder.CreateVector(servers);
   }
+  std::vector<Offset<wire::PartCrashes>> suspected_parts;
+  for (const PartCrashes& record : report.suspected_parts) {
+    suspected_parts.push_back(EncodePartCrashes(builder, record));
+  }
+  Offset<flatbuffers::Vector<Offset<wire::PartCrashes>>> part_vector;
+  if (!suspected_parts.empty()) {
+    part_vector = builder.CreateVector(suspected_parts);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
-      static_cast<std::uint32_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              report.directory_age)
-              .count()),
-      report.directory_read_id.reader, report.directory_read_id.sequence,
-      report.directory_update.base_revision,
+      EncodeAge(report.directory_age), report.directory_read_id.reader,
+      report.directory_read_id.sequence, report.directory_update.base_revision,
       report.directory_update.is_snapshot, share_vector, division_vector,
-      neighbours, configuration, server_vector));
+      neighbours, configuration, server_vector, part_vector));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -20,6 +20,11 @@
 
 struct ServiceDivision;
 
+struct ServerCrash;
+
+struct PartCrashes;
+struct PartCrashesBuilder;
+
 struct Identity;
 struct IdentityBuilder;
 
@@ -116,6 +121,133 @@
 };
 FLATBUFFERS_STRUCT_END(ServiceDivision, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint64_t server_;
+  uint32_t age_ms_;
+  uint16_t position_;
+  int16_t padding0__;
+
+ public:
+  ServerCrash()
+      : id_(0),
+        server_(0),
+        age_ms_(0),
+        position_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ServerCrash(uint64_t _id, uint64_t _server, uint32_t _age_ms, uint16_t _position)
+      : id_(flatbuffers::EndianScalar(_id)),
+        server_(flatbuffers::EndianScalar(_server)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        position_(flatbuffers::EndianScalar(_position)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint16_t position() const {
+    return flatbuffers::EndianScalar(position_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerCrash, 24);
+
+struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartCrashesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_SURVIVED = 6,
+    VT_SURVIVAL_AGE_MS = 8,
+    VT_CRASHES = 10
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  bool survived() const {
+    return GetField<uint8_t>(VT_SURVIVED, 0) != 0;
+  }
+  uint32_t survival_age_ms() const {
+    return GetField<uint32_t>(VT_SURVIVAL_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<const rosemarycove::wire::ServerCrash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServerCrash *> *>(VT_CRASHES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SURVIVED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_SURVIVAL_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PartCrashesBuilder {
+  typedef PartCrashes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(PartCrashes::VT_PART, part, 0);
+  }
+  void add_survived(bool survived) {
+    fbb_.AddElement<uint8_t>(PartCrashes::VT_SURVIVED, static_cast<uint8_t>(survived), 0);
+  }
+  void add_survival_age_ms(uint32_t survival_age_ms) {
+    fbb_.AddElement<uint32_t>(PartCrashes::VT_SURVIVAL_AGE_MS, survival_age_ms, 0);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerCrash *>> crashes) {
+    fbb_.AddOffset(PartCrashes::VT_CRASHES, crashes);
+  }
+  explicit PartCrashesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartCrashes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartCrashes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartCrashes> CreatePartCrashes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    bool survived = false,
+    uint32_t survival_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerCrash *>> crashes = 0) {
+  PartCrashesBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_crashes(crashes);
+  builder_.add_survival_age_ms(survival_age_ms);
+  builder_.add_survived(survived);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PartCrashes> CreatePartCrashesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    bool survived = false,
+    uint32_t survival_age_ms = 0,
+    const std::vector<rosemarycove::wire::ServerCrash> *crashes = nullptr) {
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerCrash>(*crashes) : 0;
+  return rosemarycove::wire::CreatePartCrashes(
+      _fbb,
+      part,
+      survived,
+      survival_age_ms,
+      crashes__);
+}
+
 struct Identity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef IdentityBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -301,7 +433,8 @@
     VT_DIVISIONS = 26,
     VT_NEIGHBOURS = 28,
     VT_CONFIGURATION = 30,
-    VT_SERVERS = 32
+    VT_SERVERS = 32,
+    VT_SUSPECTED_PARTS = 34
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -348,6 +481,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>> *>(VT_SERVERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *>(VT_SUSPECTED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -373,6 +509,9 @@
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
+           VerifyOffset(verifier, VT_SUSPECTED_PARTS) &&
+           verifier.VerifyVector(suspected_parts()) &&
+           verifier.VerifyVectorOfTables(suspected_parts()) &&
            verifier.EndTable();
   }
 };
@@ -426,6 +565,9 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers) {
     fbb_.AddOffset(FleetReport::VT_SERVERS, servers);
   }
+  void add_suspected_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts) {
+    fbb_.AddOffset(FleetReport::VT_SUSPECTED_PARTS, suspected_parts);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -453,13 +595,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServiceDivision *>> divisions = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> neighbours = 0,
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_servers_since(servers_since);
   builder_.add_directory_reading(directory_reading);
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_suspected_parts(suspected_parts);
   builder_.add_servers(servers);
   builder_.add_configuration(configuration);
   builder_.add_neighbours(neighbours);
@@ -489,11 +633,13 @@
     const std::vector<rosemarycove::wire::ServiceDivision> *divisions = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *neighbours = nullptr,
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
-    const std::vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers = nullptr) {
+    const std::vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers = nullptr,
+    const std::vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::Document>>(*servers) : 0;
+  auto suspected_parts__ = suspected_parts ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>(*suspected_parts) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -510,7 +656,8 @@
       divisions__,
       neighbours__,
       configuration,
-      servers__);
+      servers__,
+      suspected_parts__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_crashing_prompts.cc
+++ b/tests/test_crashing_prompts.cc
@@ -73,8 +73,11 @@
   constexpr int kFirstRounds = 3;
   FragileEngine engine;
   PlatformFixture platform(engine.Handler());
-  const RawServer other(engine.Handler());
-  platform.AddServer("engine-2", "model", other.address());
+  std::vector<std::unique_ptr<RawServer>> others;
+  for (const char* id : {"engine-2", "engine-3", "engine-4", "engine-5"}) {
+    others.push_back(std::make_unique<RawServer>(engine.Handler()));
+    platform.AddServer(id, "model", others.back()->address());
+  }
   const RunningGateway first("a", platform.store.address());
   first.AwaitReady();
   const RunningGateway second("b", platform.store.address(),
