--- a/tests/test_prompt_quarantine.cc
+++ b/tests/test_prompt_quarantine.cc
@@ -214,7 +214,7 @@
 // Guards against instances telling each other of a crash forever, since ages in
 // reports lack the time that the report took.
 TEST(PromptQuarantine, CrashesExpireAtAllInstances) {
-  constexpr Duration kDelay = milliseconds(300);
+  constexpr Duration kDelay = seconds(3);
   std::vector<PromptQuarantine> fleet = {
       PromptQuarantine(1), PromptQuarantine(2), PromptQuarantine(3)};
   RecordThreeCrashes(fleet[0], kDeadlyPartOnly, At(seconds(0)));
