Log changes of the partition of a service's engines

How many engines are reserved for long requests decides who is refused in an overload, and no log line showed it. partition_changed has the share before and after, and whether the instance decided it.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -43,6 +43,7 @@
     {LogEvent::kDataCentresSuspected, "data_centres_suspected",
      LogLevel::kWarning},
     {LogEvent::kPartQuarantine, "part_quarantine", LogLevel::kWarning},
+    {LogEvent::kPartitionChanged, "partition_changed", LogLevel::kInfo},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -50,6 +50,7 @@
   kServerEjected = 5003,
   kDataCentresSuspected = 5004,
   kPartQuarantine = 5005,
+  kPartitionChanged = 5006,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -268,6 +268,7 @@
   }
   this->UpdateSuspectedDataCentres();
   this->UpdateQuarantine(now);
+  this->LogPartitionChanges();
   AdmitWaiting(this->context);
   this->proxy_server.Tick(now);
   this->pool.CloseExpired(now);
@@ -388,6 +389,16 @@
   this->placer.SetSuspectedDataCentres(std::move(silent));
 }
 
+void Gateway::LogPartitionChanges() {
+  for (const PartitionChange& item : this->placer.TakePartitionChanges()) {
+    this->log.Write(LogEvent::kPartitionChanged,
+                    {{"service", item.service},
+                     {"reserved_share", item.reserved_share},
+                     {"before", item.previous_share},
+                     {"decided_here", item.is_leader}});
+  }
+}
+
 void Gateway::UpdateQuarantine(TimePoint now) {
   this->quarantine.SetLeadsTrials(this->links.Rank() == 0);
   this->quarantine.Tick(now);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -134,6 +134,7 @@
                     std::uint64_t revision);
   void LogStoreRegained(const char* feed, Duration outage,
                         std::uint64_t revision);
+  void LogPartitionChanges();
   void LogDroppedLines(TimePoint now);
   [[nodiscard]] std::string MetricsText() const;
 
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -286,7 +286,7 @@
   if (this->is_partition_leader &&
       partition.requests_seen * this->instance_count >= kMinRequestsSeen &&
       std::abs(wanted - partition.reserved_share) >= kReservedShareStep) {
-    partition.reserved_share = wanted;
+    this->SetReservedShare(service, wanted);
   }
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
@@ -307,13 +307,25 @@
   }
 }
 
+void Placer::SetReservedShare(const std::string& service, double share) {
+  EnginePartition& partition = this->engine_partitions[service];
+  if (share == partition.reserved_share) {
+    return;
+  }
+  this->partition_changes.push_back({.service = service,
+                                     .reserved_share = share,
+                                     .previous_share = partition.reserved_share,
+                                     .is_leader = this->is_partition_leader});
+  partition.reserved_share = share;
+}
+
 void Placer::RecordRequest(const PlacementQuery& query, TimePoint now) {
   if (!query.service->IsModel()) {
     return;
   }
   EnginePartition& partition = this->engine_partitions[query.service->name];
   if (query.tolerates_pauses && partition.reserved_share == 0) {
-    partition.reserved_share = kInitialReservedShare;
+    this->SetReservedShare(query.service->name, kInitialReservedShare);
   }
   const double work = WorkOf(query);
   ++partition.requests_seen;
@@ -354,7 +366,7 @@
     for (const ServicePartition& partition : partitions) {
       if (partition.service_hash == service_hash &&
           partition.reserved_share > 0) {
-        own.reserved_share = partition.reserved_share;
+        this->SetReservedShare(service, partition.reserved_share);
       }
     }
   }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -112,6 +112,16 @@
 // Returns the word that logs use.
 std::string_view ToString(NoChoiceReason reason);
 
+// The share of a service's engines that is reserved for routes that tolerate
+// pauses changed at this instance.
+struct PartitionChange {
+  std::string service;
+  double reserved_share = 0;
+  double previous_share = 0;
+  // The instance decided it; otherwise it follows the leader.
+  bool is_leader = false;
+};
+
 struct PlacerOptions {
   // Data centre of this instance.
   std::string data_centre;
@@ -148,6 +158,10 @@
   // Adopts the partitions that the leader reported, and ends the leadership of
   // this instance if it had it.
   void FollowPartitions(const std::vector<ServicePartition>& partitions);
+  // Returns the changes of partitions since the last call.
+  std::vector<PartitionChange> TakePartitionChanges() {
+    return std::exchange(this->partition_changes, {});
+  }
   // Makes this instance the leader.
   void LeadPartitioning() { this->is_partition_leader = true; }
   // Chooses a server. Returns nullopt if none can be chosen now and sets
@@ -288,6 +302,7 @@
   [[nodiscard]] bool IsWithheld(const PlacementQuery& query,
                                 const std::string& server) const;
   void UpdatePartition(const std::string& service, TimePoint now);
+  void SetReservedShare(const std::string& service, double share);
   // Returns the share of pause-tolerant routes in the service's recent work at
   // all instances.
   [[nodiscard]] double PauseTolerantShare(const std::string& service,
@@ -332,6 +347,7 @@
   // By instance name.
   std::map<std::string, PeerWork> peer_work;
   bool is_partition_leader = true;
+  std::vector<PartitionChange> partition_changes;
   // By server id.
   std::map<std::string, RecentlySent> recently_sent;
   int instance_count = 1;
