Log the limit that a server names in its response

The dialect reads the field; a number that is negative, malformed, out of range or named twice is unreadable, which is not the same as no limit. Nothing decides by it yet.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -103,6 +103,9 @@
        {"events", record.event_count},
        {"framing", ToString(record.response_framing)},
        {"partial_event_bytes", record.partial_event_bytes},
+       {"server_limit", record.named_rate_limit
+                            ? fmt::format("{}", *record.named_rate_limit)
+                            : "none"},
        {"retry_after_ms", ToLogMilliseconds(record.retry_after)},
        {"on_target", record.on_target},
        {"servers_lacked", FormatLimitCounts(record.no_capacity_counts)},
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -67,6 +67,11 @@
   };
   // nullopt if the server did not report it.
   std::optional<Load> load;
+  // The requests per second that the server accepts from all instances
+  // together; nullopt if it names no limit or an unreadable one.
+  std::optional<double> rate_limit;
+  // What the server names as its limit, if that is unreadable; empty otherwise.
+  std::string unreadable_rate_limit;
 };
 
 // Reads and writes the header fields of one deployment's HTTP interface. The
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -404,6 +404,7 @@
   this->last_bytes_at = now;
   this->response = head;
   this->response_framing = head.framing;
+  this->named_rate_limit = response_info.rate_limit;
   if (response_info.load) {
     this->context.placer.ApplyLoadReport(this->choice->server.id,
                                          response_info.load->running,
@@ -954,6 +955,7 @@
        .event_count = this->splitter.event_count(),
        .response_framing = this->response_framing,
        .partial_event_bytes = this->splitter.partial_event().size(),
+       .named_rate_limit = this->named_rate_limit,
        .retry_after = this->retry_after,
        .on_target = on_target,
        .no_capacity_counts = this->no_capacity_counts,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -215,6 +215,8 @@
   ResponseHead response;
   // How the server marked the end of the last response.
   BodyFraming response_framing = BodyFraming::kNone;
+  // The limit that the last response named.
+  std::optional<double> named_rate_limit;
   // Bytes of the body that were received and not yet forwarded.
   std::string buffered;
   // Bytes of the body that were received in mode kDiscarded.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -84,6 +85,9 @@
   BodyFraming response_framing = BodyFraming::kNone;
   // The bytes of that response that follow its last complete event.
   std::size_t partial_event_bytes = 0;
+  // The requests per second that the server named as its limit in the last
+  // response; nullopt if none or unreadable.
+  std::optional<double> named_rate_limit;
   // Retry-After of the response; zero if it has none.
   Duration retry_after{};
   // The request was completed within the targets of its route.
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -90,6 +90,33 @@
   CHECK_EQUAL(0, PlatformCallDialect().ReadRequest(head).prompt_tokens);
 }
 
+// Guards against a limit that can't be read being taken for another one, or for
+// the end of a limit.
+TEST(Platform, ReadsOnlyWellFormedRateLimits) {
+  const auto read = [](std::initializer_list<const char*> values) {
+    ResponseHead head;
+    for (const char* value : values) {
+      head.fields.Add("server-limit", value);
+    }
+    return PlatformCallDialect().ReadResponse(head);
+  };
+  CHECK(!read({}).rate_limit);
+  CHECK(read({}).unreadable_rate_limit.empty());
+  DOUBLES_EQUAL(1.9, *read({"1.9"}).rate_limit, 1e-9);
+  DOUBLES_EQUAL(0, *read({"0"}).rate_limit, 1e-9);
+  DOUBLES_EQUAL(0.3, *read({".3"}).rate_limit, 1e-9);
+  for (const char* value :
+       {"-1", "nan", "inf", "1e9", "0x10", "1.2.3", "1,2", "+1", " 1", "."}) {
+    CHECK(!read({value}).rate_limit);
+    STRCMP_EQUAL(value, read({value}).unreadable_rate_limit.c_str());
+  }
+  CHECK(!read({std::string(400, '9').c_str()}).rate_limit);
+  CHECK(!read({""}).rate_limit);
+  STRCMP_EQUAL("empty", read({""}).unreadable_rate_limit.c_str());
+  CHECK(!read({"2", "2"}).rate_limit);
+  STRCMP_EQUAL("2", read({"2", "2"}).unreadable_rate_limit.c_str());
+}
+
 TEST(Platform, RejectsMalformedServerEntries) {
   const PlatformServerDecoder decoder;
   const std::string valid =
