Keep all instances together within the limit that a server names

Cause: nothing read the limit, so placement could not count it. Class of fault: a capacity that a server states is not an input of the placement, and, were it one, each instance would apply it to its own requests only.

The limit is now a capacity beside slots and memory. A few instances per server, chosen by rendezvous hashing, hold equal parts of it and keep them while they are silent, so the sum holds during cuts. What they leave unused the others send one after the other, in the order of their ranks, while all report. Instances learn limits and their ends from each other's reports, with numbered observations, so that a repeated or late one does not bring a limit back. The most urgent requests come first at all instances.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -44,6 +44,9 @@
      LogLevel::kWarning},
     {LogEvent::kPartQuarantine, "part_quarantine", LogLevel::kWarning},
     {LogEvent::kPartitionChanged, "partition_changed", LogLevel::kInfo},
+    {LogEvent::kServerLimit, "server_limit", LogLevel::kWarning},
+    {LogEvent::kServerLimitUnreadable, "server_limit_unreadable",
+     LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -51,6 +51,8 @@
   kDataCentresSuspected = 5004,
   kPartQuarantine = 5005,
   kPartitionChanged = 5006,
+  kServerLimit = 5007,
+  kServerLimitUnreadable = 5008,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -1,5 +1,7 @@
 #include "app/gateway.h"
 
+#include <fmt/format.h>
+
 #include <csignal>
 #include <random>
 #include <utility>
@@ -258,6 +260,7 @@
       now, now - this->directory.read_at(),
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
   this->HandleDirectoryChanges(this->directory.Tick(now), "grace");
+  this->UpdateRateLimits(now);
   this->links.Tick(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
@@ -412,6 +415,36 @@
   }
 }
 
+void Gateway::UpdateRateLimits(TimePoint now) {
+  ServerRateLimits& limits = this->placer.rate_limits();
+  limits.SetFleet(this->links.SendingPeers(), this->links.HearsAllPeers(), now);
+  limits.Tick(now);
+  this->placer.ExpireRateLimits(now);
+  const auto format = [](std::optional<double> per_second) {
+    return per_second ? fmt::format("{}", *per_second) : std::string("none");
+  };
+  for (const RateLimitChange& item : limits.TakeChanges()) {
+    this->log.Write(LogEvent::kServerLimit,
+                    {{"server", this->FindServerId(item.server_hash)},
+                     {"limit", format(item.per_second)},
+                     {"before", format(item.previous)},
+                     {"from", item.from.empty() ? "response" : item.from},
+                     {"age_ms", ToLogMilliseconds(item.age)}});
+  }
+  if (limits.HasUrgentReport()) {
+    this->links.ScheduleReport();
+  }
+}
+
+std::string Gateway::FindServerId(std::uint64_t lifetime_hash) const {
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (LifetimeHash(id, server.incarnation) == lifetime_hash) {
+      return id;
+    }
+  }
+  return fmt::format("unregistered:{:x}", lifetime_hash);
+}
+
 void Gateway::LogDroppedLines(TimePoint now) {
   const std::uint64_t dropped = this->log.dropped();
   if (dropped == this->logged_drops ||
@@ -464,6 +497,7 @@
           .server_loads = this->placer.ledger().OwnLoads(),
           .partitions = this->placer.Partitions(now),
           .suspected_parts = this->quarantine.Records(now),
+          .rate_limits = this->placer.rate_limits().Reports(false, now),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -472,6 +506,9 @@
 void Gateway::AddMissingDocuments(const FleetPeer& peer, FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   const SharedDocument& configuration = this->configuration_document;
+  if (report.identity) {
+    report.rate_limits = this->placer.rate_limits().Reports(true, now);
+  }
   if (configuration.revision <= peer.configuration_revision) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->IsTurnToSend(this->configuration_throttle, peer,
@@ -494,12 +531,16 @@
   this->links.ScheduleReport();
 }
 
+void Gateway::OnRoundSent() { this->placer.rate_limits().RecordReportSent(); }
+
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   this->placer.ledger().SetPeerLoads(peer.identity.instance,
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
   this->quarantine.Merge(report.suspected_parts, now);
+  this->placer.rate_limits().Merge(peer.identity.instance, report.rate_limits,
+                                   report.identity.has_value(), now);
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
@@ -539,6 +580,8 @@
   add("rosemarycove_backend_servers", this->directory.servers().size());
   add("rosemarycove_quarantined_parts",
       static_cast<std::uint64_t>(this->quarantine.quarantined_count()));
+  add("rosemarycove_limited_servers",
+      static_cast<std::uint64_t>(this->placer.rate_limits().limited_count()));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -108,6 +108,7 @@
                                   std::uint64_t FleetPeer::*peer_revision,
                                   std::uint64_t revision, TimePoint now) const;
   void OnDirectoryRead(TimePoint now);
+  void OnRoundSent() override;
   void OnReport(const FleetPeer& peer, const FleetReport& report) override;
   void OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) override;
 
@@ -128,6 +129,10 @@
   void UpdateSuspectedDataCentres();
   // Advances the quarantine, logs its changes and reports them at once.
   void UpdateQuarantine(TimePoint now);
+  // Advances the servers' rate limits, and logs and reports their changes.
+  void UpdateRateLimits(TimePoint now);
+  // Returns the id of the server with this LifetimeHash, for the log.
+  [[nodiscard]] std::string FindServerId(std::uint64_t lifetime_hash) const;
   // `feed` names the feed that lost or regained the store, `revision` is the
   // last one that it has read.
   void LogStoreLost(const char* feed, const std::string& why,
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -138,4 +138,12 @@
                    {"for_ms", ToLogMilliseconds(record.duration)}});
 }
 
+void GatewayObserver::OnUnreadableRateLimit(
+    const UnreadableRateLimitRecord& record) {
+  this->log.Write(LogEvent::kServerLimitUnreadable,
+                  {{"request", record.request_id},
+                   {"server", record.server},
+                   {"text", record.text}});
+}
+
 }  // namespace rosemarycove
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -18,6 +18,7 @@
   void OnAttemptFailed(const AttemptFailedRecord& record) override;
   void OnEnded(const EndedRecord& record) override;
   void OnEjected(const EjectedRecord& record) override;
+  void OnUnreadableRateLimit(const UnreadableRateLimitRecord& record) override;
 
  private:
   EventLog& log;
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -68,6 +68,8 @@
   kUnknownApiKey,         // The API key is missing or unknown.
   kAmbiguousHeader,       // Header fields of the request conflict.
   kQuarantined,  // A part of the prompt crashes servers; see PromptQuarantine.
+  // The rate limits that the servers name are used up; see ServerRateLimits.
+  kRateLimited,
 };
 
 // Reports the outcome of a request to its caller and to the logs. Each request
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -9,6 +9,7 @@
 #include "core/backend_directory.h"
 #include "core/load_ledger.h"
 #include "core/prompt_quarantine.h"
+#include "core/server_rate_limits.h"
 #include "core/shared_document.h"
 #include "core/types.h"
 
@@ -53,6 +54,7 @@
   std::vector<ServerLoadEntry> server_loads;
   std::vector<ServicePartition> partitions;
   std::vector<PartCrashes> suspected_parts;
+  std::vector<RateLimitReport> rate_limits;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -154,6 +154,8 @@
       return "held_back";
     case NoChoiceReason::kAwaitsAffinity:
       return "awaits_affinity";
+    case NoChoiceReason::kRateLimited:
+      return "rate_limited";
   }
   return "unknown";
 }
@@ -172,6 +174,8 @@
       return "too_slow";
     case CapacityLimit::kWithheld:
       return "withheld";
+    case CapacityLimit::kRate:
+      return "rate";
   }
   return "unknown";
 }
@@ -179,7 +183,8 @@
 Placer::Placer(PlacerOptions options, const BackendDirectory& directory)
     : options(std::move(options)),
       directory(directory),
-      instance_seed(IdHash(this->options.instance)) {}
+      instance_seed(IdHash(this->options.instance)),
+      limits(this->options.instance) {}
 
 const LatencyModel& Placer::LatencyModelOf(const std::string& service,
                                            bool is_reserved) const {
@@ -497,9 +502,19 @@
   candidate.limit = this->FindCapacityLimit(query, candidate, now);
 }
 
+bool Placer::HasRateFor(const RegisteredServer& server, int tier,
+                        TimePoint now) const {
+  return this->limits.empty() ||
+         this->limits.MaySend(LifetimeHash(server.id, server.incarnation), tier,
+                              now);
+}
+
 CapacityLimit Placer::FindCapacityLimit(const PlacementQuery& query,
                                         const Candidate& candidate,
                                         TimePoint now) const {
+  if (!this->HasRateFor(*candidate.server, query.tier, now)) {
+    return CapacityLimit::kRate;
+  }
   if (!query.service->IsModel()) {
     return CapacityLimit::kNone;
   }
@@ -564,7 +579,8 @@
   return std::any_of(candidates.begin(), candidates.end(),
                      [](const Candidate& candidate) {
                        return candidate.IsFirstAffinity() &&
-                              candidate.limit != CapacityLimit::kNone;
+                              candidate.limit != CapacityLimit::kNone &&
+                              candidate.limit != CapacityLimit::kRate;
                      });
 }
 
@@ -604,7 +620,7 @@
     }
   }
   if (best == nullptr) {
-    why_not = NoChoiceReason::kHeldBack;
+    why_not = this->RecordRefusal(query, candidates, now);
     return std::nullopt;
   }
   if (this->ShouldWaitForAffinity(query, candidates, *best, now)) {
@@ -631,6 +647,22 @@
                       .affinity_limit = affinity_limit};
 }
 
+NoChoiceReason Placer::RecordRefusal(const PlacementQuery& query,
+                                     const std::vector<Candidate>& candidates,
+                                     TimePoint now) {
+  NoChoiceReason reason = NoChoiceReason::kRateLimited;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.limit == CapacityLimit::kRate) {
+      this->limits.RecordRefusal(
+          LifetimeHash(candidate.server->id, candidate.server->incarnation),
+          query.tier, now);
+    } else {
+      reason = NoChoiceReason::kHeldBack;
+    }
+  }
+  return reason;
+}
+
 std::optional<ServerChoice> Placer::ChooseEjected(const PlacementQuery& query,
                                                   TimePoint now) const {
   const RegisteredServer* best = nullptr;
@@ -638,7 +670,8 @@
     const bool tried =
         std::find(query.tried_servers.begin(), query.tried_servers.end(), id) !=
         query.tried_servers.end();
-    if (!AcceptsRequestsOf(server, query.service->name) || tried) {
+    if (!AcceptsRequestsOf(server, query.service->name) || tried ||
+        !this->HasRateFor(server, query.tier, now)) {
       continue;
     }
     if (best == nullptr || this->server_health.EjectedUntil(id) <
@@ -677,6 +710,8 @@
 void Placer::RecordSend(const PlacementQuery& query, const ServerChoice& choice,
                         TimePoint now) {
   this->load_ledger.Add(choice.server.id, choice.added_load);
+  this->limits.RecordSend(
+      LifetimeHash(choice.server.id, choice.server.incarnation), now);
   RecentlySent& sent = this->recently_sent[choice.server.id];
   if (now - sent.interval_start > this->report_interval) {
     sent = {.interval_start = now};
@@ -715,24 +750,30 @@
 
 Duration Placer::EstimateRetryDelay(const PlacementQuery& query,
                                     TimePoint now) const {
-  // The lowest load per slot, times the target as the time that a request
-  // occupies a slot.
-  double min_load = 0;
-  bool first = true;
+  constexpr Duration kMinDelay = std::chrono::milliseconds(200);
+  constexpr Duration kMaxDelay = std::chrono::seconds(3);
+  std::optional<Duration> shortest;
   for (const auto& [id, server] : this->directory.servers()) {
     if (!AcceptsRequestsOf(server, query.service->name)) {
       continue;
     }
-    const ServerLoad load = this->EstimateLoad(id, now);
-    const double load_per_slot =
-        static_cast<double>(load.running) / std::max(1, server.slots);
-    min_load = first ? load_per_slot : std::min(min_load, load_per_slot);
-    first = false;
+    Duration delay{};
+    if (this->HasRateFor(server, query.tier, now)) {
+      // The load per slot, times the target as the time that a request occupies
+      // a slot.
+      const double load_per_slot =
+          static_cast<double>(this->EstimateLoad(id, now).running) /
+          std::max(1, server.slots);
+      delay =
+          std::min(FromSeconds(ToSeconds(query.route->target) * load_per_slot),
+                   kMaxDelay);
+    } else {
+      delay =
+          this->limits.TimeToRoom(LifetimeHash(id, server.incarnation), now);
+    }
+    shortest = std::min(shortest.value_or(delay), delay);
   }
-  constexpr Duration kMinDelay = std::chrono::milliseconds(200);
-  constexpr Duration kMaxDelay = std::chrono::seconds(3);
-  const Duration delay = FromSeconds(ToSeconds(query.route->target) * min_load);
-  return std::clamp(delay, kMinDelay, kMaxDelay);
+  return std::max(shortest.value_or(kMinDelay), kMinDelay);
 }
 
 void Placer::Forget(const std::string& server) {
@@ -745,6 +786,24 @@
   }
 }
 
+void Placer::ObserveRateLimit(const RegisteredServer& server,
+                              std::optional<double> per_second,
+                              TimePoint sent_at, TimePoint now) {
+  this->limits.Observe(LifetimeHash(server.id, server.incarnation), per_second,
+                       sent_at, now);
+}
+
+void Placer::ExpireRateLimits(TimePoint now) {
+  if (this->limits.empty()) {
+    return;
+  }
+  std::set<std::uint64_t> registered;
+  for (const auto& [id, server] : this->directory.servers()) {
+    registered.insert(LifetimeHash(id, server.incarnation));
+  }
+  this->limits.Expire(registered, now);
+}
+
 void Placer::ApplyLoadReport(const std::string& server, int running,
                              int waiting, TimePoint now) {
   this->reported_loads[server] = {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -17,6 +17,7 @@
 #include "core/prompt_cache_map.h"
 #include "core/routing_configuration.h"
 #include "core/server_health.h"
+#include "core/server_rate_limits.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -70,13 +71,14 @@
   // The request, or typical requests on the same server, would miss the target.
   kTooSlow,
   kWithheld,  // A more urgent request waits for the server.
+  kRate,      // The rate limit that the server names is used up.
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 6>;
+using CapacityLimitCounts = std::array<int, 7>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -107,6 +109,7 @@
   // The request should wait for its affinity server, which is at a limit,
   // rather than go to another server that has capacity.
   kAwaitsAffinity,
+  kRateLimited,  // The rate limits of all candidates are used up.
 };
 
 // Returns the word that logs use.
@@ -200,6 +203,13 @@
   [[nodiscard]] const std::set<std::string>& suspected_data_centres() const {
     return this->suspected_centres;
   }
+  // Records the rate limit that the server's response names; nullopt if it
+  // names none. `sent_at` is the time at which the request was sent.
+  void ObserveRateLimit(const RegisteredServer& server,
+                        std::optional<double> per_second, TimePoint sent_at,
+                        TimePoint now);
+  // Drops the rate limits of servers that are gone.
+  void ExpireRateLimits(TimePoint now);
   // Applies a load report of the server: its running and waiting requests, from
   // all instances.
   void ApplyLoadReport(const std::string& server, int running, int waiting,
@@ -213,6 +223,11 @@
   }
   // Mutable, so that the gateway can store the loads that its peers report.
   [[nodiscard]] LoadLedger& ledger() { return this->load_ledger; }
+  // Mutable, so that the gateway can exchange the limits with its peers.
+  [[nodiscard]] ServerRateLimits& rate_limits() { return this->limits; }
+  [[nodiscard]] const ServerRateLimits& rate_limits() const {
+    return this->limits;
+  }
   [[nodiscard]] const ServerHealth& health() const {
     return this->server_health;
   }
@@ -312,6 +327,14 @@
   [[nodiscard]] static bool ShouldWaitForAffinity(
       const PlacementQuery& query, const std::vector<Candidate>& candidates,
       const Candidate& best, TimePoint now);
+  // Returns whether the server's rate limit has room for a request of the tier.
+  [[nodiscard]] bool HasRateFor(const RegisteredServer& server, int tier,
+                                TimePoint now) const;
+  // Records that none of the candidates has capacity for the request; returns
+  // why.
+  [[nodiscard]] NoChoiceReason RecordRefusal(
+      const PlacementQuery& query, const std::vector<Candidate>& candidates,
+      TimePoint now);
   [[nodiscard]] CapacityLimit FindCapacityLimit(const PlacementQuery& query,
                                                 const Candidate& candidate,
                                                 TimePoint now) const;
@@ -337,6 +360,7 @@
   LoadLedger load_ledger;
   PromptCacheMap prompt_caches;
   ServerHealth server_health;
+  ServerRateLimits limits;
   // By service and whether the server is reserved, since a running request
   // slows others far more where prompts are long.
   std::map<std::pair<std::string, bool>, LatencyModel> latency_models;
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -336,10 +336,10 @@
       receiver = peer;
     }
   }
-  this->handler.AddMissingDocuments(receiver, report);
   if (this->senders.at(address)->is_first_report()) {
     report.identity = this->options.self;
   }
+  this->handler.AddMissingDocuments(receiver, report);
   if (report.identity || this->rounds % kRoundsPerAddressList == 0) {
     for (const auto& [name, peer] : this->peers_by_name) {
       if (!this->down_peers.contains(name) &&
@@ -373,6 +373,7 @@
     this->last_round_at = now;
     this->report_scheduled = false;
     ++this->rounds;
+    this->handler.OnRoundSent();
   }
   this->DetectSilentPeers(now);
   this->RemoveExpired(now);
@@ -480,6 +481,30 @@
          this->CountRankedBelow(rank_hash) == 0;
 }
 
+bool FleetLinks::MaySendRequests(const std::string& name,
+                                 const FleetPeer& peer) const {
+  return !peer.is_draining && !(this->down_peers.contains(name) &&
+                                this->HasEnded(peer.identity.address));
+}
+
+std::vector<std::string> FleetLinks::SendingPeers() const {
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : this->peers_by_name) {
+    if (this->MaySendRequests(name, peer)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+bool FleetLinks::HearsAllPeers() const {
+  return std::none_of(this->peers_by_name.begin(), this->peers_by_name.end(),
+                      [this](const auto& item) {
+                        return this->down_peers.contains(item.first) &&
+                               this->MaySendRequests(item.first, item.second);
+                      });
+}
+
 std::set<std::string> FleetLinks::SilentDataCentres() const {
   std::set<std::string> silent;
   std::set<std::string> live;
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -58,10 +58,12 @@
   virtual ~FleetReportHandler() = default;
   // Makes the part of a report that is the same for all peers, once per round.
   virtual FleetReport MakeReport() = 0;
-  // Adds the documents that `peer` is missing. `peer` has only its address
-  // until its first report.
+  // Adds what `peer` is missing. `peer` has only its address until its first
+  // report. `report` has an identity if it is the first one on its connection.
   virtual void AddMissingDocuments(const FleetPeer& peer,
                                    FleetReport& report) = 0;
+  // The current report was sent to all peers that can receive it.
+  virtual void OnRoundSent() = 0;
   virtual void OnReport(const FleetPeer& peer, const FleetReport& report) = 0;
   virtual void OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) = 0;
 };
@@ -105,6 +107,11 @@
   [[nodiscard]] int Rank() const;
   // Returns whether this peer precedes all other ranked instances.
   [[nodiscard]] bool RanksFirst(const std::string& instance) const;
+  // Returns the names of the peers that may send requests to backend servers:
+  // all but those that are draining or whose processes have ended.
+  [[nodiscard]] std::vector<std::string> SendingPeers() const;
+  // Returns whether all of these report.
+  [[nodiscard]] bool HearsAllPeers() const;
   // Returns the other data centres that have a silent instance and no live one.
   // Instances that were draining or whose processes have ended don't count as
   // silent.
@@ -136,6 +143,9 @@
   // Returns the number of live peers that are not draining and whose rank hash
   // is lower.
   [[nodiscard]] int CountRankedBelow(std::uint64_t rank_hash) const;
+  // Returns whether the peer may send requests to backend servers.
+  [[nodiscard]] bool MaySendRequests(const std::string& name,
+                                     const FleetPeer& peer) const;
   // Returns whether the process at this address is known to have ended.
   [[nodiscard]] bool HasEnded(const std::string& address) const;
 
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -405,6 +405,17 @@
   this->response = head;
   this->response_framing = head.framing;
   this->named_rate_limit = response_info.rate_limit;
+  // An unreadable limit changes nothing.
+  if (!response_info.unreadable_rate_limit.empty()) {
+    this->context.observer.OnUnreadableRateLimit(
+        {.request_id = this->request_info.request_id,
+         .server = this->choice->server.id,
+         .text = response_info.unreadable_rate_limit});
+  } else if (!response_info.is_misdirected &&
+             (response_info.is_from_server || response_info.not_executed)) {
+    this->context.placer.ObserveRateLimit(
+        this->choice->server, response_info.rate_limit, this->sent_at, now);
+  }
   if (response_info.load) {
     this->context.placer.ApplyLoadReport(this->choice->server.id,
                                          response_info.load->running,
@@ -789,10 +800,20 @@
 }
 
 void Exchange::GiveUpWithoutServer(NoChoiceReason reason) {
-  const bool full =
-      reason == NoChoiceReason::kFull || reason == NoChoiceReason::kHeldBack;
-  const EndCause cause = full ? EndCause::kQueueFull : EndCause::kNoBackend;
-  this->GiveUp(cause);
+  switch (reason) {
+    case NoChoiceReason::kRateLimited:
+      this->GiveUp(EndCause::kRateLimited);
+      return;
+    case NoChoiceReason::kFull:
+    case NoChoiceReason::kHeldBack:
+      this->GiveUp(EndCause::kQueueFull);
+      return;
+    case NoChoiceReason::kNoServer:
+    case NoChoiceReason::kUnreachable:
+    case NoChoiceReason::kAwaitsAffinity:
+      this->GiveUp(EndCause::kNoBackend);
+      return;
+  }
 }
 
 void Exchange::GiveUp(EndCause cause, std::optional<Duration> min_delay) {
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -114,6 +114,14 @@
   Duration duration{};
 };
 
+// A response named a rate limit that can't be read; it changes nothing.
+struct UnreadableRateLimitRecord {
+  std::string request_id;
+  std::string server;
+  // What the response named.
+  std::string text;
+};
+
 // Receives the events on the event loop's thread; must not block.
 class ProxyObserver {
  public:
@@ -122,6 +130,8 @@
   virtual void OnAttemptFailed(const AttemptFailedRecord& record) = 0;
   virtual void OnEnded(const EndedRecord& record) = 0;
   virtual void OnEjected(const EjectedRecord& record) = 0;
+  virtual void OnUnreadableRateLimit(
+      const UnreadableRateLimitRecord& record) = 0;
 };
 
 }  // namespace rosemarycove
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -16,6 +16,8 @@
 
 // The builder's buffer grows if a report needs more.
 constexpr std::size_t kInitialBufferBytes = 512;
+// The value of a limit that has ended.
+constexpr double kNoRateLimit = -1;
 
 // Clamps a number to the range of T, the type of a field.
 template <typename T>
@@ -86,6 +88,30 @@
   return record;
 }
 
+wire::ServerLimit EncodeRateLimit(const RateLimitReport& report) {
+  return {report.server_hash,
+          report.observation,
+          EncodeAge(report.age),
+          report.per_second.value_or(kNoRateLimit),
+          Saturate<std::uint16_t>(report.sent),
+          Saturate<std::uint16_t>(report.refused_tier ? 1 + *report.refused_tier
+                                                      : 0)};
+}
+
+RateLimitReport DecodeRateLimit(const wire::ServerLimit& frame) {
+  RateLimitReport report{.server_hash = frame.server(),
+                         .observation = frame.observation(),
+                         .age = std::chrono::milliseconds(frame.age_ms()),
+                         .sent = frame.sent()};
+  if (frame.per_second() >= 0) {
+    report.per_second = frame.per_second();
+  }
+  if (frame.refused() > 0) {
+    report.refused_tier = frame.refused() - 1;
+  }
+  return report;
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -127,6 +153,11 @@
       report.suspected_parts.push_back(DecodePartCrashes(*record));
     }
   }
+  if (frame.limits() != nullptr) {
+    for (const wire::ServerLimit* limit : *frame.limits()) {
+      report.rate_limits.push_back(DecodeRateLimit(*limit));
+    }
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -198,13 +229,21 @@
   if (!suspected_parts.empty()) {
     part_vector = builder.CreateVector(suspected_parts);
   }
+  std::vector<wire::ServerLimit> limits;
+  for (const RateLimitReport& limit : report.rate_limits) {
+    limits.push_back(EncodeRateLimit(limit));
+  }
+  Offset<flatbuffers::Vector<const wire::ServerLimit*>> limit_vector;
+  if (!limits.empty()) {
+    limit_vector = builder.CreateVectorOfStructs(limits);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
       EncodeAge(report.directory_age), report.directory_read_id.reader,
       report.directory_read_id.sequence, report.directory_update.base_revision,
       report.directory_update.is_snapshot, share_vector, division_vector,
-      neighbours, configuration, server_vector, part_vector));
+      neighbours, configuration, server_vector, part_vector, limit_vector));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -25,6 +25,8 @@
 struct PartCrashes;
 struct PartCrashesBuilder;
 
+struct ServerLimit;
+
 struct Identity;
 struct IdentityBuilder;
 
@@ -161,6 +163,58 @@
 };
 FLATBUFFERS_STRUCT_END(ServerCrash, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t observation_;
+  uint32_t age_ms_;
+  double per_second_;
+  uint16_t sent_;
+  uint16_t refused_;
+  int32_t padding0__;
+
+ public:
+  ServerLimit()
+      : server_(0),
+        observation_(0),
+        age_ms_(0),
+        per_second_(0),
+        sent_(0),
+        refused_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ServerLimit(uint64_t _server, uint32_t _observation, uint32_t _age_ms, double _per_second, uint16_t _sent, uint16_t _refused)
+      : server_(flatbuffers::EndianScalar(_server)),
+        observation_(flatbuffers::EndianScalar(_observation)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        per_second_(flatbuffers::EndianScalar(_per_second)),
+        sent_(flatbuffers::EndianScalar(_sent)),
+        refused_(flatbuffers::EndianScalar(_refused)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t observation() const {
+    return flatbuffers::EndianScalar(observation_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  double per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+  uint16_t sent() const {
+    return flatbuffers::EndianScalar(sent_);
+  }
+  uint16_t refused() const {
+    return flatbuffers::EndianScalar(refused_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerLimit, 32);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -434,7 +488,8 @@
     VT_NEIGHBOURS = 28,
     VT_CONFIGURATION = 30,
     VT_SERVERS = 32,
-    VT_SUSPECTED_PARTS = 34
+    VT_SUSPECTED_PARTS = 34,
+    VT_LIMITS = 36
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -484,6 +539,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *>(VT_SUSPECTED_PARTS);
   }
+  const flatbuffers::Vector<const rosemarycove::wire::ServerLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServerLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -512,6 +570,8 @@
            VerifyOffset(verifier, VT_SUSPECTED_PARTS) &&
            verifier.VerifyVector(suspected_parts()) &&
            verifier.VerifyVectorOfTables(suspected_parts()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
 };
@@ -568,6 +628,9 @@
   void add_suspected_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts) {
     fbb_.AddOffset(FleetReport::VT_SUSPECTED_PARTS, suspected_parts);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits) {
+    fbb_.AddOffset(FleetReport::VT_LIMITS, limits);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -596,13 +659,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> neighbours = 0,
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_servers_since(servers_since);
   builder_.add_directory_reading(directory_reading);
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_limits(limits);
   builder_.add_suspected_parts(suspected_parts);
   builder_.add_servers(servers);
   builder_.add_configuration(configuration);
@@ -634,12 +699,14 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *neighbours = nullptr,
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers = nullptr,
-    const std::vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts = nullptr) {
+    const std::vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts = nullptr,
+    const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::Document>>(*servers) : 0;
   auto suspected_parts__ = suspected_parts ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>(*suspected_parts) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerLimit>(*limits) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -657,7 +724,8 @@
       neighbours__,
       configuration,
       servers__,
-      suspected_parts__);
+      suspected_parts__,
+      limits__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -19,6 +19,7 @@
  public:
   FleetReport MakeReport() override { return {.configuration_revision = 7}; }
   void AddMissingDocuments(const FleetPeer&, FleetReport&) override {}
+  void OnRoundSent() override {}
   void OnReport(const FleetPeer& peer, const FleetReport&) override {
     this->reported_by.insert(peer.identity.instance);
   }
@@ -84,6 +85,13 @@
                                  .long_prefill_tokens = 4,
                                  .gap_sensitive_streams = 5}}},
       .partitions = {{.service_hash = 4, .reserved_share = 0.25}},
+      .rate_limits = {{.server_hash = 6,
+                       .observation = 2,
+                       .per_second = 1.9,
+                       .age = std::chrono::milliseconds(30),
+                       .sent = 7,
+                       .refused_tier = 0},
+                      {.server_hash = 7, .observation = 1}},
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -101,6 +109,15 @@
   CHECK(decoded.directory_age == report.directory_age);
   CHECK(decoded.server_loads.at(0).load == report.server_loads.at(0).load);
   DOUBLES_EQUAL(0.25, decoded.partitions.at(0).reserved_share, 0);
+  const RateLimitReport& limit = decoded.rate_limits.at(0);
+  CHECK_EQUAL(6U, limit.server_hash);
+  CHECK_EQUAL(2U, limit.observation);
+  DOUBLES_EQUAL(1.9, *limit.per_second, 0);
+  CHECK(limit.age == report.rate_limits.at(0).age);
+  CHECK_EQUAL(7, limit.sent);
+  CHECK_EQUAL(0, *limit.refused_tier);
+  CHECK(!decoded.rate_limits.at(1).per_second);
+  CHECK(!decoded.rate_limits.at(1).refused_tier);
   CHECK(decoded.peer_addresses == report.peer_addresses);
   CHECK(decoded.configuration->value == report.configuration->value);
   CHECK_EQUAL(8U, decoded.directory_update.base_revision);
--- a/tests/test_limited_servers.cc
+++ b/tests/test_limited_servers.cc
@@ -63,11 +63,11 @@
   std::ptrdiff_t most = 0;
   for (const TimePoint begin : arrivals) {
     if (begin >= start) {
-      most = std::max(
-          most, std::count_if(arrivals.begin(), arrivals.end(),
-                              [begin](TimePoint at) {
-                                return at >= begin && at < begin + kWindow;
-                              }));
+      most = std::max(most, std::count_if(arrivals.begin(), arrivals.end(),
+                                          [begin](TimePoint at) {
+                                            return at >= begin &&
+                                                   at < begin + kWindow;
+                                          }));
     }
   }
   return static_cast<int>(most);
@@ -131,9 +131,8 @@
   const std::vector<TimePoint> arrivals = server.Arrivals();
   CHECK(MaxInWindow(arrivals, told) <= kMaxInWindow);
   // The limit is used.
-  const auto used =
-      std::count_if(arrivals.begin(), arrivals.end(),
-                    [told](TimePoint at) { return at >= told; });
+  const auto used = std::count_if(arrivals.begin(), arrivals.end(),
+                                  [told](TimePoint at) { return at >= told; });
   CHECK(used >= kLimit * ToSeconds(kWindow));
   for (const std::string& response : responses) {
     if (!response.starts_with("HTTP/1.1 200")) {
@@ -145,8 +144,7 @@
   server.SetInNeed(false);
   fleet.SendFor(seconds(4));
   const std::vector<std::string> later = fleet.SendFor(seconds(1));
-  CHECK_EQUAL(static_cast<std::ptrdiff_t>(later.size()),
-              CountSucceeded(later));
+  CHECK_EQUAL(static_cast<std::ptrdiff_t>(later.size()), CountSucceeded(later));
 }
 
 // Guards against requests being refused because of a limit that another server
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -701,3 +701,41 @@
   queue.SetReason(1, WaitReason::kCapacity);
   CHECK_EQUAL(2, queue.CountAhead(lower));
 }
+
+// Guards against prompts that stay away from their server once it names no
+// limit any more, and against requests that wait for a limited one.
+TEST(Routing, PromptLeavesALimitedServerAndReturnsAfterwards) {
+  Engines engines(4);
+  const PlacementQuery query = QueryOf(kStream, 7);
+  const RegisteredServer home = engines.Choose(query)->server;
+  engines.placer.ObserveRateLimit(home, 1, kStart, kStart);
+  PlacementQuery waiting = query;
+  waiting.affinity_wait_until = kStart + seconds(1);
+  const auto choice = engines.Choose(waiting);
+  CHECK(choice.has_value());
+  CHECK(choice->server.id != home.id);
+  CHECK(choice->affinity_limit == CapacityLimit::kRate);
+  engines.placer.ObserveRateLimit(home, std::nullopt, kStart, kStart);
+  STRCMP_EQUAL(home.id.c_str(), engines.Choose(query)->server.id.c_str());
+}
+
+// Guards against a limit that is exceeded by the trials of ejected servers, and
+// against refusals that don't say when to come back.
+TEST(Routing, LimitHoldsForEjectedServersAndNamesATime) {
+  Engines engines(3);
+  const PlacementQuery query = QueryOf(kStream);
+  for (const auto& [id, server] : engines.directory.servers()) {
+    engines.placer.ObserveRateLimit(server, 0.5, kStart, kStart);
+  }
+  CHECK(!engines.Choose(query).has_value());
+  CHECK(engines.why_not == NoChoiceReason::kRateLimited);
+  CHECK(engines.placer.EstimateRetryDelay(query, kStart) == seconds(2));
+  for (const auto& [id, server] : engines.directory.servers()) {
+    for (int i = 0; i < 20; ++i) {
+      engines.placer.RecordResult({.server = server}, SendResult::kUnreachable,
+                                  kStart);
+    }
+  }
+  CHECK(!engines.Choose(query).has_value());
+  CHECK(engines.why_not == NoChoiceReason::kUnreachable);
+}
