--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -79,6 +79,7 @@
        {"may_have_run", record.may_have_executed},
        {"first_event", record.has_first_event},
        {"shared_parts", FormatParts(record.shared_parts)},
+       {"request_hash", FormatPartId(record.request_hash)},
        {"next", record.next == NextStep::kAnotherServer ? "another_server"
                                                         : "given_up"},
        {"next_why", record.next_reason}});
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/request_hash.h"
 #include "http/http_status.h"
 #include "http/sse_parser.h"
 
@@ -126,6 +127,7 @@
   if (!this->ResolveRoute()) {
     return;
   }
+  this->HashRequest();
   this->ChooseService();
   this->Place();
 }
@@ -167,6 +169,17 @@
   return true;
 }
 
+void Exchange::HashRequest() {
+  const std::uint64_t content_hash =
+      RequestHash({.method = this->request.method,
+                   .target = this->request.target,
+                   .host = this->request.fields.Find("host").value_or(""),
+                   .caller = this->customer,
+                   .body = this->body});
+  this->request_hash =
+      RequestHash(content_hash, this->request_info.prompt_parts);
+}
+
 void Exchange::ChooseService() {
   const std::vector<WeightedService>& services = this->query.route->services;
   int total_weight = 0;
@@ -748,6 +761,7 @@
        .may_have_executed = failure.may_have_executed,
        .has_first_event = this->first_event_received,
        .shared_parts = SharedParts(this->query.parts),
+       .request_hash = this->request_hash,
        .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
        .next_reason = no_retry_reason});
   if (retry) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -93,6 +93,8 @@
   // Returns whether the caller may use the route; sets the customer and the
   // tier.
   bool CheckApiKey(const Route& route);
+  // Sets the hash by which the same request is recognized.
+  void HashRequest();
   // Chooses one of the route's services at random, by weight.
   void ChooseService();
   // Sends the request to a server, queues it or gives up.
@@ -182,6 +184,8 @@
   std::shared_ptr<const RoutingConfiguration> configuration;
   RequestInfo request_info;
   std::string customer;
+  // Of the request with all parts of its prompt.
+  std::uint64_t request_hash = 0;
   PlacementQuery query;
   // How many servers had no capacity for the request, by reason, in the last
   // placement.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -55,6 +55,8 @@
   bool has_first_event = false;
   // See SharedParts; valid during the call only.
   std::span<const PromptPart> shared_parts;
+  // See RequestHash.
+  std::uint64_t request_hash = 0;
   NextStep next = NextStep::kGiveUp;
   // Why no further attempt is allowed; empty for kAnotherServer.
   std::string next_reason;
