Rename PromptQuarantine to RequestQuarantine

It is about to quarantine whole requests too. PromptQuarantine -> RequestQuarantine, PartCrashes -> SuspectCrashes, QuarantinedPart -> QuarantinedSuspect; names on the wire and in logs stay.

--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -151,7 +151,7 @@
   GatewayObserver observer;
   BackendDirectory directory;
   Placer placer;
-  PromptQuarantine quarantine;
+  RequestQuarantine quarantine;
   FleetRetryBudget retry_budget;
   ConnectionPool pool;
   ProxyContext context;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -8,7 +8,7 @@
 
 #include "core/backend_directory.h"
 #include "core/load_ledger.h"
-#include "core/prompt_quarantine.h"
+#include "core/request_quarantine.h"
 #include "core/server_rate_limits.h"
 #include "core/shared_document.h"
 #include "core/types.h"
@@ -53,7 +53,7 @@
   StoreReadId directory_read_id;
   std::vector<ServerLoadEntry> server_loads;
   std::vector<ServicePartition> partitions;
-  std::vector<PartCrashes> suspected_parts;
+  std::vector<SuspectCrashes> suspected_parts;
   std::vector<RateLimitReport> rate_limits;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "core/prompt_quarantine.h"
+#include "core/request_quarantine.h"
 
 #include <algorithm>
 
@@ -92,8 +92,8 @@
   return "invalid";
 }
 
-void PromptQuarantine::RecordSurvival(std::span<const PromptPart> parts,
-                                      TimePoint now) {
+void RequestQuarantine::RecordSurvival(std::span<const PromptPart> parts,
+                                       TimePoint now) {
   bool changed = false;
   for (const PromptPart& part : parts) {
     this->StoreSurvival(part.id, now);
@@ -107,9 +107,9 @@
   }
 }
 
-void PromptQuarantine::RecordCrash(const std::string& server,
-                                   std::span<const PromptPart> parts,
-                                   TimePoint now) {
+void RequestQuarantine::RecordCrash(const std::string& server,
+                                    std::span<const PromptPart> parts,
+                                    TimePoint now) {
   const std::uint64_t id = this->random();
   for (std::size_t i = 0; i < parts.size(); ++i) {
     if (!this->WasSurvivedLately(parts[i].id, now)) {
@@ -122,11 +122,11 @@
   this->Reassess(now);
 }
 
-std::optional<QuarantinedPart> PromptQuarantine::FindQuarantined(
+std::optional<QuarantinedSuspect> RequestQuarantine::FindQuarantined(
     std::span<const PromptPart> parts, TimePoint now) const {
-  std::optional<QuarantinedPart> longest;
+  std::optional<QuarantinedSuspect> longest;
   for (const PromptPart& part : parts) {
-    const Suspect* suspect = this->FindQuarantinedPart(part.id);
+    const Suspect* suspect = this->FindQuarantinedSuspect(part.id);
     if (suspect == nullptr) {
       continue;
     }
@@ -142,10 +142,10 @@
   return longest;
 }
 
-void PromptQuarantine::RecordSend(std::span<const PromptPart> parts,
-                                  TimePoint now) {
+void RequestQuarantine::RecordSend(std::span<const PromptPart> parts,
+                                   TimePoint now) {
   for (const PromptPart& part : parts) {
-    if (this->FindQuarantinedPart(part.id) == nullptr) {
+    if (this->FindQuarantinedSuspect(part.id) == nullptr) {
       continue;
     }
     Suspect& suspect = this->suspects[part.id];
@@ -156,10 +156,10 @@
   }
 }
 
-std::vector<PartCrashes> PromptQuarantine::Records(TimePoint now) const {
-  std::vector<PartCrashes> records;
+std::vector<SuspectCrashes> RequestQuarantine::Records(TimePoint now) const {
+  std::vector<SuspectCrashes> records;
   for (const auto& [part, suspect] : this->suspects) {
-    PartCrashes record{.part = part};
+    SuspectCrashes record{.part = part};
     if (const auto survival = this->survivals.find(part);
         survival != this->survivals.end()) {
       record.survival_age = now - survival->second;
@@ -175,10 +175,10 @@
   return records;
 }
 
-void PromptQuarantine::Merge(const std::vector<PartCrashes>& records,
-                             TimePoint now) {
+void RequestQuarantine::Merge(const std::vector<SuspectCrashes>& records,
+                              TimePoint now) {
   bool changed = false;
-  for (const PartCrashes& record : records) {
+  for (const SuspectCrashes& record : records) {
     if (record.survival_age) {
       this->StoreSurvival(record.part, now - *record.survival_age);
     }
@@ -201,7 +201,7 @@
   }
 }
 
-void PromptQuarantine::Tick(TimePoint now) {
+void RequestQuarantine::Tick(TimePoint now) {
   std::size_t expired = 0;
   for (auto& [part, suspect] : this->suspects) {
     expired += std::erase_if(suspect.crashes, [now](const Crash& crash) {
@@ -217,24 +217,24 @@
   });
 }
 
-int PromptQuarantine::quarantined_count() const {
+int RequestQuarantine::quarantined_count() const {
   return static_cast<int>(std::count_if(
       this->suspects.begin(), this->suspects.end(), [](const auto& item) {
         return item.second.quarantined_until.has_value();
       }));
 }
 
-bool PromptQuarantine::IsExcused(TimePoint crashed_at, TimePoint survived_at) {
+bool RequestQuarantine::IsExcused(TimePoint crashed_at, TimePoint survived_at) {
   return crashed_at <= survived_at + kSurvivalMemory;
 }
 
-bool PromptQuarantine::WasSurvivedLately(std::uint64_t part,
-                                         TimePoint now) const {
+bool RequestQuarantine::WasSurvivedLately(std::uint64_t part,
+                                          TimePoint now) const {
   const auto found = this->survivals.find(part);
   return found != this->survivals.end() && IsExcused(now, found->second);
 }
 
-bool PromptQuarantine::AddCrash(Suspect& suspect, const Crash& crash) {
+bool RequestQuarantine::AddCrash(Suspect& suspect, const Crash& crash) {
   std::vector<Crash>& crashes = suspect.crashes;
   const auto known = std::find_if(
       crashes.begin(), crashes.end(),
@@ -254,8 +254,8 @@
   return true;
 }
 
-bool PromptQuarantine::RemoveExcused(std::uint64_t part, Suspect& suspect,
-                                     TimePoint now) {
+bool RequestQuarantine::RemoveExcused(std::uint64_t part, Suspect& suspect,
+                                      TimePoint now) {
   const auto survival = this->survivals.find(part);
   if (survival == this->survivals.end()) {
     return false;
@@ -270,8 +270,8 @@
   return removed > 0;
 }
 
-void PromptQuarantine::StoreSurvival(std::uint64_t part,
-                                     TimePoint survived_at) {
+void RequestQuarantine::StoreSurvival(std::uint64_t part,
+                                      TimePoint survived_at) {
   const auto [found, is_new] = this->survivals.emplace(part, survived_at);
   if (!is_new) {
     found->second = std::max(found->second, survived_at);
@@ -284,7 +284,7 @@
   }
 }
 
-PromptQuarantine::Suspect& PromptQuarantine::FindOrAdd(std::uint64_t part) {
+RequestQuarantine::Suspect& RequestQuarantine::FindOrAdd(std::uint64_t part) {
   const auto found = this->suspects.find(part);
   if (found != this->suspects.end()) {
     return found->second;
@@ -300,7 +300,7 @@
   return this->suspects[part];
 }
 
-void PromptQuarantine::Reassess(TimePoint now) {
+void RequestQuarantine::Reassess(TimePoint now) {
   // For each request that failed, the position of the most specific part that
   // has enough crashes.
   std::unordered_map<std::uint64_t, int> explained_below;
@@ -329,9 +329,9 @@
   }
 }
 
-void PromptQuarantine::SetQuarantine(std::uint64_t part, Suspect& suspect,
-                                     std::optional<TimePoint> until,
-                                     TimePoint now) {
+void RequestQuarantine::SetQuarantine(std::uint64_t part, Suspect& suspect,
+                                      std::optional<TimePoint> until,
+                                      TimePoint now) {
   const bool was_quarantined = suspect.quarantined_until.has_value();
   suspect.quarantined_until = until;
   if (until.has_value() == was_quarantined) {
@@ -345,7 +345,7 @@
        .remaining = until ? std::max(Duration{}, *until - now) : Duration{}});
 }
 
-const PromptQuarantine::Suspect* PromptQuarantine::FindQuarantinedPart(
+const RequestQuarantine::Suspect* RequestQuarantine::FindQuarantinedSuspect(
     std::uint64_t part) const {
   const auto found = this->suspects.find(part);
   return found != this->suspects.end() && found->second.quarantined_until
--- a/src/core/prompt_quarantine.h
+++ b/src/core/request_quarantine.h
@@ -32,7 +32,7 @@
 };
 
 // What an instance knows of a suspected part, for fleet reports.
-struct PartCrashes {
+struct SuspectCrashes {
   std::uint64_t part = 0;
   // Time since a server last survived a request with the part; nullopt if none
   // is known to have done so.
@@ -61,7 +61,7 @@
 std::string_view ToString(QuarantineChange::Kind kind);
 
 // A part because of which a request is not sent.
-struct QuarantinedPart {
+struct QuarantinedSuspect {
   std::uint64_t part = 0;
   // Time until a request with the part may be sent.
   Duration remaining{};
@@ -84,10 +84,10 @@
 // survives it, the part is released.
 //
 // Each gateway instance owns one and uses it on its event loop.
-class PromptQuarantine {
+class RequestQuarantine {
  public:
   // `seed` differs between instances and between restarts of an instance.
-  explicit PromptQuarantine(std::uint64_t seed) : random(seed) {}
+  explicit RequestQuarantine(std::uint64_t seed) : random(seed) {}
 
   // Records that a server survived a request with these shared parts: it sent
   // the first event and went on.
@@ -98,7 +98,7 @@
                    TimePoint now);
   // Returns the part because of which a request with these shared parts must
   // not be sent now; nullopt if there is none.
-  [[nodiscard]] std::optional<QuarantinedPart> FindQuarantined(
+  [[nodiscard]] std::optional<QuarantinedSuspect> FindQuarantined(
       std::span<const PromptPart> parts, TimePoint now) const;
   // Records that a request with these shared parts is sent, which makes it the
   // trial of those that are quarantined.
@@ -107,9 +107,9 @@
   // Sets whether this instance leads the trials.
   void SetLeadsTrials(bool leads) { this->leads_trials = leads; }
   // Returns the records for a fleet report.
-  [[nodiscard]] std::vector<PartCrashes> Records(TimePoint now) const;
+  [[nodiscard]] std::vector<SuspectCrashes> Records(TimePoint now) const;
   // Merges the records that another instance reported.
-  void Merge(const std::vector<PartCrashes>& records, TimePoint now);
+  void Merge(const std::vector<SuspectCrashes>& records, TimePoint now);
   // Drops expired records; called periodically.
   void Tick(TimePoint now);
   // Returns the changes since the last call.
@@ -155,7 +155,7 @@
   void SetQuarantine(std::uint64_t part, Suspect& suspect,
                      std::optional<TimePoint> until, TimePoint now);
   // Returns the quarantined part's record; nullptr if it is not quarantined.
-  [[nodiscard]] const Suspect* FindQuarantinedPart(std::uint64_t part) const;
+  [[nodiscard]] const Suspect* FindQuarantinedSuspect(std::uint64_t part) const;
 
   // Makes the ids of crashes.
   std::mt19937_64 random;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -220,7 +220,7 @@
 }
 
 bool Exchange::GiveUpIfQuarantined(TimePoint now) {
-  const std::optional<QuarantinedPart> found =
+  const std::optional<QuarantinedSuspect> found =
       this->context.quarantine.FindQuarantined(SharedParts(this->query.parts),
                                                now);
   if (!found) {
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -13,7 +13,7 @@
 #include "core/fleet_retry_budget.h"
 #include "core/placement_queues.h"
 #include "core/placer.h"
-#include "core/prompt_quarantine.h"
+#include "core/request_quarantine.h"
 #include "core/routing_configuration.h"
 #include "proxy/call_dialect.h"
 #include "proxy/connection_pool.h"
@@ -30,7 +30,7 @@
   const CallDialect& dialect;
   BackendDirectory& directory;
   Placer& placer;
-  PromptQuarantine& quarantine;
+  RequestQuarantine& quarantine;
   FleetRetryBudget& retry_budget;
   ConnectionPool& pool;
   ProxyObserver& observer;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -58,8 +58,8 @@
       std::numeric_limits<std::uint32_t>::max()));
 }
 
-Offset<wire::PartCrashes> EncodePartCrashes(FlatBufferBuilder& builder,
-                                            const PartCrashes& record) {
+Offset<wire::PartCrashes> EncodeSuspect(FlatBufferBuilder& builder,
+                                        const SuspectCrashes& record) {
   std::vector<wire::ServerCrash> crashes;
   for (const ServerCrash& crash : record.crashes) {
     crashes.emplace_back(crash.id, crash.server_hash, EncodeAge(crash.age),
@@ -71,8 +71,8 @@
       EncodeAge(record.survival_age.value_or(Duration{})), crash_vector);
 }
 
-PartCrashes DecodePartCrashes(const wire::PartCrashes& frame) {
-  PartCrashes record{.part = frame.part()};
+SuspectCrashes DecodeSuspect(const wire::PartCrashes& frame) {
+  SuspectCrashes record{.part = frame.part()};
   if (frame.survived()) {
     record.survival_age = std::chrono::milliseconds(frame.survival_age_ms());
   }
@@ -150,7 +150,7 @@
   }
   if (frame.suspected_parts() != nullptr) {
     for (const wire::PartCrashes* record : *frame.suspected_parts()) {
-      report.suspected_parts.push_back(DecodePartCrashes(*record));
+      report.suspected_parts.push_back(DecodeSuspect(*record));
     }
   }
   if (frame.limits() != nullptr) {
@@ -222,8 +222,8 @@
     server_vector = builder.CreateVector(servers);
   }
   std::vector<Offset<wire::PartCrashes>> suspected_parts;
-  for (const PartCrashes& record : report.suspected_parts) {
-    suspected_parts.push_back(EncodePartCrashes(builder, record));
+  for (const SuspectCrashes& record : report.suspected_parts) {
+    suspected_parts.push_back(EncodeSuspect(builder, record));
   }
   Offset<flatbuffers::Vector<Offset<wire::PartCrashes>>> part_vector;
   if (!suspected_parts.empty()) {
--- a/tests/test_prompt_quarantine.cc
+++ b/tests/test_request_quarantine.cc
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <random>
 
-#include "core/prompt_quarantine.h"
+#include "core/request_quarantine.h"
 
 // The test library's macros come last.
 #include <CppUTest/TestHarness.h>
@@ -31,13 +31,13 @@
   return TimePoint{} + minutes(10) + since_start;
 }
 
-bool IsQuarantined(const PromptQuarantine& quarantine, const Parts& parts,
+bool IsQuarantined(const RequestQuarantine& quarantine, const Parts& parts,
                    TimePoint now) {
   return quarantine.FindQuarantined(parts, now).has_value();
 }
 
 // Records crashes of three servers at three moments, the last one at `now`.
-void RecordThreeCrashes(PromptQuarantine& quarantine, const Parts& parts,
+void RecordThreeCrashes(RequestQuarantine& quarantine, const Parts& parts,
                         TimePoint now) {
   quarantine.RecordCrash("s1", parts, now - seconds(2));
   quarantine.RecordCrash("s2", parts, now - seconds(1));
@@ -46,10 +46,10 @@
 
 }  // namespace
 
-TEST_GROUP(PromptQuarantine){};
+TEST_GROUP(RequestQuarantine){};
 
-TEST(PromptQuarantine, PartIsQuarantinedAfterThreeCrashes) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, PartIsQuarantinedAfterThreeCrashes) {
+  RequestQuarantine quarantine(1);
   quarantine.RecordCrash("s1", kDeadlyPartOnly, At(seconds(0)));
   quarantine.RecordCrash("s2", kDeadlyPartOnly, At(seconds(1)));
   CHECK(!IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(1))));
@@ -67,8 +67,8 @@
 
 // Guards against the failure of many servers at the same moment being blamed on
 // what they were answering.
-TEST(PromptQuarantine, ServersThatCrashAtTheSameMomentDoNotSuffice) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, ServersThatCrashAtTheSameMomentDoNotSuffice) {
+  RequestQuarantine quarantine(1);
   for (int i = 0; i < 20; ++i) {
     quarantine.RecordCrash("s" + std::to_string(i), kDeadlyPrompt,
                            At(milliseconds(10 * i)));
@@ -78,8 +78,8 @@
 
 // Guards against one crash counting several times, since it ends several
 // requests with the part.
-TEST(PromptQuarantine, CrashOfOneServerCountsOnce) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, CrashOfOneServerCountsOnce) {
+  RequestQuarantine quarantine(1);
   for (int i = 0; i < 2; ++i) {
     for (int j = 0; j < 5; ++j) {
       quarantine.RecordCrash("s1", kDeadlyPartOnly,
@@ -93,16 +93,16 @@
 
 // Guards against sound requests being refused because those that crash servers
 // have the same customer and the same first part.
-TEST(PromptQuarantine, PartsThatServersSurviveAreNotBlamed) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, PartsThatServersSurviveAreNotBlamed) {
+  RequestQuarantine quarantine(1);
   quarantine.RecordSurvival(kSoundPrompt, At(seconds(0)));
   RecordThreeCrashes(quarantine, kDeadlyPrompt, At(seconds(10)));
   CHECK(IsQuarantined(quarantine, kDeadlyPrompt, At(seconds(10))));
   CHECK(!IsQuarantined(quarantine, kSoundPrompt, At(seconds(10))));
 }
 
-TEST(PromptQuarantine, PartThatIsSurvivedLaterIsReleased) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, PartThatIsSurvivedLaterIsReleased) {
+  RequestQuarantine quarantine(1);
   RecordThreeCrashes(quarantine, kSoundPrompt, At(seconds(10)));
   CHECK(IsQuarantined(quarantine, kSoundPrompt, At(seconds(10))));
   quarantine.RecordSurvival(kSoundPrompt, At(seconds(11)));
@@ -114,8 +114,8 @@
 
 // Guards against sound requests of a customer being refused because none of
 // them was answered between the crashes.
-TEST(PromptQuarantine, MostSpecificPartExplainsTheCrashes) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, MostSpecificPartExplainsTheCrashes) {
+  RequestQuarantine quarantine(1);
   RecordThreeCrashes(quarantine, kDeadlyPrompt, At(seconds(10)));
   quarantine.RecordCrash("s3", kSoundPrompt, At(seconds(10)));
   CHECK(IsQuarantined(quarantine, kDeadlyPrompt, At(seconds(10))));
@@ -125,8 +125,8 @@
 
 // Guards against a part that crashes servers being missed because other parts
 // follow it.
-TEST(PromptQuarantine, PartBeforeOthersIsFound) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, PartBeforeOthersIsFound) {
+  RequestQuarantine quarantine(1);
   for (std::uint64_t i = 0; i < 3; ++i) {
     quarantine.RecordCrash("s" + std::to_string(i),
                            Parts{{kDeadly, 20}, {100 + i, 50}}, At(seconds(i)));
@@ -138,8 +138,8 @@
   CHECK(IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(6))));
 }
 
-TEST(PromptQuarantine, PartThatBeginsToCrashServersIsQuarantinedInTheEnd) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, PartThatBeginsToCrashServersIsQuarantinedInTheEnd) {
+  RequestQuarantine quarantine(1);
   quarantine.RecordSurvival(kDeadlyPartOnly, At(seconds(0)));
   RecordThreeCrashes(quarantine, kDeadlyPartOnly, At(seconds(19)));
   CHECK(!IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(19))));
@@ -148,9 +148,9 @@
 }
 
 // Guards against each instance having to see the crashes itself.
-TEST(PromptQuarantine, CrashesOfDifferentInstancesAddUp) {
-  PromptQuarantine first(1);
-  PromptQuarantine second(2);
+TEST(RequestQuarantine, CrashesOfDifferentInstancesAddUp) {
+  RequestQuarantine first(1);
+  RequestQuarantine second(2);
   first.RecordCrash("s1", kDeadlyPartOnly, At(seconds(0)));
   first.RecordCrash("s2", kDeadlyPartOnly, At(seconds(1)));
   second.RecordCrash("s2", kDeadlyPartOnly, At(seconds(1)));
@@ -159,7 +159,7 @@
   CHECK(IsQuarantined(first, kDeadlyPartOnly, At(seconds(2))));
   CHECK(!IsQuarantined(second, kDeadlyPartOnly, At(seconds(2))));
   // An instance that starts learns of the quarantine.
-  PromptQuarantine third(3);
+  RequestQuarantine third(3);
   third.Merge(first.Records(At(seconds(3))), At(seconds(3)));
   CHECK(IsQuarantined(third, kDeadlyPartOnly, At(seconds(3))));
   // A crash that two instances saw is one.
@@ -167,9 +167,9 @@
 }
 
 // Guards against an instance that has seen no sound request refusing them.
-TEST(PromptQuarantine, SurvivalsThatOtherInstancesSawReleaseAPart) {
-  PromptQuarantine first(1);
-  PromptQuarantine second(2);
+TEST(RequestQuarantine, SurvivalsThatOtherInstancesSawReleaseAPart) {
+  RequestQuarantine first(1);
+  RequestQuarantine second(2);
   RecordThreeCrashes(first, kDeadlyPrompt, At(seconds(10)));
   second.RecordSurvival(kSoundPrompt, At(seconds(5)));
   second.Merge(first.Records(At(seconds(10))), At(seconds(10)));
@@ -181,9 +181,9 @@
 
 // Guards against all instances testing a part at the same time, and against a
 // quarantine without an end.
-TEST(PromptQuarantine, OneInstanceSendsOneTrialAtATime) {
-  PromptQuarantine leader(1);
-  PromptQuarantine follower(2);
+TEST(RequestQuarantine, OneInstanceSendsOneTrialAtATime) {
+  RequestQuarantine leader(1);
+  RequestQuarantine follower(2);
   leader.SetLeadsTrials(true);
   RecordThreeCrashes(leader, kDeadlyPartOnly, At(seconds(0)));
   follower.Merge(leader.Records(At(seconds(0))), At(seconds(0)));
@@ -202,8 +202,8 @@
   CHECK(!IsQuarantined(follower, kDeadlyPartOnly, At(seconds(93))));
 }
 
-TEST(PromptQuarantine, TrialWithoutAResultIsRepeated) {
-  PromptQuarantine leader(1);
+TEST(RequestQuarantine, TrialWithoutAResultIsRepeated) {
+  RequestQuarantine leader(1);
   leader.SetLeadsTrials(true);
   RecordThreeCrashes(leader, kDeadlyPartOnly, At(seconds(0)));
   leader.RecordSend(kDeadlyPartOnly, At(seconds(30)));
@@ -213,14 +213,14 @@
 
 // Guards against instances telling each other of a crash forever, since ages in
 // reports lack the time that the report took.
-TEST(PromptQuarantine, CrashesExpireAtAllInstances) {
+TEST(RequestQuarantine, CrashesExpireAtAllInstances) {
   constexpr Duration kDelay = seconds(3);
-  std::vector<PromptQuarantine> fleet = {
-      PromptQuarantine(1), PromptQuarantine(2), PromptQuarantine(3)};
+  std::vector<RequestQuarantine> fleet = {
+      RequestQuarantine(1), RequestQuarantine(2), RequestQuarantine(3)};
   RecordThreeCrashes(fleet[0], kDeadlyPartOnly, At(seconds(0)));
   for (Duration now{}; now < minutes(40); now += seconds(1)) {
-    std::vector<std::vector<PartCrashes>> reports;
-    for (PromptQuarantine& instance : fleet) {
+    std::vector<std::vector<SuspectCrashes>> reports;
+    for (RequestQuarantine& instance : fleet) {
       instance.Tick(At(now));
       reports.push_back(instance.Records(At(now)));
     }
@@ -235,13 +235,13 @@
       CHECK(IsQuarantined(fleet[2], kDeadlyPartOnly, At(now)));
     }
   }
-  for (const PromptQuarantine& instance : fleet) {
+  for (const RequestQuarantine& instance : fleet) {
     CHECK(instance.Records(At(minutes(40))).empty());
   }
 }
 
-TEST(PromptQuarantine, NumberOfSuspectsIsLimited) {
-  PromptQuarantine quarantine(1);
+TEST(RequestQuarantine, NumberOfSuspectsIsLimited) {
+  RequestQuarantine quarantine(1);
   RecordThreeCrashes(quarantine, kDeadlyPartOnly, At(seconds(0)));
   for (std::uint64_t part = 1; part < 1000; ++part) {
     quarantine.RecordCrash("s1", Parts{{part, 10}}, At(seconds(1)));
@@ -410,8 +410,8 @@
       this->fleet[i].SetLeadsTrials(i == 0);
       this->fleet[i].Tick(this->now);
     }
-    std::vector<std::vector<PartCrashes>> reports;
-    for (const PromptQuarantine& instance : this->fleet) {
+    std::vector<std::vector<SuspectCrashes>> reports;
+    for (const RequestQuarantine& instance : this->fleet) {
       reports.push_back(instance.Records(this->now));
     }
     for (std::size_t i = 0; i < this->fleet.size(); ++i) {
@@ -427,7 +427,7 @@
         this->now >= this->next_restart) {
       this->next_restart = this->now + this->options.restart_interval;
       const std::size_t instance = this->Pick(this->fleet.size());
-      this->fleet[instance] = PromptQuarantine(this->random());
+      this->fleet[instance] = RequestQuarantine(this->random());
       this->started_at[instance] = this->now;
       for (Server& server : this->servers) {
         std::erase_if(server.running, [instance](const Running& request) {
@@ -450,7 +450,7 @@
   TimePoint next_report = this->now;
   TimePoint next_restart = this->now + seconds(1);
   TimePoint next_outage = this->now + seconds(1);
-  std::vector<PromptQuarantine> fleet;
+  std::vector<RequestQuarantine> fleet;
   // When each instance last started.
   std::vector<TimePoint> started_at;
   std::vector<Server> servers;
@@ -461,13 +461,13 @@
 
 }  // namespace
 
-TEST_GROUP(PromptQuarantineFleet){
+TEST_GROUP(RequestQuarantineFleet){
     void setup() override{setenv("RC_PARAMS", kRapidCheckParameters, 1);
 }
 }
 ;
 
-TEST(PromptQuarantineFleet, FewRequestsReachServersAfterTheFifthCrash) {
+TEST(RequestQuarantineFleet, FewRequestsReachServersAfterTheFifthCrash) {
   CHECK(rc::check("deadly requests at any rate", [](std::uint32_t seed) {
     FleetSimulation simulation(
         // With fewer instances, a restart may make the fleet forget everything.
@@ -488,7 +488,7 @@
 
 // Guards against sound parts being quarantined when servers fail for other
 // reasons.
-TEST(PromptQuarantineFleet, OutagesOfServersQuarantineNothing) {
+TEST(RequestQuarantineFleet, OutagesOfServersQuarantineNothing) {
   CHECK(rc::check("outages without deadly requests", [](std::uint32_t seed) {
     FleetSimulation simulation(
         {.instances = *rc::gen::inRange(1, 20),
