Quarantine requests that crash servers and come again

Cause: only shared parts of prompts were suspects; a request to a plain service has none. Besides, the first three crashes are within 65 ms, since each attempt is sent again at once, which counted as one moment; and a reused connection that ended within 50 ms of a send counted as closed before, which hid crashes after 23 to 49 ms.

A request's suspects are now its shared parts, a hash of what it is (method, target, host, customer, body), and that hash with its prompt. A crash that a request was sent after has no other cause in common with it, whatever the time between them. A connection counts as closed before only within twice its connect time. A crash counts until a server has survived the request, also after the first bytes or event. An attempt that has just begun, may be repeated and is no trial is broken off when its suspect is quarantined. Trials begin after 15 s, and other instances send them if the first in rank gets no such request.

Ruled out: retries alone (the request comes again with new ids); servers that crash by themselves (no request with that hash completed).

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -42,7 +42,7 @@
     {LogEvent::kServerEjected, "server_ejected", LogLevel::kWarning},
     {LogEvent::kDataCentresSuspected, "data_centres_suspected",
      LogLevel::kWarning},
-    {LogEvent::kPartQuarantine, "part_quarantine", LogLevel::kWarning},
+    {LogEvent::kQuarantine, "quarantine", LogLevel::kWarning},
     {LogEvent::kPartitionChanged, "partition_changed", LogLevel::kInfo},
     {LogEvent::kServerLimit, "server_limit", LogLevel::kWarning},
     {LogEvent::kServerLimitUnreadable, "server_limit_unreadable",
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -49,7 +49,7 @@
   kServerChanged = 5002,
   kServerEjected = 5003,
   kDataCentresSuspected = 5004,
-  kPartQuarantine = 5005,
+  kQuarantine = 5005,
   kPartitionChanged = 5006,
   kServerLimit = 5007,
   kServerLimitUnreadable = 5008,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -403,11 +403,11 @@
 }
 
 void Gateway::UpdateQuarantine(TimePoint now) {
-  this->quarantine.SetLeadsTrials(this->links.Rank() == 0);
+  this->quarantine.SetTrialRank(this->links.Rank());
   this->quarantine.Tick(now);
   for (const QuarantineChange& item : this->quarantine.TakeChanges()) {
-    this->log.Write(LogEvent::kPartQuarantine,
-                    {{"part", FormatPartId(item.part)},
+    this->log.Write(LogEvent::kQuarantine,
+                    {{"suspect", FormatPartId(item.suspect)},
                      {"change", ToString(item.kind)},
                      {"crashes", item.crashes},
                      {"remaining_ms", ToLogMilliseconds(item.remaining)}});
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -112,9 +112,9 @@
        {"servers_lacked", FormatLimitCounts(record.no_capacity_counts)},
        {"waiting_ahead", record.waiting_ahead},
        {"expected_wait_ms", ToLogMilliseconds(record.expected_wait)},
-       {"quarantined_part", record.quarantined_part == 0
-                                ? ""
-                                : FormatPartId(record.quarantined_part)},
+       {"quarantined_suspect", record.quarantined_suspect == 0
+                                   ? ""
+                                   : FormatPartId(record.quarantined_suspect)},
        {"configuration", record.configuration_version}});
   this->metrics.Observe({.outcome = record.outcome,
                          .cause = record.cause,
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -7,9 +7,10 @@
 namespace rosemarycove {
 namespace {
 
-// A part is quarantined after this many crashes of servers, at this many
+// A suspect is quarantined after this many crashes of servers, at this many
 // moments. Servers that crash at the same moment may have another cause in
-// common.
+// common, unless a request
+// was sent to one after the crash of another.
 constexpr std::size_t kMinCrashes = 3;
 constexpr int kMinMoments = 2;
 // Crashes closer to each other than this are at the same moment.
@@ -21,10 +22,13 @@
 constexpr Duration kSurvivalMemory = std::chrono::seconds(20);
 // The duration of a quarantine after kMinCrashes; it doubles with each further
 // crash up to the maximum.
-constexpr Duration kMinQuarantine = std::chrono::seconds(30);
+constexpr Duration kMinQuarantine = std::chrono::seconds(15);
 constexpr Duration kMaxQuarantine = std::chrono::minutes(5);
-// The time between two trials of a part, unless the first one had a result.
+// The time between two trials of a suspect, unless the first one had a result.
 constexpr Duration kTrialInterval = std::chrono::seconds(10);
+// An instance leaves this time to each that ranks before it: longer than a
+// trial and the report of its result take.
+constexpr Duration kTrialRankDelay = std::chrono::seconds(3);
 // Crashes expire after this time, in which trials that fail keep enough of
 // them.
 constexpr Duration kCrashMemory = std::chrono::minutes(30);
@@ -34,10 +38,20 @@
 constexpr Duration kMaxReportedAge = kCrashMemory - std::chrono::minutes(1);
 // How long a survival that excused crashes is reported to the others.
 constexpr Duration kSurvivalReportTime = std::chrono::seconds(10);
-constexpr std::size_t kMaxCrashesPerPart = 16;
+constexpr std::size_t kMaxCrashesPerSuspect = 16;
 constexpr std::size_t kMaxSuspects = 64;
 constexpr std::size_t kMaxSurvivals = 8192;
 
+// Returns whether the request of `later` was sent after the same instance had
+// seen `earlier`. The times of different instances can't be compared so
+// exactly.
+template <typename Crash>
+bool WasSentAfter(const Crash& later, const Crash& earlier) {
+  constexpr unsigned kInstanceShift = 32;
+  return later.id >> kInstanceShift == earlier.id >> kInstanceShift &&
+         later.at - later.running >= earlier.at;
+}
+
 // Returns the crashes without repeated observations of the same one. The
 // crashes are in the order of their times.
 template <typename Crash>
@@ -47,7 +61,8 @@
     const bool is_known = std::any_of(
         distinct.begin(), distinct.end(), [&crash](const Crash& other) {
           return other.server_hash == crash.server_hash &&
-                 crash.at - other.at < kMinRestartTime;
+                 crash.at - other.at < kMinRestartTime &&
+                 !WasSentAfter(crash, other);
         });
     if (!is_known) {
       distinct.push_back(crash);
@@ -56,15 +71,16 @@
   return distinct;
 }
 
-// Returns whether distinct crashes are enough to quarantine their part.
+// Returns whether distinct crashes are enough to quarantine their suspect.
 template <typename Crash>
 bool Suffice(const std::vector<Crash>& distinct) {
   int moments = 0;
-  TimePoint last;
+  const Crash* last = nullptr;
   for (const Crash& crash : distinct) {
-    if (moments == 0 || crash.at - last >= kMomentLength) {
+    if (last == nullptr || crash.at - last->at >= kMomentLength ||
+        WasSentAfter(crash, *last)) {
       ++moments;
-      last = crash.at;
+      last = &crash;
     }
   }
   return distinct.size() >= kMinCrashes && moments >= kMinMoments;
@@ -92,14 +108,14 @@
   return "invalid";
 }
 
-void RequestQuarantine::RecordSurvival(std::span<const PromptPart> parts,
+void RequestQuarantine::RecordSurvival(std::span<const std::uint64_t> ids,
                                        TimePoint now) {
   bool changed = false;
-  for (const PromptPart& part : parts) {
-    this->StoreSurvival(part.id, now);
-    const auto found = this->suspects.find(part.id);
+  for (const std::uint64_t id : ids) {
+    this->StoreSurvival(id, now);
+    const auto found = this->suspects.find(id);
     if (found != this->suspects.end()) {
-      changed |= this->RemoveExcused(part.id, found->second, now);
+      changed |= this->RemoveExcused(id, found->second, now);
     }
   }
   if (changed) {
@@ -108,59 +124,63 @@
 }
 
 void RequestQuarantine::RecordCrash(const std::string& server,
-                                    std::span<const PromptPart> parts,
-                                    TimePoint now) {
-  const std::uint64_t id = this->random();
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    if (!this->WasSurvivedLately(parts[i].id, now)) {
-      AddCrash(this->FindOrAdd(parts[i].id), {.id = id,
-                                              .server_hash = IdHash(server),
-                                              .position = static_cast<int>(i),
-                                              .at = now});
+                                    std::span<const std::uint64_t> ids,
+                                    TimePoint sent_at, TimePoint now) {
+  Crash crash{.id = this->next_crash_id++,
+              .server_hash = IdHash(server),
+              .running = now - sent_at,
+              .at = now};
+  for (const std::uint64_t id : ids) {
+    if (!this->WasSurvivedLately(id, now)) {
+      AddCrash(this->FindOrAdd(id), crash);
     }
+    ++crash.position;
   }
   this->Reassess(now);
 }
 
 std::optional<QuarantinedSuspect> RequestQuarantine::FindQuarantined(
-    std::span<const PromptPart> parts, TimePoint now) const {
+    std::span<const std::uint64_t> ids, TimePoint now) const {
   std::optional<QuarantinedSuspect> longest;
-  for (const PromptPart& part : parts) {
-    const Suspect* suspect = this->FindQuarantinedSuspect(part.id);
+  for (const std::uint64_t id : ids) {
+    const Suspect* suspect = this->FindQuarantinedSuspect(id);
     if (suspect == nullptr) {
       continue;
     }
-    TimePoint end = *suspect->quarantined_until;
+    TimePoint end = *suspect->quarantined_until +
+                    kTrialRankDelay * this->trial_rank.value_or(0);
     if (now >= end) {
-      end =
-          (this->leads_trials ? suspect->last_trial_at : now) + kTrialInterval;
+      end = (this->trial_rank ? suspect->last_trial_at : now) + kTrialInterval;
     }
     if (now < end && (!longest || end - now > longest->remaining)) {
-      longest = {.part = part.id, .remaining = end - now};
+      longest = {.suspect = id, .remaining = end - now};
     }
   }
   return longest;
 }
 
-void RequestQuarantine::RecordSend(std::span<const PromptPart> parts,
+bool RequestQuarantine::RecordSend(std::span<const std::uint64_t> ids,
                                    TimePoint now) {
-  for (const PromptPart& part : parts) {
-    if (this->FindQuarantinedSuspect(part.id) == nullptr) {
+  bool is_trial = false;
+  for (const std::uint64_t id : ids) {
+    if (this->FindQuarantinedSuspect(id) == nullptr) {
       continue;
     }
-    Suspect& suspect = this->suspects[part.id];
+    is_trial = true;
+    Suspect& suspect = this->suspects[id];
     suspect.last_trial_at = now;
-    this->changes.push_back({.part = part.id,
+    this->changes.push_back({.suspect = id,
                              .kind = QuarantineChange::Kind::kTrial,
                              .crashes = suspect.unexplained_crashes});
   }
+  return is_trial;
 }
 
 std::vector<SuspectCrashes> RequestQuarantine::Records(TimePoint now) const {
   std::vector<SuspectCrashes> records;
-  for (const auto& [part, suspect] : this->suspects) {
-    SuspectCrashes record{.part = part};
-    if (const auto survival = this->survivals.find(part);
+  for (const auto& [id, suspect] : this->suspects) {
+    SuspectCrashes record{.suspect = id};
+    if (const auto survival = this->survivals.find(id);
         survival != this->survivals.end()) {
       record.survival_age = now - survival->second;
     }
@@ -168,6 +188,7 @@
       record.crashes.push_back({.id = crash.id,
                                 .server_hash = crash.server_hash,
                                 .position = crash.position,
+                                .running = crash.running,
                                 .age = now - crash.at});
     }
     records.push_back(std::move(record));
@@ -180,21 +201,22 @@
   bool changed = false;
   for (const SuspectCrashes& record : records) {
     if (record.survival_age) {
-      this->StoreSurvival(record.part, now - *record.survival_age);
+      this->StoreSurvival(record.suspect, now - *record.survival_age);
     }
-    if (record.crashes.empty() && !this->suspects.contains(record.part)) {
+    if (record.crashes.empty() && !this->suspects.contains(record.suspect)) {
       continue;
     }
-    Suspect& suspect = this->FindOrAdd(record.part);
+    Suspect& suspect = this->FindOrAdd(record.suspect);
     for (const ServerCrash& crash : record.crashes) {
       if (crash.age <= kMaxReportedAge) {
         changed |= AddCrash(suspect, {.id = crash.id,
                                       .server_hash = crash.server_hash,
                                       .position = crash.position,
+                                      .running = crash.running,
                                       .at = now - crash.age});
       }
     }
-    changed |= this->RemoveExcused(record.part, suspect, now);
+    changed |= this->RemoveExcused(record.suspect, suspect, now);
   }
   if (changed) {
     this->Reassess(now);
@@ -203,7 +225,7 @@
 
 void RequestQuarantine::Tick(TimePoint now) {
   std::size_t expired = 0;
-  for (auto& [part, suspect] : this->suspects) {
+  for (auto& [id, suspect] : this->suspects) {
     expired += std::erase_if(suspect.crashes, [now](const Crash& crash) {
       return now - crash.at > kCrashMemory;
     });
@@ -228,9 +250,9 @@
   return crashed_at <= survived_at + kSurvivalMemory;
 }
 
-bool RequestQuarantine::WasSurvivedLately(std::uint64_t part,
+bool RequestQuarantine::WasSurvivedLately(std::uint64_t id,
                                           TimePoint now) const {
-  const auto found = this->survivals.find(part);
+  const auto found = this->survivals.find(id);
   return found != this->survivals.end() && IsExcused(now, found->second);
 }
 
@@ -248,15 +270,15 @@
       crashes.begin(), crashes.end(), crash,
       [](const Crash& a, const Crash& b) { return a.at < b.at; });
   crashes.insert(position, crash);
-  if (crashes.size() > kMaxCrashesPerPart) {
+  if (crashes.size() > kMaxCrashesPerSuspect) {
     crashes.erase(crashes.begin());
   }
   return true;
 }
 
-bool RequestQuarantine::RemoveExcused(std::uint64_t part, Suspect& suspect,
+bool RequestQuarantine::RemoveExcused(std::uint64_t id, Suspect& suspect,
                                       TimePoint now) {
-  const auto survival = this->survivals.find(part);
+  const auto survival = this->survivals.find(id);
   if (survival == this->survivals.end()) {
     return false;
   }
@@ -270,41 +292,45 @@
   return removed > 0;
 }
 
-void RequestQuarantine::StoreSurvival(std::uint64_t part,
-                                      TimePoint survived_at) {
-  const auto [found, is_new] = this->survivals.emplace(part, survived_at);
+void RequestQuarantine::StoreSurvival(std::uint64_t id, TimePoint survived_at) {
+  const auto [found, is_new] = this->survivals.emplace(id, survived_at);
   if (!is_new) {
     found->second = std::max(found->second, survived_at);
     return;
   }
-  this->survival_order.push_back(part);
+  this->survival_order.push_back(id);
   if (this->survival_order.size() > kMaxSurvivals) {
     this->survivals.erase(this->survival_order.front());
     this->survival_order.pop_front();
   }
 }
 
-RequestQuarantine::Suspect& RequestQuarantine::FindOrAdd(std::uint64_t part) {
-  const auto found = this->suspects.find(part);
+RequestQuarantine::Suspect& RequestQuarantine::FindOrAdd(std::uint64_t id) {
+  const auto found = this->suspects.find(id);
   if (found != this->suspects.end()) {
     return found->second;
   }
   if (this->suspects.size() >= kMaxSuspects) {
+    // Of the suspects with the fewest crashes, the one whose last crash is the
+    // oldest.
+    const auto rank = [](const auto& item) {
+      const std::vector<Crash>& crashes = item.second.crashes;
+      return std::pair(crashes.size(),
+                       crashes.empty() ? TimePoint{} : crashes.back().at);
+    };
     const auto least = std::min_element(
         this->suspects.begin(), this->suspects.end(),
-        [](const auto& a, const auto& b) {
-          return a.second.crashes.size() < b.second.crashes.size();
-        });
+        [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
     this->suspects.erase(least);
   }
-  return this->suspects[part];
+  return this->suspects[id];
 }
 
 void RequestQuarantine::Reassess(TimePoint now) {
-  // For each request that failed, the position of the most specific part that
-  // has enough crashes.
+  // For each request that failed, the position of the most specific suspect
+  // that has enough crashes.
   std::unordered_map<std::uint64_t, int> explained_below;
-  for (const auto& [part, suspect] : this->suspects) {
+  for (const auto& [id, suspect] : this->suspects) {
     if (!Suffice(DistinctCrashes(suspect.crashes))) {
       continue;
     }
@@ -313,7 +339,7 @@
       position = std::max(position, crash.position);
     }
   }
-  for (auto& [part, suspect] : this->suspects) {
+  for (auto& [id, suspect] : this->suspects) {
     std::vector<Crash> unexplained = suspect.crashes;
     std::erase_if(unexplained, [&](const Crash& crash) {
       const auto found = explained_below.find(crash.id);
@@ -325,11 +351,11 @@
     if (Suffice(unexplained)) {
       until = unexplained.back().at + QuarantineDuration(unexplained.size());
     }
-    this->SetQuarantine(part, suspect, until, now);
+    this->SetQuarantine(id, suspect, until, now);
   }
 }
 
-void RequestQuarantine::SetQuarantine(std::uint64_t part, Suspect& suspect,
+void RequestQuarantine::SetQuarantine(std::uint64_t id, Suspect& suspect,
                                       std::optional<TimePoint> until,
                                       TimePoint now) {
   const bool was_quarantined = suspect.quarantined_until.has_value();
@@ -338,7 +364,7 @@
     return;
   }
   this->changes.push_back(
-      {.part = part,
+      {.suspect = id,
        .kind = until ? QuarantineChange::Kind::kQuarantined
                      : QuarantineChange::Kind::kReleased,
        .crashes = suspect.unexplained_crashes,
@@ -346,8 +372,8 @@
 }
 
 const RequestQuarantine::Suspect* RequestQuarantine::FindQuarantinedSuspect(
-    std::uint64_t part) const {
-  const auto found = this->suspects.find(part);
+    std::uint64_t id) const {
+  const auto found = this->suspects.find(id);
   return found != this->suspects.end() && found->second.quarantined_until
              ? &found->second
              : nullptr;
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -70,6 +70,7 @@
 
 void BackendConnection::Connect() {
   this->connecting = true;
+  this->connect_started_at = std::chrono::steady_clock::now();
   error_code error;
   this->socket.open(boost::asio::ip::tcp::v4(), error);
   if (!error) {
@@ -86,6 +87,8 @@
           return;
         }
         self->connected = true;
+        self->connect_duration =
+            std::chrono::steady_clock::now() - self->connect_started_at;
         self->Write();
         self->Read();
       });
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -72,6 +72,8 @@
   // another request.
   [[nodiscard]] bool IsReusable() const;
   [[nodiscard]] bool is_closed() const { return this->closed; }
+  // Returns how long it took to connect.
+  [[nodiscard]] Duration connect_time() const { return this->connect_duration; }
   // Returns when the last response ended.
   [[nodiscard]] TimePoint idle_since() const { return this->idle_start; }
   // Returns how long the connection may stay idle before it is closed, which is
@@ -115,6 +117,8 @@
   bool closed = false;
   // The connection can't be reused after the current response.
   bool must_close = false;
+  TimePoint connect_started_at;
+  Duration connect_duration{};
   TimePoint idle_start;
   Duration idle_limit{};
 };
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -51,9 +51,11 @@
 // Once this many waiting requests of a queue found no capacity, the rest are
 // not tried in this round, since they differ only in size.
 constexpr int kMaxFailedPlacements = 3;
-// A reused connection that ends within this time of a send, without a response,
-// had been closed before.
-constexpr Duration kStaleConnectionTime = std::chrono::milliseconds(50);
+// A reused connection that ends without a response, within this many times the
+// time it took to connect and a margin, had been closed before.
+constexpr int kStaleRoundTrips = 2;
+constexpr Duration kStaleMargin = std::chrono::milliseconds(2);
+constexpr Duration kMaxStaleTime = std::chrono::milliseconds(50);
 // A server that sends events for this long after the first one has survived the
 // prompt.
 constexpr Duration kSurvivalTime = std::chrono::milliseconds(250);
@@ -176,8 +178,15 @@
                    .host = this->request.fields.Find("host").value_or(""),
                    .caller = this->customer,
                    .body = this->body});
-  this->request_hash =
-      RequestHash(content_hash, this->request_info.prompt_parts);
+  const std::vector<PromptPart>& parts = this->request_info.prompt_parts;
+  this->request_hash = RequestHash(content_hash, parts);
+  if (!parts.empty()) {
+    this->suspects.push_back(content_hash);
+    for (const PromptPart& part : SharedParts(parts)) {
+      this->suspects.push_back(part.id);
+    }
+  }
+  this->suspects.push_back(this->request_hash);
 }
 
 void Exchange::ChooseService() {
@@ -221,12 +230,11 @@
 
 bool Exchange::GiveUpIfQuarantined(TimePoint now) {
   const std::optional<QuarantinedSuspect> found =
-      this->context.quarantine.FindQuarantined(SharedParts(this->query.parts),
-                                               now);
+      this->context.quarantine.FindQuarantined(this->suspects, now);
   if (!found) {
     return false;
   }
-  this->quarantined_part = found->part;
+  this->quarantined_suspect = found->suspect;
   this->GiveUp(EndCause::kQuarantined, found->remaining);
   return true;
 }
@@ -360,6 +368,9 @@
   this->choice = chosen;
   this->connection = std::move(acquired->connection);
   this->connection_reused = acquired->reused;
+  this->stale_time = std::min(
+      kStaleRoundTrips * this->connection->connect_time() + kStaleMargin,
+      kMaxStaleTime);
   this->send_started = false;
   this->sent_at = now;
   this->last_bytes_at = now;
@@ -372,7 +383,8 @@
   this->splitter.DiscardPartialEvent();
   ++this->attempts;
   this->context.placer.RecordSend(this->query, chosen, now);
-  this->context.quarantine.RecordSend(SharedParts(this->query.parts), now);
+  this->is_quarantine_trial =
+      this->context.quarantine.RecordSend(this->suspects, now);
   this->context.observer.OnPlaced(
       {.request_id = this->request_info.request_id,
        .route = this->query.route->name,
@@ -510,21 +522,26 @@
 void Exchange::RecordSurvival(TimePoint now) {
   if (!this->survival_recorded) {
     this->survival_recorded = true;
-    this->context.quarantine.RecordSurvival(SharedParts(this->query.parts),
-                                            now);
+    this->context.quarantine.RecordSurvival(this->suspects, now);
   }
 }
 
+bool Exchange::HasJustBegun(TimePoint now) const {
+  return !this->survival_recorded &&
+         (!this->first_event_received ||
+          now - this->attempt_first_event_at < kSurvivalTime);
+}
+
 void Exchange::RecordConnectionEnd() {
   const TimePoint now = std::chrono::steady_clock::now();
   // A server that had closed an idle connection resets it at once when bytes
   // arrive.
   const bool was_stale = this->connection_reused &&
                          this->response.status == 0 &&
-                         now - this->sent_at < kStaleConnectionTime;
-  if (!this->first_event_received && !was_stale) {
+                         now - this->sent_at < this->stale_time;
+  if (!was_stale && this->HasJustBegun(now)) {
     this->context.quarantine.RecordCrash(this->choice->server.id,
-                                         SharedParts(this->query.parts), now);
+                                         this->suspects, this->sent_at, now);
   }
 }
 
@@ -907,9 +924,30 @@
     this->OnFailed(FailureKind::kNotSent, "connection timed out");
     return;
   }
+  if (this->StopIfQuarantined(now)) {
+    return;
+  }
   this->CheckSilence(now);
 }
 
+bool Exchange::StopIfQuarantined(TimePoint now) {
+  if (this->is_quarantine_trial || !this->query.route->MayRepeat() ||
+      !this->send_started || !this->HasJustBegun(now) ||
+      this->context.quarantine.quarantined_count() == 0) {
+    return false;
+  }
+  const std::optional<QuarantinedSuspect> found =
+      this->context.quarantine.FindQuarantined(this->suspects, now);
+  if (!found) {
+    return false;
+  }
+  this->quarantined_suspect = found->suspect;
+  ++this->possible_executions;
+  this->EndAttempt();
+  this->GiveUp(EndCause::kQuarantined);
+  return true;
+}
+
 void Exchange::CheckSilence(TimePoint now) {
   const Route& route = *this->query.route;
   if (!route.MayRepeat() || !this->send_started || this->pending_failure ||
@@ -996,7 +1034,7 @@
        .no_capacity_counts = this->no_capacity_counts,
        .waiting_ahead = this->waiting_ahead,
        .expected_wait = this->expected_wait,
-       .quarantined_part = this->quarantined_part,
+       .quarantined_suspect = this->quarantined_suspect,
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -93,14 +93,17 @@
   // Returns whether the caller may use the route; sets the customer and the
   // tier.
   bool CheckApiKey(const Route& route);
-  // Sets the hash by which the same request is recognized.
+  // Sets the hash by which the same request is recognized, and the suspects.
   void HashRequest();
   // Chooses one of the route's services at random, by weight.
   void ChooseService();
   // Sends the request to a server, queues it or gives up.
   void Place();
-  // Gives up and returns true if a part of the prompt is quarantined.
+  // Gives up and returns true if one of the request's suspects is quarantined.
   bool GiveUpIfQuarantined(TimePoint now);
+  // Ends the current attempt and the request, and returns true, if one of its
+  // suspects was quarantined meanwhile and the server has just begun to run it.
+  bool StopIfQuarantined(TimePoint now);
   // `no_choice` is set to the reason if nullopt is returned.
   std::optional<ServerChoice> ChooseServer(TimePoint now,
                                            NoChoiceReason& no_choice);
@@ -156,8 +159,10 @@
   // Records that the server survived the prompt; only the first call of an
   // attempt has an effect.
   void RecordSurvival(TimePoint now);
-  // Records that the server's connection ended, which shows a crash if there
-  // was no event yet.
+  // Returns whether the server has not yet survived the current attempt.
+  [[nodiscard]] bool HasJustBegun(TimePoint now) const;
+  // Records that the server's connection ended, which shows a crash if it had
+  // just begun to run the request.
   void RecordConnectionEnd();
   // Fails the current attempt if its server has been silent for too long, which
   // causes a retry at another server or ends the request.
@@ -193,15 +198,19 @@
   // See EndedRecord.
   int waiting_ahead = 0;
   Duration expected_wait{};
-  // The part of the prompt because of which the request was refused; 0 if there
-  // is none.
-  std::uint64_t quarantined_part = 0;
+  // See RequestQuarantine.
+  std::vector<std::uint64_t> suspects;
+  // The suspect because of which the request was refused; 0 if there is none.
+  std::uint64_t quarantined_suspect = 0;
   std::string service_name;
 
   // The current attempt.
   std::optional<ServerChoice> choice;
   std::shared_ptr<BackendConnection> connection;
   bool connection_reused = false;
+  // The connection had been closed before if it is reused and ends within this
+  // time.
+  Duration stale_time{};
   bool send_started = false;
   // When the attempt started.
   TimePoint sent_at;
@@ -212,6 +221,8 @@
   // When it was received.
   TimePoint attempt_first_event_at;
   bool survival_recorded = false;
+  // The attempt tests whether a suspect still crashes servers.
+  bool is_quarantine_trial = false;
   ResponseMode response_mode = ResponseMode::kNone;
   // Set if the response makes the attempt fail, which happens once the response
   // is complete; nullopt otherwise.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -101,9 +101,9 @@
   // waiting requests that came first, and the expected wait behind them.
   int waiting_ahead = 0;
   Duration expected_wait{};
-  // The part of the prompt because of which the request was refused; 0 if there
-  // is none.
-  std::uint64_t quarantined_part = 0;
+  // The suspect because of which the request was refused, see
+  // RequestQuarantine; 0 if there is none.
+  std::uint64_t quarantined_suspect = 0;
   std::uint64_t configuration_version = 0;
 };
 
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -58,21 +58,26 @@
       std::numeric_limits<std::uint32_t>::max()));
 }
 
+std::uint16_t EncodeShortTime(Duration time) {
+  return Saturate<std::uint16_t>(static_cast<int>(EncodeAge(time)));
+}
+
 Offset<wire::PartCrashes> EncodeSuspect(FlatBufferBuilder& builder,
                                         const SuspectCrashes& record) {
   std::vector<wire::ServerCrash> crashes;
   for (const ServerCrash& crash : record.crashes) {
     crashes.emplace_back(crash.id, crash.server_hash, EncodeAge(crash.age),
-                         Saturate<std::uint16_t>(crash.position));
+                         Saturate<std::uint16_t>(crash.position),
+                         EncodeShortTime(crash.running));
   }
   const auto crash_vector = builder.CreateVectorOfStructs(crashes);
   return wire::CreatePartCrashes(
-      builder, record.part, record.survival_age.has_value(),
+      builder, record.suspect, record.survival_age.has_value(),
       EncodeAge(record.survival_age.value_or(Duration{})), crash_vector);
 }
 
 SuspectCrashes DecodeSuspect(const wire::PartCrashes& frame) {
-  SuspectCrashes record{.part = frame.part()};
+  SuspectCrashes record{.suspect = frame.part()};
   if (frame.survived()) {
     record.survival_age = std::chrono::milliseconds(frame.survival_age_ms());
   }
@@ -82,6 +87,7 @@
           {.id = crash->id(),
            .server_hash = crash->server(),
            .position = crash->position(),
+           .running = std::chrono::milliseconds(crash->running_ms()),
            .age = std::chrono::milliseconds(crash->age_ms())});
     }
   }
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -129,7 +129,7 @@
   uint64_t server_;
   uint32_t age_ms_;
   uint16_t position_;
-  int16_t padding0__;
+  uint16_t running_ms_;
 
  public:
   ServerCrash()
@@ -137,16 +137,14 @@
         server_(0),
         age_ms_(0),
         position_(0),
-        padding0__(0) {
-    (void)padding0__;
+        running_ms_(0) {
   }
-  ServerCrash(uint64_t _id, uint64_t _server, uint32_t _age_ms, uint16_t _position)
+  ServerCrash(uint64_t _id, uint64_t _server, uint32_t _age_ms, uint16_t _position, uint16_t _running_ms)
       : id_(flatbuffers::EndianScalar(_id)),
         server_(flatbuffers::EndianScalar(_server)),
         age_ms_(flatbuffers::EndianScalar(_age_ms)),
         position_(flatbuffers::EndianScalar(_position)),
-        padding0__(0) {
-    (void)padding0__;
+        running_ms_(flatbuffers::EndianScalar(_running_ms)) {
   }
   uint64_t id() const {
     return flatbuffers::EndianScalar(id_);
@@ -160,6 +158,9 @@
   uint16_t position() const {
     return flatbuffers::EndianScalar(position_);
   }
+  uint16_t running_ms() const {
+    return flatbuffers::EndianScalar(running_ms_);
+  }
 };
 FLATBUFFERS_STRUCT_END(ServerCrash, 24);
 
