Tell each peer once of a crash

Cause: each report had all suspects with all their crashes, whoever had seen them, for 30 minutes, from everyone to everyone. Reports filled the links, and the loads in them came late. Class of fault: what an instance believes is repeated instead of told to who lacks it.

Each crash and survival now has a number at the instance that saw it, and a report has those that its receiver was not sent yet, 32 at most. What others saw is not passed on, but to a peer that has just connected, and there only what a second crash confirmed.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -496,7 +496,6 @@
           .directory_read_id = this->directory.last_read_id(),
           .server_loads = this->placer.ledger().OwnLoads(),
           .partitions = this->placer.Partitions(now),
-          .suspected_parts = this->quarantine.Records(now),
           .rate_limits = this->placer.rate_limits().Reports(false, now),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
@@ -506,9 +505,15 @@
 void Gateway::AddMissingDocuments(const FleetPeer& peer, FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   const SharedDocument& configuration = this->configuration_document;
+  std::uint64_t& told = this->told_suspects[peer.identity.address];
   if (report.identity) {
     report.rate_limits = this->placer.rate_limits().Reports(true, now);
+    report.suspected_parts = this->quarantine.Records(now);
+    told = this->quarantine.last_change();
+  } else {
+    report.suspected_parts = this->quarantine.RecordsSince(told, now);
   }
+  this->suspect_records_sent += report.suspected_parts.size();
   if (configuration.revision <= peer.configuration_revision) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->IsTurnToSend(this->configuration_throttle, peer,
@@ -555,6 +560,9 @@
 }
 
 void Gateway::OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) {
+  if (status == PeerStatus::kGone) {
+    this->told_suspects.erase(peer.identity.address);
+  }
   if (status != PeerStatus::kUp) {
     this->placer.RemovePeer(peer.identity.instance);
   }
@@ -590,6 +598,10 @@
       this->configuration_feed.call_count() +
           this->directory_feed.call_count());
   add("rosemarycove_peer_bytes_sent_total", this->links.bytes_sent());
+  add("rosemarycove_suspect_records_sent_total", this->suspect_records_sent);
+  add("rosemarycove_oldest_peer_report_ms",
+      static_cast<std::uint64_t>(ToLogMilliseconds(
+          this->placer.ledger().MaxPeerAge(std::chrono::steady_clock::now()))));
   add("rosemarycove_log_lines_dropped_total", this->log.dropped());
   return text;
 }
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -171,6 +172,9 @@
   std::uint64_t rejected_revision = 0;
   RelayThrottle configuration_throttle;
   RelayThrottle server_throttle;
+  // The last change of the quarantine that each peer was sent, by address.
+  std::map<std::string, std::uint64_t> told_suspects;
+  std::uint64_t suspect_records_sent = 0;
   // When this instance last read the directory from the store itself.
   TimePoint own_directory_read_at;
   // Set once the drain has started.
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -39,6 +39,8 @@
 // How long a survival that excused crashes is reported to the others.
 constexpr Duration kSurvivalReportTime = std::chrono::seconds(10);
 constexpr std::size_t kMaxCrashesPerSuspect = 16;
+// Crashes and survivals in one report; the next ones have the rest.
+constexpr std::ptrdiff_t kMaxChangesPerReport = 32;
 constexpr std::size_t kMaxSuspects = 64;
 constexpr std::size_t kMaxSurvivals = 8192;
 
@@ -115,7 +117,11 @@
     this->StoreSurvival(id, now);
     const auto found = this->suspects.find(id);
     if (found != this->suspects.end()) {
-      changed |= this->RemoveExcused(id, found->second, now);
+      const bool excused = this->RemoveExcused(id, found->second, now);
+      if (excused) {
+        found->second.survival_change = ++this->change_count;
+      }
+      changed |= excused;
     }
   }
   if (changed) {
@@ -129,6 +135,7 @@
   Crash crash{.id = this->next_crash_id++,
               .server_hash = IdHash(server),
               .running = now - sent_at,
+              .change = ++this->change_count,
               .at = now};
   for (const std::uint64_t id : ids) {
     if (!this->WasSurvivedLately(id, now)) {
@@ -176,26 +183,81 @@
   return is_trial;
 }
 
+ServerCrash RequestQuarantine::ToReport(const Crash& crash, TimePoint now) {
+  return {.id = crash.id,
+          .server_hash = crash.server_hash,
+          .position = crash.position,
+          .running = crash.running,
+          .age = now - crash.at};
+}
+
+std::optional<Duration> RequestQuarantine::SurvivalAge(std::uint64_t id,
+                                                       TimePoint now) const {
+  const auto found = this->survivals.find(id);
+  return found == this->survivals.end()
+             ? std::nullopt
+             : std::optional<Duration>(now - found->second);
+}
+
 std::vector<SuspectCrashes> RequestQuarantine::Records(TimePoint now) const {
   std::vector<SuspectCrashes> records;
   for (const auto& [id, suspect] : this->suspects) {
-    SuspectCrashes record{.suspect = id};
-    if (const auto survival = this->survivals.find(id);
-        survival != this->survivals.end()) {
-      record.survival_age = now - survival->second;
+    const bool is_own =
+        std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                    [](const Crash& crash) { return crash.change != 0; });
+    if (!is_own && suspect.crashes.size() == 1) {
+      continue;
     }
+    SuspectCrashes record{.suspect = id,
+                          .survival_age = this->SurvivalAge(id, now)};
     for (const Crash& crash : suspect.crashes) {
-      record.crashes.push_back({.id = crash.id,
-                                .server_hash = crash.server_hash,
-                                .position = crash.position,
-                                .running = crash.running,
-                                .age = now - crash.at});
+      record.crashes.push_back(ToReport(crash, now));
     }
     records.push_back(std::move(record));
   }
   return records;
 }
 
+std::vector<SuspectCrashes> RequestQuarantine::RecordsSince(
+    std::uint64_t& told, TimePoint now) const {
+  if (told == this->change_count) {
+    return {};
+  }
+  std::vector<std::uint64_t> changed;
+  for (const auto& [id, suspect] : this->suspects) {
+    changed.push_back(suspect.survival_change);
+    for (const Crash& crash : suspect.crashes) {
+      changed.push_back(crash.change);
+    }
+  }
+  std::erase_if(changed,
+                [told](std::uint64_t change) { return change <= told; });
+  std::uint64_t last = this->change_count;
+  if (std::ssize(changed) > kMaxChangesPerReport) {
+    const auto limit = changed.begin() + kMaxChangesPerReport - 1;
+    std::nth_element(changed.begin(), limit, changed.end());
+    last = *limit;
+  }
+  const auto is_new = [told, last](std::uint64_t change) {
+    return change > told && change <= last;
+  };
+  std::vector<SuspectCrashes> records;
+  for (const auto& [id, suspect] : this->suspects) {
+    SuspectCrashes record{.suspect = id,
+                          .survival_age = this->SurvivalAge(id, now)};
+    for (const Crash& crash : suspect.crashes) {
+      if (is_new(crash.change)) {
+        record.crashes.push_back(ToReport(crash, now));
+      }
+    }
+    if (!record.crashes.empty() || is_new(suspect.survival_change)) {
+      records.push_back(std::move(record));
+    }
+  }
+  told = last;
+  return records;
+}
+
 void RequestQuarantine::Merge(const std::vector<SuspectCrashes>& records,
                               TimePoint now) {
   bool changed = false;
@@ -216,7 +278,12 @@
                                       .at = now - crash.age});
       }
     }
-    changed |= this->RemoveExcused(record.suspect, suspect, now);
+    const bool excused = this->RemoveExcused(record.suspect, suspect, now);
+    // The peer tells the others itself of a survival that it knows.
+    if (excused && !record.survival_age) {
+      suspect.survival_change = ++this->change_count;
+    }
+    changed |= excused;
   }
   if (changed) {
     this->Reassess(now);
--- a/src/core/request_quarantine.h
+++ b/src/core/request_quarantine.h
@@ -115,8 +115,15 @@
   // Sets this instance's rank among all; 0 sends the first trial. Without a
   // rank, it sends none.
   void SetTrialRank(int rank) { this->trial_rank = rank; }
-  // Returns the records for a fleet report.
+  // Returns the records for an instance that knows nothing yet: what this one
+  // has seen itself, and what others have confirmed.
   [[nodiscard]] std::vector<SuspectCrashes> Records(TimePoint now) const;
+  // Returns what this instance has seen itself since the change `told`, as far
+  // as it fits into a report, and sets `told` to the last change returned.
+  [[nodiscard]] std::vector<SuspectCrashes> RecordsSince(std::uint64_t& told,
+                                                         TimePoint now) const;
+  // Returns the number of the last change that this instance has seen itself.
+  [[nodiscard]] std::uint64_t last_change() const { return this->change_count; }
   // Merges the records that another instance reported.
   void Merge(const std::vector<SuspectCrashes>& records, TimePoint now);
   // Drops expired records; called periodically.
@@ -133,6 +140,8 @@
     std::uint64_t server_hash = 0;
     int position = 0;
     Duration running{};
+    // See RecordsSince; 0 if another instance saw the crash.
+    std::uint64_t change = 0;
     TimePoint at;
   };
   struct Suspect {
@@ -140,6 +149,9 @@
     std::vector<Crash> crashes;
     // A survival that excused crashes is reported until then.
     TimePoint report_survival_until;
+    // See RecordsSince; 0 if no survival that this instance knew first excused
+    // crashes.
+    std::uint64_t survival_change = 0;
     TimePoint last_trial_at;
     // The number of crashes that no other suspect explains.
     int unexplained_crashes = 0;
@@ -167,6 +179,13 @@
   // Returns the quarantined suspect's record; nullptr if it is not quarantined.
   [[nodiscard]] const Suspect* FindQuarantinedSuspect(std::uint64_t id) const;
 
+  [[nodiscard]] static ServerCrash ToReport(const Crash& crash, TimePoint now);
+  // Returns the time since a server last survived the suspect, for a report.
+  [[nodiscard]] std::optional<Duration> SurvivalAge(std::uint64_t id,
+                                                    TimePoint now) const;
+
+  // Counts the changes that this instance has seen itself.
+  std::uint64_t change_count = 0;
   // The id of the next crash.
   std::uint64_t next_crash_id;
   // By suspect id.
--- a/tests/test_report_size.cc
+++ b/tests/test_report_size.cc
@@ -1,9 +1,11 @@
 // Tests of the size of the reports between instances, without a network.
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/fleet_report.h"
@@ -78,7 +80,8 @@
   std::size_t Report(std::size_t from, std::size_t to, TimePoint now) {
     const FleetReport report{
         .server_loads = this->loads,
-        .suspected_parts = this->members[from]->Records(now)};
+        .suspected_parts =
+            this->members[from]->RecordsSince(this->told[{from, to}], now)};
     this->members[to]->Merge(report.suspected_parts, now);
     return EncodeFleetFrame(report).size();
   }
@@ -86,6 +89,8 @@
   std::mt19937_64 random{20261204};
   std::vector<std::unique_ptr<RequestQuarantine>> members;
   std::vector<ServerLoadEntry> loads;
+  // The last change that was reported, by sender and receiver.
+  std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> told;
   int crashes = 0;
 };
 
--- a/tests/test_request_quarantine.cc
+++ b/tests/test_request_quarantine.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
 #include <random>
+#include <utility>
 
 #include "core/request_quarantine.h"
 
@@ -252,6 +254,34 @@
   CHECK(IsQuarantined(other, kDeadlyPartOnly, At(milliseconds(60))));
 }
 
+// Guards against news being lost or repeated when there are more than fit into
+// a report.
+TEST(RequestQuarantine, EachChangeIsToldOnceToEachPeer) {
+  RequestQuarantine sender(1);
+  RequestQuarantine receiver(2);
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    sender.RecordCrash("s", Suspects{id}, At(seconds(0)), At(seconds(1)));
+  }
+  std::uint64_t told = 0;
+  std::size_t records = 0;
+  for (int report = 0; report < 3; ++report) {
+    const auto news = sender.RecordsSince(told, At(seconds(1)));
+    CHECK(news.size() <= 32);
+    records += news.size();
+    receiver.Merge(news, At(seconds(1)));
+  }
+  CHECK_EQUAL(50U, records);
+  CHECK(sender.RecordsSince(told, At(seconds(2))).empty());
+  // What the receiver learned is not news of its own.
+  told = 0;
+  CHECK(receiver.RecordsSince(told, At(seconds(2))).empty());
+  sender.RecordSurvival(Suspects{7}, At(seconds(3)));
+  told = sender.last_change() - 1;
+  const auto survival = sender.RecordsSince(told, At(seconds(3)));
+  CHECK_EQUAL(1U, survival.size());
+  CHECK(survival.at(0).survival_age.has_value());
+}
+
 // Guards against a suspect being forgotten under a flood of requests that are
 // all different and each at one crash.
 TEST(RequestQuarantine, FloodOfSingleCrashesDoesNotHideASuspect) {
@@ -260,7 +290,7 @@
     quarantine.RecordCrash("s" + std::to_string(i), kDeadlyPartOnly,
                            At(seconds(i)) - kRunning, At(seconds(i)));
     for (std::uint64_t other = 1; other < 60; ++other) {
-      quarantine.RecordCrash("t", Suspects{1000 * (i + 1) + other},
+      quarantine.RecordCrash("t", Suspects{100000 * (i + 1) + other},
                              At(seconds(i) + milliseconds(other)) - kRunning,
                              At(seconds(i) + milliseconds(other)));
     }
@@ -469,18 +499,21 @@
       this->fleet[i].SetTrialRank(static_cast<int>(i));
       this->fleet[i].Tick(this->now);
     }
-    std::vector<std::vector<SuspectCrashes>> reports;
-    for (const RequestQuarantine& instance : this->fleet) {
-      reports.push_back(instance.Records(this->now));
-    }
-    for (std::size_t i = 0; i < this->fleet.size(); ++i) {
-      for (std::size_t j = 0; j < this->fleet.size(); ++j) {
-        if (i != j) {
-          this->fleet[i].Merge(reports[j], this->now);
+    for (std::size_t from = 0; from < this->fleet.size(); ++from) {
+      for (std::size_t to = 0; to < this->fleet.size(); ++to) {
+        if (from != to) {
+          this->fleet[to].Merge(this->RecordsFor(from, to), this->now);
         }
       }
     }
   }
+  std::vector<SuspectCrashes> RecordsFor(std::size_t from, std::size_t to) {
+    const RequestQuarantine& sender = this->fleet[from];
+    const auto [found, is_first] =
+        this->told.try_emplace({from, to}, sender.last_change());
+    return is_first ? sender.Records(this->now)
+                    : sender.RecordsSince(found->second, this->now);
+  }
   void Disturb() {
     if (this->options.restart_interval > Duration{} &&
         this->now >= this->next_restart) {
@@ -488,6 +521,9 @@
       const std::size_t instance = this->Pick(this->fleet.size());
       this->fleet[instance] = RequestQuarantine(this->random());
       this->started_at[instance] = this->now;
+      std::erase_if(this->told, [instance](const auto& item) {
+        return item.first.first == instance || item.first.second == instance;
+      });
       for (Server& server : this->servers) {
         std::erase_if(server.running, [instance](const Running& request) {
           return request.instance == instance;
@@ -512,6 +548,8 @@
   std::vector<RequestQuarantine> fleet;
   // When each instance last started.
   std::vector<TimePoint> started_at;
+  // The last change that was reported, by sender and receiver.
+  std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> told;
   std::vector<Server> servers;
   std::vector<TimePoint> crashes;
   std::vector<TimePoint> deadly_sends;
