Share free slots between instances by chance in an overload

Cause: at 65 instances a report is half a second apart, and each instance placed requests as if the free slots that it knew of were its own. The load that an instance assumed of the others was what it had sent itself, which is nothing for a server that it had not yet chosen. Class of fault: a decision on a shared, outdated state that all make alike.

An instance now uses a free slot only with the probability at which the expected number of users is the number of slots, by its own recent arrivals times the number of instances. The draw is the same until the next report.

--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -67,7 +67,7 @@
   kUnknownRoute,          // No route matches the host and path.
   kUnknownApiKey,         // The API key is missing or unknown.
   kAmbiguousHeader,       // Header fields of the request conflict.
-  kQuarantined,  // The request crashes servers; see RequestQuarantine.
+  kQuarantined,           // The request crashes servers; see RequestQuarantine.
   // The rate limits that the servers name are used up; see ServerRateLimits.
   kRateLimited,
 };
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -80,6 +80,17 @@
 // tier number kMaxHeadroomTier.
 constexpr double kHeadroomPerTier = 0.06;
 constexpr int kMaxHeadroomTier = 4;
+// Recent arrivals decay to 1/e in this time.
+constexpr Duration kArrivalDecayTime = std::chrono::seconds(2);
+// Expected number of instances that use a free slot: servers queue a few
+// requests.
+constexpr double kUsersPerFreeSlot = 1.5;
+// Time between two decisions on waiting requests, in which nothing is reported.
+constexpr Duration kPlacementInterval = std::chrono::milliseconds(50);
+// Weight of the latest duration of an attempt in the mean, and the shortest one
+// that counts.
+constexpr double kDurationWeight = 0.05;
+constexpr Duration kMinDuration = std::chrono::milliseconds(20);
 // Prompt of a typical request with the service's shortest target, used to
 // predict whether such requests stay on time.
 constexpr double kTypicalPromptTokens = 600;
@@ -176,6 +187,8 @@
       return "withheld";
     case CapacityLimit::kRate:
       return "rate";
+    case CapacityLimit::kContended:
+      return "contended";
   }
   return "unknown";
 }
@@ -224,10 +237,82 @@
   return load;
 }
 
+double Placer::UsableSlots(const RegisteredServer& server, int tier) {
+  return (kMaxSlotShare - kHeadroomPerTier * std::min(tier, kMaxHeadroomTier)) *
+         server.slots;
+}
+
+void Placer::Arrivals::Add(int tier, TimePoint now) {
+  const double kept = std::exp(-ToSeconds(now - this->updated_at) /
+                               ToSeconds(kArrivalDecayTime));
+  for (auto& [other_tier, count] : this->count_by_tier) {
+    count *= kept;
+  }
+  this->count_by_tier[tier] += 1;
+  this->updated_at = now;
+}
+
+double Placer::ExpectedRivals(const PlacementQuery& query,
+                              const Candidate& candidate, int running) const {
+  const auto found =
+      this->recent_arrivals.find({query.service->name, query.tolerates_pauses});
+  if (found == this->recent_arrivals.end()) {
+    return 0;
+  }
+  double count = 0;
+  for (const auto& [tier, arrivals] : found->second.count_by_tier) {
+    if (UsableSlots(*candidate.server, tier) >= running + 1) {
+      count += arrivals;
+    }
+  }
+  const double rate = count / ToSeconds(kArrivalDecayTime);
+  const double rivals =
+      rate * (this->instance_count - 1) * ToSeconds(this->UnreportedTime());
+  // Requests with other prompts have other affinity servers.
+  return candidate.IsFirstAffinity()
+             ? rivals /
+                   std::max(1, this->SideCount(query, candidate.server->id))
+             : rivals;
+}
+
+bool Placer::WinsSlot(const PlacementQuery& query, const Candidate& candidate,
+                      int running, TimePoint now) const {
+  const RegisteredServer& server = *candidate.server;
+  const double rivals = this->ExpectedRivals(query, candidate, running);
+  double free_slots = UsableSlots(server, query.tier) - running;
+  const auto duration = this->mean_durations.find(
+      {query.service->name, this->IsReserved(query, server.id)});
+  if (duration != this->mean_durations.end()) {
+    free_slots += running * std::min(1.0, ToSeconds(this->UnreportedTime()) /
+                                              ToSeconds(duration->second));
+  }
+  if (kUsersPerFreeSlot * free_slots >= rivals) {
+    return true;
+  }
+  // The same for all requests until the next report.
+  const auto round = static_cast<std::uint64_t>(now.time_since_epoch() /
+                                                this->report_interval);
+  const std::uint64_t key = RendezvousScore(round, this->options.instance);
+  return UnitScore(key, server.id) < kUsersPerFreeSlot * free_slots / rivals;
+}
+
+Duration Placer::UnreportedTime() const {
+  return (this->report_interval + kPlacementInterval) / 2;
+}
+
+int Placer::SideCount(const PlacementQuery& query,
+                      const std::string& server) const {
+  const bool is_reserved = this->IsReserved(query, server);
+  return static_cast<int>(std::count_if(
+      this->directory.servers().begin(), this->directory.servers().end(),
+      [&](const auto& item) {
+        return AcceptsRequestsOf(item.second, query.service->name) &&
+               this->IsReserved(query, item.first) == is_reserved;
+      }));
+}
+
 double Placer::InstanceBias(const std::string& server) const {
-  constexpr double kScoreRange = 18446744073709551616.0;  // 2^64.
-  return static_cast<double>(RendezvousScore(this->instance_seed, server)) /
-         kScoreRange;
+  return UnitScore(this->instance_seed, server);
 }
 
 bool Placer::IsReserved(const PlacementQuery& query,
@@ -328,6 +413,8 @@
   if (!query.service->IsModel()) {
     return;
   }
+  this->recent_arrivals[{query.service->name, query.tolerates_pauses}].Add(
+      query.tier, now);
   EnginePartition& partition = this->engine_partitions[query.service->name];
   if (query.tolerates_pauses && partition.reserved_share == 0) {
     this->SetReservedShare(query.service->name, kInitialReservedShare);
@@ -528,11 +615,12 @@
     load += this->UnreportedLoad(candidate.server->id, now);
   }
   const int tier = std::min(query.tier, kMaxHeadroomTier);
-  const double slots =
-      (kMaxSlotShare - kHeadroomPerTier * tier) * candidate.server->slots;
-  if (load.running + 1 > slots) {
+  if (load.running + 1 > UsableSlots(*candidate.server, tier)) {
     return CapacityLimit::kSlots;
   }
+  if (!this->WinsSlot(query, candidate, load.running, now)) {
+    return CapacityLimit::kContended;
+  }
   const double memory_share =
       query.tolerates_pauses ? kMaxPauseTolerantMemoryShare : kMaxMemoryShare;
   if (query.service->kv_capacity_tokens > 0 &&
@@ -732,7 +820,14 @@
       choice.server.id, choice.latency_inputs, elapsed, now);
 }
 
-void Placer::RecordEnd(const ServerChoice& choice) {
+void Placer::RecordEnd(const ServerChoice& choice, Duration elapsed) {
+  const Duration counted = std::max(elapsed, kMinDuration);
+  Duration& mean =
+      this->mean_durations
+          .emplace(std::pair(choice.server.service, choice.is_reserved),
+                   counted)
+          .first->second;
+  mean += FromSeconds(kDurationWeight * ToSeconds(counted - mean));
   this->load_ledger.Subtract(choice.server.id, choice.added_load);
 }
 
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -72,13 +72,15 @@
   kTooSlow,
   kWithheld,  // A more urgent request waits for the server.
   kRate,      // The rate limit that the server names is used up.
+  // Other instances probably take the free slots that this one knows of.
+  kContended,
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 7>;
+using CapacityLimitCounts = std::array<int, 8>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -180,7 +182,8 @@
   void RecordFirstEvent(const PlacementQuery& query, ServerChoice& choice,
                         Duration elapsed, TimePoint now);
   // Records the end of the attempt, with or without a first event before.
-  void RecordEnd(const ServerChoice& choice);
+  // `elapsed` is the time since its start.
+  void RecordEnd(const ServerChoice& choice, Duration elapsed);
   // Records the result for the server's health; returns whether this ejected
   // the server.
   bool RecordResult(const ServerChoice& choice, SendResult result,
@@ -280,6 +283,13 @@
     // Ids of the engines reserved for pause-tolerant routes.
     std::set<std::string> reserved_servers;
   };
+  // Recent arrivals at this instance, by effective tier; older ones decay.
+  struct Arrivals {
+    std::map<int, double> count_by_tier;
+    TimePoint updated_at;
+
+    void Add(int tier, TimePoint now);
+  };
   struct PeerWork {
     std::vector<ServicePartition> partitions;
     TimePoint received_at;
@@ -339,6 +349,27 @@
   [[nodiscard]] CapacityLimit FindCapacityLimit(const PlacementQuery& query,
                                                 const Candidate& candidate,
                                                 TimePoint now) const;
+  // Returns whether this instance may use one of the server's free slots.
+  // `running` is the server's known load. All instances learn of a free slot
+  // long before they learn that another one took it, so each uses it only with
+  // the probability at which the expected number of users is the number of
+  // slots.
+  [[nodiscard]] bool WinsSlot(const PlacementQuery& query,
+                              const Candidate& candidate, int running,
+                              TimePoint now) const;
+  // Estimates the requests at other instances that could use the slots before
+  // this instance hears of it.
+  [[nodiscard]] double ExpectedRivals(const PlacementQuery& query,
+                                      const Candidate& candidate,
+                                      int running) const;
+  // Returns the mean time until the others hear of a request.
+  [[nodiscard]] Duration UnreportedTime() const;
+  // The number of the service's servers on the same side as this one.
+  [[nodiscard]] int SideCount(const PlacementQuery& query,
+                              const std::string& server) const;
+  // The number of slots of the server that requests of this tier may use.
+  [[nodiscard]] static double UsableSlots(const RegisteredServer& server,
+                                          int tier);
   // Estimates the load that the other instances sent but have not reported yet:
   // from each as much as this instance sent.
   [[nodiscard]] ServerLoad UnreportedLoad(const std::string& server,
@@ -369,6 +400,10 @@
   std::map<std::string, ReportedLoad> reported_loads;
   // By service.
   std::map<std::string, EnginePartition> engine_partitions;
+  // By service and whether the requests tolerate pauses.
+  std::map<std::pair<std::string, bool>, Arrivals> recent_arrivals;
+  // The mean time of an attempt, by service and whether the server is reserved.
+  std::map<std::pair<std::string, bool>, Duration> mean_durations;
   // By instance name.
   std::map<std::string, PeerWork> peer_work;
   bool is_partition_leader = true;
--- a/src/core/prompt_cache_map.cc
+++ b/src/core/prompt_cache_map.cc
@@ -66,4 +66,9 @@
   return XXH3_64bits_withSeed(candidate.data(), candidate.size(), key);
 }
 
+double UnitScore(std::uint64_t key, const std::string& candidate) {
+  constexpr double kScoreRange = 18446744073709551616.0;  // 2^64.
+  return static_cast<double>(RendezvousScore(key, candidate)) / kScoreRange;
+}
+
 }  // namespace rosemarycove
--- a/src/core/prompt_cache_map.h
+++ b/src/core/prompt_cache_map.h
@@ -63,5 +63,7 @@
 // the candidate with the highest score without communication, and adding or
 // removing a candidate moves only its own keys.
 std::uint64_t RendezvousScore(std::uint64_t key, const std::string& candidate);
+// The same score as a number from 0 to 1.
+double UnitScore(std::uint64_t key, const std::string& candidate);
 
 }  // namespace rosemarycove
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -737,7 +737,8 @@
     this->connection.reset();
   }
   if (this->choice) {
-    this->context.placer.RecordEnd(*this->choice);
+    this->context.placer.RecordEnd(
+        *this->choice, std::chrono::steady_clock::now() - this->sent_at);
     this->choice.reset();
   }
 }
--- a/tests/test_placement_fleet.cc
+++ b/tests/test_placement_fleet.cc
@@ -12,7 +12,7 @@
 // The test library's macros come last.
 #include <CppUTest/TestHarness.h>
 
-using namespace rosemarycove; // NOLINT
+using namespace rosemarycove;  // NOLINT
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -28,9 +28,9 @@
 }
 
 class EngineDecoder : public ServerDecoder {
-public:
-  [[nodiscard]] std::optional<RegisteredServer>
-  Decode(const SharedDocument &document) const override {
+ public:
+  [[nodiscard]] std::optional<RegisteredServer> Decode(
+      const SharedDocument& document) const override {
     return RegisteredServer{.id = document.key,
                             .incarnation = 1,
                             .service = "model",
@@ -66,8 +66,8 @@
 // Runs instances that place requests on engines. An engine takes any number of
 // requests and runs kSlots of them at a time, in the order of their arrival.
 class PlacementFleet {
-public:
-  PlacementFleet(const FleetOptions &options, std::vector<Traffic> traffic)
+ public:
+  PlacementFleet(const FleetOptions& options, std::vector<Traffic> traffic)
       : options(options), kinds(std::move(traffic)), random(20261204) {
     std::vector<SharedDocument> documents;
     for (int i = 0; i < options.engines; ++i) {
@@ -100,14 +100,14 @@
         this->Arrive(kind, this->now >= counted_from);
       }
       if (this->now >= counted_from) {
-        for (const Engine &engine : this->engines) {
+        for (const Engine& engine : this->engines) {
           this->loads.push_back(static_cast<int>(engine.requests.size()));
         }
       }
     }
   }
 
-  [[nodiscard]] const Traffic &kind(std::size_t index) const {
+  [[nodiscard]] const Traffic& kind(std::size_t index) const {
     return this->kinds[index];
   }
   // The load that this share of the samples of all engines does not exceed.
@@ -117,7 +117,7 @@
         share * static_cast<double>(this->loads.size() - 1))];
   }
 
-private:
+ private:
   struct Request {
     std::size_t instance = 0;
     ServerChoice choice;
@@ -143,7 +143,7 @@
             round(from, to, this->now) == round(from, to, this->now - kStep)) {
           continue;
         }
-        Placer &receiver = *this->placers[to];
+        Placer& receiver = *this->placers[to];
         const std::string name = "i" + std::to_string(from);
         receiver.ledger().SetPeerLoads(
             name, this->placers[from]->ledger().OwnLoads(), this->now);
@@ -156,11 +156,11 @@
     }
   }
   void EndRequests() {
-    for (Engine &engine : this->engines) {
+    for (Engine& engine : this->engines) {
       const std::size_t running =
           std::min<std::size_t>(kSlots, engine.requests.size());
       for (std::size_t i = 0; i < running; ++i) {
-        Request &request = engine.requests[i];
+        Request& request = engine.requests[i];
         request.remaining -= kStep;
         if (!request.has_first_event) {
           request.has_first_event = true;
@@ -169,23 +169,24 @@
               this->now);
         }
       }
-      std::erase_if(engine.requests, [this](const Request &request) {
+      std::erase_if(engine.requests, [this](const Request& request) {
         if (request.remaining > Duration{}) {
           return false;
         }
-        this->placers[request.instance]->RecordEnd(request.choice);
+        this->placers[request.instance]->RecordEnd(request.choice,
+                                                   this->now - request.sent_at);
         return true;
       });
     }
   }
   void Arrive(std::size_t kind, bool is_counted) {
-    Traffic &traffic = this->kinds[kind];
+    Traffic& traffic = this->kinds[kind];
     const int count = std::poisson_distribution<int>(
         traffic.rate * ToSeconds(kStep))(this->random);
     for (int i = 0; i < count; ++i) {
       const std::size_t instance = std::uniform_int_distribution<std::size_t>(
           0, this->placers.size() - 1)(this->random);
-      Placer &placer = *this->placers[instance];
+      Placer& placer = *this->placers[instance];
       PlacementQuery query{.route = &traffic.route,
                            .service = &kModel,
                            .tier = 1,
@@ -248,7 +249,7 @@
           .rate = rate};
 }
 
-} // namespace
+}  // namespace
 
 TEST_GROUP(PlacementFleet){};
 
