--- a/tests/test_crashing_requests.cc
+++ b/tests/test_crashing_requests.cc
@@ -22,7 +22,9 @@
 // instances have told each other.
 constexpr int kTellRounds = 3;
 constexpr int kRounds = 10;
-constexpr auto kTimeToCrash = std::chrono::milliseconds(20);
+constexpr Duration kTimeToCrash = std::chrono::milliseconds(20);
+// A request that runs for longer before it crashes its server.
+constexpr Duration kSlowCrash = std::chrono::seconds(3);
 constexpr auto kRound = std::chrono::milliseconds(300);
 
 // A server that crashes, as far as its connection shows, when it begins to run
@@ -134,3 +136,38 @@
   CHECK_EQUAL(0, later_crashes);
   CheckIsRefused(fleet.Send(fleet.second_gateway(), "/once/x", kDeadlyBody));
 }
+
+// Guards against a server being crashed by an attempt that was already under
+// way when the request was quarantined.
+TEST(CrashingRequests, AttemptUnderWayEndsWhenItsRequestIsQuarantined) {
+  std::atomic<int> requests = 0;
+  const RawServer::Handler handler = [&requests](RawConnection& connection) {
+    while (const auto request = connection.ReadMessage()) {
+      std::this_thread::sleep_for(++requests == 1 ? kSlowCrash : kTimeToCrash);
+      connection.Reset();
+      return;
+    }
+  };
+  PlatformFixture platform(handler);
+  std::vector<std::unique_ptr<RawServer>> others;
+  for (const char* id : {"stock-2", "stock-3", "stock-4", "stock-5"}) {
+    others.push_back(std::make_unique<RawServer>(handler));
+    platform.AddServer(id, "stock", others.back()->address());
+  }
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  const auto slow = gateway.Connect();
+  const auto start = std::chrono::steady_clock::now();
+  slow->Send(PlatformFixture::Request("/again/x", "slow", "", kDeadlyBody));
+  while (requests == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  for (const char* id : {"r1", "r2"}) {
+    const std::string response = gateway.SendRequest(
+        PlatformFixture::Request("/again/x", id, "", kDeadlyBody));
+    CHECK(!response.starts_with("HTTP/1.1 200"));
+  }
+  const std::string response = slow->ReadMessage().value_or("");
+  CHECK(response.starts_with("HTTP/1.1 502"));
+  CHECK(std::chrono::steady_clock::now() - start < kSlowCrash / 2);
+}
