Blame a part of prompts before the requests that have it

Cause: since whole requests are suspects, the most specific suspect of a crash is the request. One that may be repeated crashes three engines by itself, with its own retries and its caller's, so each request was blamed and explained the crashes of the part that they share: it never had three of its own. The log shows 64-bit hashes quarantined one after the other, and the part not at all.

A part now explains the crashes of the requests that have it, unless all its crashes are of one request, which is then blamed. The suspects of a request are a type of their own, so that their order is not a matter of the caller.

PartOfSeveralRequestsExplainsTheirCrashes and RequestThatComesAgainIsBlamedInPlaceOfItsParts failed before and pass now.

--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -96,8 +96,19 @@
   return duration;
 }
 
+// The positions of RequestSuspects::request_hash and of the first part in the
+// request's ids.
+constexpr int kRequestPosition = 1;
+constexpr int kFirstPartPosition = 2;
+
 }  // namespace
 
+std::vector<std::uint64_t> RequestSuspects::Ids() const {
+  std::vector<std::uint64_t> ids = {this->content_hash, this->request_hash};
+  ids.insert(ids.end(), this->parts.begin(), this->parts.end());
+  return ids;
+}
+
 std::string_view ToString(QuarantineChange::Kind kind) {
   switch (kind) {
     case QuarantineChange::Kind::kQuarantined:
@@ -110,10 +121,10 @@
   return "invalid";
 }
 
-void RequestQuarantine::RecordSurvival(std::span<const std::uint64_t> ids,
+void RequestQuarantine::RecordSurvival(const RequestSuspects& suspects,
                                        TimePoint now) {
   bool changed = false;
-  for (const std::uint64_t id : ids) {
+  for (const std::uint64_t id : suspects.Ids()) {
     this->StoreSurvival(id, now);
     const auto found = this->suspects.find(id);
     if (found != this->suspects.end()) {
@@ -130,15 +141,15 @@
 }
 
 void RequestQuarantine::RecordCrash(const std::string& server,
-                                    std::span<const std::uint64_t> ids,
+                                    const RequestSuspects& suspects,
                                     TimePoint sent_at, TimePoint now) {
   Crash crash{.id = this->next_crash_id++,
               .server_hash = IdHash(server),
               .running = now - sent_at,
               .change = ++this->change_count,
               .at = now};
-  for (const std::uint64_t id : ids) {
-    if (!this->WasSurvivedLately(id, now)) {
+  for (const std::uint64_t id : suspects.Ids()) {
+    if (id != 0 && !this->WasSurvivedLately(id, now)) {
       AddCrash(this->FindOrAdd(id), crash);
     }
     ++crash.position;
@@ -147,9 +158,9 @@
 }
 
 std::optional<QuarantinedSuspect> RequestQuarantine::FindQuarantined(
-    std::span<const std::uint64_t> ids, TimePoint now) const {
+    const RequestSuspects& suspects, TimePoint now) const {
   std::optional<QuarantinedSuspect> longest;
-  for (const std::uint64_t id : ids) {
+  for (const std::uint64_t id : suspects.Ids()) {
     const Suspect* suspect = this->FindQuarantinedSuspect(id);
     if (suspect == nullptr) {
       continue;
@@ -166,10 +177,10 @@
   return longest;
 }
 
-bool RequestQuarantine::RecordSend(std::span<const std::uint64_t> ids,
+bool RequestQuarantine::RecordSend(const RequestSuspects& suspects,
                                    TimePoint now) {
   bool is_trial = false;
-  for (const std::uint64_t id : ids) {
+  for (const std::uint64_t id : suspects.Ids()) {
     if (this->FindQuarantinedSuspect(id) == nullptr) {
       continue;
     }
@@ -393,24 +404,54 @@
   return this->suspects[id];
 }
 
-void RequestQuarantine::Reassess(TimePoint now) {
-  // For each request that failed, the position of the most specific suspect
-  // that has enough crashes.
-  std::unordered_map<std::uint64_t, int> explained_below;
+std::set<std::uint64_t> RequestQuarantine::SufficientSuspects() const {
+  std::set<std::uint64_t> sufficient;
+  // The request of each crash, as far as one request alone has enough crashes.
+  std::unordered_map<std::uint64_t, std::uint64_t> request_of;
   for (const auto& [id, suspect] : this->suspects) {
     if (!Suffice(DistinctCrashes(suspect.crashes))) {
       continue;
     }
+    sufficient.insert(id);
     for (const Crash& crash : suspect.crashes) {
+      if (crash.position == kRequestPosition) {
+        request_of.emplace(crash.id, id);
+      }
+    }
+  }
+  // A part whose crashes are all those of one request is not to blame.
+  std::erase_if(sufficient, [&](std::uint64_t id) {
+    const std::vector<Crash>& crashes = this->suspects.at(id).crashes;
+    const auto request = request_of.find(crashes.front().id);
+    return crashes.front().position >= kFirstPartPosition &&
+           request != request_of.end() &&
+           std::all_of(crashes.begin(), crashes.end(), [&](const Crash& crash) {
+             const auto found = request_of.find(crash.id);
+             return found != request_of.end() &&
+                    found->second == request->second;
+           });
+  });
+  return sufficient;
+}
+
+void RequestQuarantine::Reassess(TimePoint now) {
+  const std::set<std::uint64_t> sufficient = this->SufficientSuspects();
+  // For each request that failed, the position of the most specific suspect
+  // that has enough crashes.
+  std::unordered_map<std::uint64_t, int> explained_below;
+  for (const std::uint64_t id : sufficient) {
+    for (const Crash& crash : this->suspects.at(id).crashes) {
       int& position = explained_below[crash.id];
       position = std::max(position, crash.position);
     }
   }
   for (auto& [id, suspect] : this->suspects) {
-    std::vector<Crash> unexplained = suspect.crashes;
+    std::vector<Crash> unexplained;
+    if (sufficient.contains(id)) {
+      unexplained = suspect.crashes;
+    }
     std::erase_if(unexplained, [&](const Crash& crash) {
-      const auto found = explained_below.find(crash.id);
-      return found != explained_below.end() && crash.position < found->second;
+      return crash.position < explained_below.at(crash.id);
     });
     unexplained = DistinctCrashes(unexplained);
     suspect.unexplained_crashes = static_cast<int>(unexplained.size());
--- a/src/core/request_quarantine.h
+++ b/src/core/request_quarantine.h
@@ -6,7 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -32,6 +32,19 @@
   Duration age{};
 };
 
+// What in a request may crash servers.
+struct RequestSuspects {
+  // The request without its prompt, and with it; see RequestHash. 0 if unknown.
+  std::uint64_t content_hash = 0;
+  std::uint64_t request_hash = 0;
+  // The ids of the shared parts of its prompt, in their order.
+  std::vector<std::uint64_t> parts;
+
+  // All ids, from the least to the most specific, but for the request itself,
+  // which comes before the parts: see RequestQuarantine.
+  [[nodiscard]] std::vector<std::uint64_t> Ids() const;
+};
+
 // What an instance knows of a suspect, for fleet reports.
 struct SuspectCrashes {
   std::uint64_t suspect = 0;
@@ -72,8 +85,7 @@
 // it: requests with it are not sent.
 //
 // A request's suspects are ids of what it has in common with others: parts of
-// its prompt that it shares, and itself, since a request may come again. Each
-// request lists them from the least to the most specific.
+// its prompt that it shares, and itself, since a request may come again.
 //
 // A crash of a server that had just begun to run a request counts against the
 // request's suspects, except for those that a server survived shortly before or
@@ -98,19 +110,18 @@
 
   // Records that a server survived a request with these suspects: it sent the
   // complete response, or events for a while.
-  void RecordSurvival(std::span<const std::uint64_t> ids, TimePoint now);
+  void RecordSurvival(const RequestSuspects& suspects, TimePoint now);
   // Records that the server's connection ended when it began to run a request
   // with these suspects, which was sent at `sent_at`.
-  void RecordCrash(const std::string& server,
-                   std::span<const std::uint64_t> ids, TimePoint sent_at,
-                   TimePoint now);
+  void RecordCrash(const std::string& server, const RequestSuspects& suspects,
+                   TimePoint sent_at, TimePoint now);
   // Returns the suspect because of which a request must not be sent now;
   // nullopt if there is none.
   [[nodiscard]] std::optional<QuarantinedSuspect> FindQuarantined(
-      std::span<const std::uint64_t> ids, TimePoint now) const;
+      const RequestSuspects& suspects, TimePoint now) const;
   // Records that a request with these suspects is sent. Returns whether that
   // makes it the trial of one that is quarantined.
-  bool RecordSend(std::span<const std::uint64_t> ids, TimePoint now);
+  bool RecordSend(const RequestSuspects& suspects, TimePoint now);
 
   // Sets this instance's rank among all; 0 sends the first trial. Without a
   // rank, it sends none.
@@ -172,6 +183,9 @@
   void StoreSurvival(std::uint64_t id, TimePoint survived_at);
   // Returns the record of the suspect. Makes room for a new one if necessary.
   Suspect& FindOrAdd(std::uint64_t id);
+  // Returns the suspects that have enough crashes to be quarantined, unless
+  // more specific ones explain them.
+  [[nodiscard]] std::set<std::uint64_t> SufficientSuspects() const;
   // Decides which suspects are quarantined, after their crashes changed.
   void Reassess(TimePoint now);
   void SetQuarantine(std::uint64_t id, Suspect& suspect,
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -129,7 +129,7 @@
   if (!this->ResolveRoute()) {
     return;
   }
-  this->HashRequest();
+  this->SetSuspects();
   this->ChooseService();
   this->Place();
 }
@@ -171,7 +171,7 @@
   return true;
 }
 
-void Exchange::HashRequest() {
+void Exchange::SetSuspects() {
   const std::uint64_t content_hash =
       RequestHash({.method = this->request.method,
                    .target = this->request.target,
@@ -179,14 +179,11 @@
                    .caller = this->customer,
                    .body = this->body});
   const std::vector<PromptPart>& parts = this->request_info.prompt_parts;
-  this->request_hash = RequestHash(content_hash, parts);
-  if (!parts.empty()) {
-    this->suspects.push_back(content_hash);
-    for (const PromptPart& part : SharedParts(parts)) {
-      this->suspects.push_back(part.id);
-    }
+  this->suspects = {.content_hash = content_hash,
+                    .request_hash = RequestHash(content_hash, parts)};
+  for (const PromptPart& part : SharedParts(parts)) {
+    this->suspects.parts.push_back(part.id);
   }
-  this->suspects.push_back(this->request_hash);
 }
 
 void Exchange::ChooseService() {
@@ -779,7 +776,7 @@
        .may_have_executed = failure.may_have_executed,
        .has_first_event = this->first_event_received,
        .shared_parts = SharedParts(this->query.parts),
-       .request_hash = this->request_hash,
+       .request_hash = this->suspects.request_hash,
        .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
        .next_reason = no_retry_reason});
   if (retry) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -93,8 +93,8 @@
   // Returns whether the caller may use the route; sets the customer and the
   // tier.
   bool CheckApiKey(const Route& route);
-  // Sets the hash by which the same request is recognized, and the suspects.
-  void HashRequest();
+  // Sets the ids by which the request and its parts are recognized elsewhere.
+  void SetSuspects();
   // Chooses one of the route's services at random, by weight.
   void ChooseService();
   // Sends the request to a server, queues it or gives up.
@@ -189,8 +189,6 @@
   std::shared_ptr<const RoutingConfiguration> configuration;
   RequestInfo request_info;
   std::string customer;
-  // Of the request with all parts of its prompt.
-  std::uint64_t request_hash = 0;
   PlacementQuery query;
   // How many servers had no capacity for the request, by reason, in the last
   // placement.
@@ -198,8 +196,7 @@
   // See EndedRecord.
   int waiting_ahead = 0;
   Duration expected_wait{};
-  // See RequestQuarantine.
-  std::vector<std::uint64_t> suspects;
+  RequestSuspects suspects;
   // The suspect because of which the request was refused; 0 if there is none.
   std::uint64_t quarantined_suspect = 0;
   std::string service_name;
--- a/tests/test_report_size.cc
+++ b/tests/test_report_size.cc
@@ -71,9 +71,10 @@
     for (int i = 0; i < kInstancesAtACrash; ++i) {
       RequestQuarantine& member = *this->members[this->random() % kInstances];
       for (int j = 0; j < kRequestsAtEach; ++j) {
-        const std::vector<std::uint64_t> ids = {
-            this->random() % 50, this->random() % 500, this->random()};
-        member.RecordCrash(server, ids, now - seconds(1), now);
+        const RequestSuspects suspects{.content_hash = this->random() % 500,
+                                       .request_hash = this->random(),
+                                       .parts = {this->random() % 50}};
+        member.RecordCrash(server, suspects, now - seconds(1), now);
       }
     }
   }
--- a/tests/test_request_quarantine.cc
+++ b/tests/test_request_quarantine.cc
@@ -20,16 +20,17 @@
 
 namespace {
 
-using Suspects = std::vector<std::uint64_t>;
+using Suspects = RequestSuspects;
 
 // How long a request runs before it crashes its server.
 constexpr Duration kRunning = seconds(1);
 constexpr std::uint64_t kDeadly = 0xdead;
+constexpr std::uint64_t kContent = 0xc0;
 constexpr std::uint64_t kCommon = 0xaa;
 constexpr std::uint64_t kCustomer = 0xbb;
-const Suspects kDeadlyPrompt = {kCommon, kCustomer, kDeadly};
-const Suspects kSoundPrompt = {kCommon, kCustomer};
-const Suspects kDeadlyPartOnly = {kDeadly};
+const Suspects kDeadlyPrompt = {.parts = {kCommon, kCustomer, kDeadly}};
+const Suspects kSoundPrompt = {.parts = {kCommon, kCustomer}};
+const Suspects kDeadlyPartOnly = {.parts = {kDeadly}};
 
 TimePoint At(Duration since_start) {
   return TimePoint{} + minutes(10) + since_start;
@@ -141,12 +142,14 @@
 TEST(RequestQuarantine, PartBeforeOthersIsFound) {
   RequestQuarantine quarantine(1);
   for (std::uint64_t i = 0; i < 3; ++i) {
-    quarantine.RecordCrash("s" + std::to_string(i), Suspects{kDeadly, 100 + i},
+    quarantine.RecordCrash("s" + std::to_string(i),
+                           Suspects{.parts = {kDeadly, 100 + i}},
                            At(seconds(i)) - kRunning, At(seconds(i)));
   }
   CHECK(IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(2))));
   // The part that follows explains further crashes only if it has enough.
-  RecordThreeCrashes(quarantine, Suspects{kDeadly, 200}, At(seconds(6)));
+  RecordThreeCrashes(quarantine, Suspects{.parts = {kDeadly, 200}},
+                     At(seconds(6)));
   CHECK(IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(6))));
 }
 
@@ -260,7 +263,8 @@
   RequestQuarantine sender(1);
   RequestQuarantine receiver(2);
   for (std::uint64_t id = 1; id <= 50; ++id) {
-    sender.RecordCrash("s", Suspects{id}, At(seconds(0)), At(seconds(1)));
+    sender.RecordCrash("s", Suspects{.parts = {id}}, At(seconds(0)),
+                       At(seconds(1)));
   }
   std::uint64_t told = 0;
   std::size_t records = 0;
@@ -275,13 +279,42 @@
   // What the receiver learned is not news of its own.
   told = 0;
   CHECK(receiver.RecordsSince(told, At(seconds(2))).empty());
-  sender.RecordSurvival(Suspects{7}, At(seconds(3)));
+  sender.RecordSurvival(Suspects{.parts = {7}}, At(seconds(3)));
   told = sender.last_change() - 1;
   const auto survival = sender.RecordsSince(told, At(seconds(3)));
   CHECK_EQUAL(1U, survival.size());
   CHECK(survival.at(0).survival_age.has_value());
 }
 
+// Guards against a part that crashes servers being missed because each request
+// with it, sent again several times, crashes enough of them by itself.
+TEST(RequestQuarantine, PartOfSeveralRequestsExplainsTheirCrashes) {
+  RequestQuarantine quarantine(1);
+  const Suspects first = {kContent, 1001, {kCommon, kDeadly}};
+  const Suspects second = {kContent, 1002, {kCommon, kDeadly}};
+  RecordThreeCrashes(quarantine, first, At(seconds(2)));
+  CHECK(IsQuarantined(quarantine, first, At(seconds(2))));
+  CHECK(!IsQuarantined(quarantine, second, At(seconds(2))));
+  quarantine.RecordCrash("s4", second, At(seconds(2)), At(seconds(3)));
+  CHECK(
+      IsQuarantined(quarantine, Suspects{.parts = {kDeadly}}, At(seconds(3))));
+  CHECK(
+      !IsQuarantined(quarantine, Suspects{.parts = {kCommon}}, At(seconds(3))));
+  CHECK(!IsQuarantined(quarantine, Suspects{.content_hash = kContent},
+                       At(seconds(3))));
+}
+
+// Guards against sound requests being refused because one that comes again has
+// the same parts.
+TEST(RequestQuarantine, RequestThatComesAgainIsBlamedInPlaceOfItsParts) {
+  RequestQuarantine quarantine(1);
+  RecordThreeCrashes(quarantine, Suspects{kContent, 1001, {kCommon, kCustomer}},
+                     At(seconds(2)));
+  CHECK(IsQuarantined(quarantine, Suspects{.request_hash = 1001},
+                      At(seconds(2))));
+  CHECK_EQUAL(1, quarantine.quarantined_count());
+}
+
 // Guards against a suspect being forgotten under a flood of requests that are
 // all different and each at one crash.
 TEST(RequestQuarantine, FloodOfSingleCrashesDoesNotHideASuspect) {
@@ -290,7 +323,7 @@
     quarantine.RecordCrash("s" + std::to_string(i), kDeadlyPartOnly,
                            At(seconds(i)) - kRunning, At(seconds(i)));
     for (std::uint64_t other = 1; other < 60; ++other) {
-      quarantine.RecordCrash("t", Suspects{100000 * (i + 1) + other},
+      quarantine.RecordCrash("t", Suspects{.parts = {100000 * (i + 1) + other}},
                              At(seconds(i) + milliseconds(other)) - kRunning,
                              At(seconds(i) + milliseconds(other)));
     }
@@ -331,8 +364,8 @@
   RequestQuarantine quarantine(1);
   RecordThreeCrashes(quarantine, kDeadlyPartOnly, At(seconds(0)));
   for (std::uint64_t part = 1; part < 1000; ++part) {
-    quarantine.RecordCrash("s1", Suspects{part}, At(seconds(1)) - kRunning,
-                           At(seconds(1)));
+    quarantine.RecordCrash("s1", Suspects{.parts = {part}},
+                           At(seconds(1)) - kRunning, At(seconds(1)));
   }
   CHECK(quarantine.Records(At(seconds(1))).size() <= 64);
   CHECK(IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(1))));
