Seeded faults follow the code again

The patterns follow the code; the flood of single crashes now has ids above the suspect's, and the part of several requests is checked with enough crashes of each.

--- a/tests/test_request_quarantine.cc
+++ b/tests/test_request_quarantine.cc
@@ -302,6 +302,10 @@
       !IsQuarantined(quarantine, Suspects{.parts = {kCommon}}, At(seconds(3))));
   CHECK(!IsQuarantined(quarantine, Suspects{.content_hash = kContent},
                        At(seconds(3))));
+  // Also when each of the requests has enough crashes.
+  RecordThreeCrashes(quarantine, second, At(seconds(6)));
+  CHECK(
+      IsQuarantined(quarantine, Suspects{.parts = {kDeadly}}, At(seconds(6))));
 }
 
 // Guards against sound requests being refused because one that comes again has
@@ -319,14 +323,19 @@
 // all different and each at one crash.
 TEST(RequestQuarantine, FloodOfSingleCrashesDoesNotHideASuspect) {
   RequestQuarantine quarantine(1);
-  for (std::uint64_t i = 0; i < 3; ++i) {
+  // Larger than the id of the suspect.
+  std::uint64_t next_id = 100000;
+  const auto flood = [&](int count, TimePoint now) {
+    for (int i = 0; i < count; ++i) {
+      quarantine.RecordCrash("t", Suspects{.parts = {++next_id}},
+                             now - kRunning, now + milliseconds(i));
+    }
+  };
+  flood(40, At(-seconds(1)));
+  for (int i = 0; i < 3; ++i) {
     quarantine.RecordCrash("s" + std::to_string(i), kDeadlyPartOnly,
                            At(seconds(i)) - kRunning, At(seconds(i)));
-    for (std::uint64_t other = 1; other < 60; ++other) {
-      quarantine.RecordCrash("t", Suspects{.parts = {100000 * (i + 1) + other}},
-                             At(seconds(i) + milliseconds(other)) - kRunning,
-                             At(seconds(i) + milliseconds(other)));
-    }
+    flood(30, At(seconds(i) + milliseconds(1)));
   }
   CHECK(IsQuarantined(quarantine, kDeadlyPartOnly, At(seconds(3))));
 }
