Log requests that were read and get no outcome

The log could not tell apart why a caller's connection closed with a request that had no answer: such a close was not logged, and requests were counted only at their end. Event 2003 request_unanswered has the cause and whether the request was read as a whole; the metrics and the event stopped have the numbers of requests read, ended and unanswered. Connections are closed with a cause. No change of behaviour, but that bytes behind a rejected request are dropped at once.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -22,6 +22,7 @@
     {LogEvent::kLinesDropped, "lines_dropped", LogLevel::kWarning},
     {LogEvent::kRequestEnded, "request_ended", LogLevel::kInfo},
     {LogEvent::kCallEnded, "call_ended", LogLevel::kInfo},
+    {LogEvent::kRequestUnanswered, "request_unanswered", LogLevel::kWarning},
     {LogEvent::kPlaced, "placed", LogLevel::kInfo},
     {LogEvent::kAttemptBroken, "attempt_broken", LogLevel::kWarning},
     {LogEvent::kSlotTaken, "slot_taken", LogLevel::kInfo},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -32,6 +32,7 @@
   kLinesDropped = 1009,
   kRequestEnded = 2001,
   kCallEnded = 2002,
+  kRequestUnanswered = 2003,
   kPlaced = 3001,
   kAttemptBroken = 3002,
   kSlotTaken = 3003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -180,7 +180,13 @@
 
 bool Gateway::Run() {
   this->io.run();
-  this->log.Write(LogEvent::kStopped, {{"cut_off", this->requests_cut_off}});
+  this->log.Write(LogEvent::kStopped,
+                  {{"cut_off", this->requests_cut_off},
+                   {"open", this->proxy_server.active_request_count()},
+                   {"callers", this->proxy_server.connection_count()},
+                   {"read", this->request_counts().read},
+                   {"ended", this->request_counts().ended},
+                   {"unanswered", this->request_counts().unanswered}});
   return !this->requests_cut_off;
 }
 
@@ -584,6 +590,10 @@
             std::to_string(value) + "\n";
   };
   add("rosemarycove_caller_connections", this->proxy_server.connection_count());
+  add("rosemarycove_requests_read_total", this->request_counts().read);
+  add("rosemarycove_requests_ended_total", this->request_counts().ended);
+  add("rosemarycove_requests_unanswered_total",
+      this->request_counts().unanswered);
   add("rosemarycove_idle_backend_connections", this->pool.idle_count());
   add("rosemarycove_backend_servers", this->directory.servers().size());
   add("rosemarycove_quarantined_parts",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -83,6 +83,9 @@
   // finishes its open requests within the shutdown grace.
   void StartDrain();
   [[nodiscard]] bool ready() const;
+  [[nodiscard]] const RequestCounts& request_counts() const {
+    return this->observer.counts();
+  }
   [[nodiscard]] int caller_port() const { return this->proxy_server.port(); }
   [[nodiscard]] int status_port() const { return this->status_server.port(); }
   [[nodiscard]] int peer_port() const { return this->links.port(); }
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -86,6 +86,7 @@
 }
 
 void GatewayObserver::OnEnded(const EndedRecord& record) {
+  ++this->request_counts.ended;
   this->log.Write(
       LogEvent::kCallEnded,
       {{"request", record.request_id},
@@ -131,6 +132,15 @@
                         std::chrono::steady_clock::now());
 }
 
+void GatewayObserver::OnUnanswered(const UnansweredRecord& record) {
+  ++this->request_counts.unanswered;
+  this->log.Write(LogEvent::kRequestUnanswered,
+                  {{"request", record.request_id},
+                   {"cause", ToString(record.cause)},
+                   {"whole", record.is_whole},
+                   {"age_ms", ToLogMilliseconds(record.age)}});
+}
+
 void GatewayObserver::OnEjected(const EjectedRecord& record) {
   this->log.Write(LogEvent::kServerEjected,
                   {{"server", record.server},
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -7,6 +7,14 @@
 
 namespace rosemarycove {
 
+// How many requests the gateway has read as a whole, how many of them have an
+// outcome, and how many OnUnanswered reported.
+struct RequestCounts {
+  std::uint64_t read = 0;
+  std::uint64_t ended = 0;
+  std::uint64_t unanswered = 0;
+};
+
 // Logs every placement, failed attempt, outcome and ejection, and counts the
 // outcomes in the metrics. Called on the event loop's thread.
 class GatewayObserver : public ProxyObserver {
@@ -14,15 +22,22 @@
   GatewayObserver(EventLog& log, Metrics& metrics)
       : log(log), metrics(metrics) {}
 
+  void OnRequestRead() override { ++this->request_counts.read; }
+  void OnUnanswered(const UnansweredRecord& record) override;
   void OnPlaced(const PlacedRecord& record) override;
   void OnAttemptFailed(const AttemptFailedRecord& record) override;
   void OnEnded(const EndedRecord& record) override;
   void OnEjected(const EjectedRecord& record) override;
   void OnUnreadableRateLimit(const UnreadableRateLimitRecord& record) override;
 
+  [[nodiscard]] const RequestCounts& counts() const {
+    return this->request_counts;
+  }
+
  private:
   EventLog& log;
   Metrics& metrics;
+  RequestCounts request_counts;
 };
 
 // The id of a prompt's part in hexadecimal, as written in log lines.
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -61,7 +61,7 @@
           return;
         }
         if (failure) {
-          self->OnCallerLost();
+          self->OnCallerLost(CloseCause::kCallerClosed);
           return;
         }
         self->OnBytesRead(count);
@@ -110,6 +110,7 @@
 }
 
 void CallerConnection::StartExchange() {
+  this->context.observer.OnRequestRead();
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
@@ -130,6 +131,8 @@
                           .body = std::string(ReasonPhrase(status)) + "\n",
                           .close = true}));
   this->reader.reset();
+  // What follows belongs to the rejected request.
+  this->received.clear();
   this->CloseAfterFlush();
 }
 
@@ -159,7 +162,7 @@
           return;
         }
         if (failure) {
-          self->OnCallerLost();
+          self->OnCallerLost(CloseCause::kCallerClosed);
           return;
         }
         self->Flush();
@@ -198,6 +201,7 @@
 
 void CallerConnection::CloseAfterFlush() {
   this->closing = true;
+  this->ReportUnanswered(CloseCause::kResponseSent);
   this->received.clear();
   this->close_at = std::chrono::steady_clock::now() + kLingerTime;
   if (this->unsent_bytes() == 0) {
@@ -221,7 +225,7 @@
     }
     if (!this->sending.empty() &&
         now - this->last_write > this->Limits().idle_timeout) {
-      this->OnCallerLost();
+      this->OnCallerLost(CloseCause::kCallerNotReading);
     }
     return;
   }
@@ -229,7 +233,7 @@
     const bool write_timed_out =
         now - this->last_write > this->Limits().idle_timeout;
     if (this->unsent_bytes() == 0 ? now >= *this->close_at : write_timed_out) {
-      this->Close();
+      this->Close(CloseCause::kResponseSent);
     }
     return;
   }
@@ -244,7 +248,7 @@
     if (this->reader) {
       this->Reject(http_status::kRequestTimeout);
     } else {
-      this->Close();
+      this->Close(CloseCause::kIdleTimeout);
     }
   }
 }
@@ -252,7 +256,7 @@
 void CallerConnection::CloseIfIdle() {
   if (!this->exchange && !this->reader && this->received.empty() &&
       this->unsent_bytes() == 0) {
-    this->Close();
+    this->Close(CloseCause::kIdleAtShutdown);
   }
 }
 
@@ -261,23 +265,48 @@
   error_code ignored;
   if (this->reset_after_flush) {
     this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    this->Close();
+    this->Close(CloseCause::kResponseSent);
     return;
   }
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-void CallerConnection::OnCallerLost() {
+void CallerConnection::OnCallerLost(CloseCause cause) {
   if (this->exchange) {
     this->exchange->OnCallerDisconnected();
   }
-  this->Close();
+  this->Close(cause);
+}
+
+void CallerConnection::ReportUnanswered(CloseCause cause) {
+  if (cause == CloseCause::kCallerClosed ||
+      cause == CloseCause::kCallerNotReading) {
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (this->exchange && !this->exchange->has_ended()) {
+    this->context.observer.OnUnanswered(
+        {.request_id = this->exchange->request_id(),
+         .cause = cause,
+         .is_whole = true,
+         .age = now - this->exchange->arrived_at()});
+  } else if (this->reader || !this->received.empty()) {
+    this->context.observer.OnUnanswered(
+        {.request_id =
+             this->reader && this->reader->has_head()
+                 ? this->context.dialect.ReadRequest(this->reader->head())
+                       .request_id
+                 : std::string(),
+         .cause = cause,
+         .age = now - this->waiting_since});
+  }
 }
 
-void CallerConnection::Close() {
+void CallerConnection::Close(CloseCause cause) {
   if (this->closed) {
     return;
   }
+  this->ReportUnanswered(cause);
   this->closed = true;
   // The descriptor is released even if close reports an error.
   error_code ignored;
@@ -292,7 +321,7 @@
 
 void CallerConnection::Terminate() {
   this->finishing = true;
-  this->Close();
+  this->Close(CloseCause::kProcessEnds);
   this->exchange.reset();
 }
 
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -29,7 +29,6 @@
   // Closes the connection if no request is being read or handled and no
   // response is being sent.
   void CloseIfIdle();
-  void Close();
   // Closes the connection and drops its request at once. Must not be called
   // from within the request's own functions.
   void Terminate();
@@ -57,7 +56,10 @@
   // Ends the connection towards the caller once all is sent.
   void EndSending();
   // Handles a caller that disconnected or does not read its response.
-  void OnCallerLost();
+  void OnCallerLost(CloseCause cause);
+  void Close(CloseCause cause);
+  // Reports the request, or the part of one, that was read and has no outcome.
+  void ReportUnanswered(CloseCause cause);
   [[nodiscard]] CallerLimits Limits() const;
 
   boost::asio::ip::tcp::socket socket;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -57,6 +57,11 @@
   void OnCallerDisconnected();
   // Tries to place a waiting request.
   AdmitResult TryAdmit(TimePoint now);
+  [[nodiscard]] bool has_ended() const { return this->ended; }
+  [[nodiscard]] const std::string& request_id() const {
+    return this->request_info.request_id;
+  }
+  [[nodiscard]] TimePoint arrived_at() const { return this->arrival; }
   // Called when written bytes were sent to the caller. Resumes reading from the
   // server if it was paused and little enough remains to be sent.
   void OnOutputSent();
--- /dev/null
+++ b/src/proxy/proxy_observer.cc
@@ -0,0 +1,19 @@
+#include "proxy/proxy_observer.h"
+
+#include <array>
+
+namespace rosemarycove {
+namespace {
+
+// Indexed by CloseCause.
+constexpr std::array<std::string_view, 6> kCloseCauseNames = {
+    "caller_closed", "caller_not_reading", "idle_timeout",
+    "response_sent", "idle_at_shutdown",   "process_ends"};
+
+}  // namespace
+
+std::string_view ToString(CloseCause cause) {
+  return kCloseCauseNames.at(static_cast<std::size_t>(cause));
+}
+
+}  // namespace rosemarycove
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "core/actions.h"
 #include "core/placer.h"
@@ -107,6 +108,29 @@
   std::uint64_t configuration_version = 0;
 };
 
+// Why a caller's connection ended.
+enum class CloseCause : std::uint8_t {
+  kCallerClosed,      // The caller closed or reset it.
+  kCallerNotReading,  // The response could not be sent in time.
+  kIdleTimeout,       // No request arrived in time.
+  kResponseSent,      // It was closed after a response.
+  kIdleAtShutdown,    // It was idle while the instance shut down.
+  kProcessEnds,       // The process was about to exit.
+};
+std::string_view ToString(CloseCause cause);
+
+// The instance ended a caller's connection on which it had read a request, or a
+// part of one, that has no outcome.
+struct UnansweredRecord {
+  // Empty if the head was not complete.
+  std::string request_id;
+  CloseCause cause = CloseCause::kProcessEnds;
+  // The request was read as a whole and may have been sent to a server.
+  bool is_whole = false;
+  // Since the first byte was read, or the whole request if it is whole.
+  Duration age{};
+};
+
 // A server was ejected after failures, for this duration.
 struct EjectedRecord {
   std::string server;
@@ -128,6 +152,9 @@
 class ProxyObserver {
  public:
   virtual ~ProxyObserver() = default;
+  // A whole request was read. Its outcome is reported by OnEnded.
+  virtual void OnRequestRead() = 0;
+  virtual void OnUnanswered(const UnansweredRecord& record) = 0;
   virtual void OnPlaced(const PlacedRecord& record) = 0;
   virtual void OnAttemptFailed(const AttemptFailedRecord& record) = 0;
   virtual void OnEnded(const EndedRecord& record) = 0;
