Close a caller's connection only as its response announced

Callers saw: while an instance drained, the request behind a response that had promised to keep the connection got neither an answer nor a refusal.

Cause: whether the connection is kept was decided twice, when the head was sent and when the response ended. A SIGTERM between the two closed it unannounced, and a request that had been read meanwhile was dropped. The decision is now made with the head; a connection that is kept has its next request answered with Connection: close. Requests behind a response that announced the close are still dropped, as HTTP has it.

RequestBehindAResponseFromBeforeTheDrainIsAnswered failed before and passes.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -493,11 +493,14 @@
 void Exchange::ForwardHead(const ResponseHead& head, BodyFraming body_framing) {
   this->head_forwarded = true;
   this->framing = body_framing;
-  this->sink.Write(WriteResponseHead(head, body_framing, !this->CanKeepOpen()));
+  this->sink.Write(WriteResponseHead(head, body_framing, this->DecideClose()));
 }
 
-bool Exchange::CanKeepOpen() const {
-  return this->request.KeepsAlive() && !this->context.is_draining;
+bool Exchange::DecideClose() {
+  this->announced_close = !this->request.KeepsAlive() ||
+                          this->context.is_draining ||
+                          this->framing == BodyFraming::kUntilClose;
+  return this->announced_close;
 }
 
 void Exchange::RecordFirstEvent() {
@@ -881,7 +884,7 @@
       WriteLocalResponse({.status = status,
                           .retry_after = retry_after,
                           .body = std::string(ToString(cause)) + "\n",
-                          .close = !this->CanKeepOpen(),
+                          .close = this->DecideClose(),
                           .head_only = this->request.method == "HEAD"}));
   this->End(
       this->possible_executions > 0 ? Outcome::kUnknown : Outcome::kRefused,
@@ -1037,8 +1040,7 @@
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
   if (outcome != Outcome::kCancelled) {
-    this->sink.Finish(this->CanKeepOpen() &&
-                      this->framing != BodyFraming::kUntilClose);
+    this->sink.Finish(!this->announced_close);
   }
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -175,8 +175,9 @@
   // Reports the outcome and completes the response; only the first call has an
   // effect.
   void End(Outcome outcome, EndCause cause, int status);
-  // Returns whether the caller's connection may be used for another request.
-  [[nodiscard]] bool CanKeepOpen() const;
+  // Decides whether the caller's connection may be used for another request,
+  // as the head of the response announces it. Returns whether it is closed.
+  bool DecideClose();
   [[nodiscard]] Duration Remaining(TimePoint now) const;
   // Returns whether the data centre of the attempt's server appears to be
   // unreachable.
@@ -249,6 +250,8 @@
   // Attempts that may have been executed.
   int possible_executions = 0;
   bool head_forwarded = false;
+  // The response announced that the connection is closed after it.
+  bool announced_close = false;
   // How the end of the response is marked for the caller.
   BodyFraming framing = BodyFraming::kNone;
   // When the first event was received; TimePoint{} before.
