End a drain once all callers' connections are closed

Callers saw: a request sent 2.629 s after SIGTERM got neither an answer nor a refusal; its connection was closed 213 ms later.

Cause: the drain ended 100 ms after it had counted no open request at 2.6 s, and only requests that had been read as a whole counted. A connection on which a part of one had been read was not closed as idle, so the rest arrived, was sent to an engine and was dropped with the process. The class is an end that is decided from a count at one moment while the sources of what is counted are still open.

Bytes that arrived on an idle connection before it was closed were answered also before.

The drain now ends when all callers' connections are closed, within the grace. Connections that the system has established are accepted before the listener closes. Idle ones are ended towards the caller and still read until it closes them, so that no response is lost by a reset; those that never had a request, which are about to have one, are closed at 3 s. Requests that arrive later than 3 s, when they might not be finished within the grace, are refused as not run. The delay after which an instance that isn't ready stops accepting is unchanged.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -45,8 +45,12 @@
 constexpr Duration kUnreadyDelay = std::chrono::milliseconds(2600);
 // End of the shutdown grace that is reserved for an orderly exit.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
-// Time for the last bytes to leave the process.
-constexpr Duration kFlushTime = std::chrono::milliseconds(100);
+// Requests that arrive later, on connections that are still open, may not be
+// finished within the grace; they are refused.
+constexpr Duration kLastRequestDelay = std::chrono::milliseconds(3000);
+// Time for the last bytes to leave the process after the requests that are open
+// at the end of the grace were cut off.
+constexpr Duration kFlushTime = std::chrono::milliseconds(250);
 // Minimum time between two log events on dropped lines.
 constexpr Duration kDropLogInterval = std::chrono::seconds(5);
 
@@ -294,28 +298,25 @@
   if (!this->drain_started_at) {
     return;
   }
-  if (this->flush_started_at) {
-    if (now - *this->flush_started_at >= kFlushTime) {
-      this->stopped = true;
-      this->io.stop();
-    }
+  const Duration elapsed = now - *this->drain_started_at;
+  const Duration cut_off_delay = std::max(
+      Duration{}, Duration(this->options.shutdown_grace - kShutdownMargin));
+  const bool is_over = elapsed >= cut_off_delay;
+  if (elapsed < kUnreadyDelay && !is_over) {
     return;
   }
-  const Duration elapsed = now - *this->drain_started_at;
+  this->proxy_server.StopAccepting();
+  this->context.refuses_requests = is_over || elapsed >= kLastRequestDelay;
+  this->proxy_server.CloseIdle(this->context.refuses_requests);
   const std::size_t open_requests = this->proxy_server.active_request_count();
-  const bool is_over =
-      elapsed >= this->options.shutdown_grace - kShutdownMargin;
-  if (is_over && open_requests > 0) {
+  if (is_over && open_requests > 0 && !this->requests_cut_off) {
     this->requests_cut_off = true;
     this->log.Write(LogEvent::kDrainCutOff, {{"lost", open_requests}});
   }
-  if (elapsed >= kUnreadyDelay) {
-    // Requests that arrive later could not be finished within the grace.
-    this->proxy_server.StopAccepting();
-    this->proxy_server.CloseIdle();
-  }
-  if (is_over || (open_requests == 0 && elapsed >= kUnreadyDelay)) {
-    this->flush_started_at = now;
+  if (this->proxy_server.connection_count() == 0 ||
+      elapsed >= cut_off_delay + kFlushTime) {
+    this->stopped = true;
+    this->io.stop();
   }
 }
 
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -120,7 +120,8 @@
   void ReloadOptions();
   void ScheduleTick();
   void Tick(TimePoint now);
-  // Advances a started drain; stops the event loop at its end.
+  // Advances a started drain; stops the event loop once all callers'
+  // connections are closed.
   void ContinueDrain(TimePoint now);
   // Puts the configuration in force if it is newer than the current one. `from`
   // is the source for the log: the store or an instance.
@@ -182,8 +183,6 @@
   TimePoint own_directory_read_at;
   // Set once the drain has started.
   std::optional<TimePoint> drain_started_at;
-  // Set once the drain has ended and only the last bytes are being sent.
-  std::optional<TimePoint> flush_started_at;
   // Requests were still open when the shutdown grace ended.
   bool requests_cut_off = false;
   bool stopped = false;
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -70,8 +70,14 @@
 
 void CallerConnection::OnBytesRead(std::size_t count) {
   this->last_read = std::chrono::steady_clock::now();
-  if (!this->closing) {
-    this->received.append(this->read_buffer.data(), count);
+  this->received.append(this->read_buffer.data(), count);
+  if (this->closing) {
+    // A response that announced the close allows no further request.
+    if (*this->closing != CloseCause::kResponseSent) {
+      this->ReportUnanswered(*this->closing);
+    }
+    this->received.clear();
+  } else {
     this->ParseReceived();
   }
   this->Read();
@@ -110,6 +116,7 @@
 }
 
 void CallerConnection::StartExchange() {
+  this->had_request = true;
   this->context.observer.OnRequestRead();
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
@@ -133,7 +140,7 @@
   this->reader.reset();
   // What follows belongs to the rejected request.
   this->received.clear();
-  this->CloseAfterFlush();
+  this->StartClosing(CloseCause::kResponseSent);
 }
 
 void CallerConnection::Write(std::string bytes) {
@@ -191,7 +198,7 @@
                       self->waiting_since = std::chrono::steady_clock::now();
                       self->last_read = self->waiting_since;
                       if (!keep_open) {
-                        self->CloseAfterFlush();
+                        self->StartClosing(CloseCause::kResponseSent);
                         return;
                       }
                       self->ParseReceived();
@@ -199,9 +206,9 @@
                     });
 }
 
-void CallerConnection::CloseAfterFlush() {
-  this->closing = true;
-  this->ReportUnanswered(CloseCause::kResponseSent);
+void CallerConnection::StartClosing(CloseCause cause) {
+  this->ReportUnanswered(cause);
+  this->closing = cause;
   this->received.clear();
   this->close_at = std::chrono::steady_clock::now() + kLingerTime;
   if (this->unsent_bytes() == 0) {
@@ -233,7 +240,7 @@
     const bool write_timed_out =
         now - this->last_write > this->Limits().idle_timeout;
     if (this->unsent_bytes() == 0 ? now >= *this->close_at : write_timed_out) {
-      this->Close(CloseCause::kResponseSent);
+      this->Close(*this->closing);
     }
     return;
   }
@@ -247,16 +254,23 @@
   if (now - this->last_read > limits.idle_timeout) {
     if (this->reader) {
       this->Reject(http_status::kRequestTimeout);
-    } else {
-      this->Close(CloseCause::kIdleTimeout);
+    } else if (this->IsIdle()) {
+      this->StartClosing(CloseCause::kIdleTimeout);
     }
   }
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (!this->exchange && !this->reader && this->received.empty() &&
-      this->unsent_bytes() == 0) {
-    this->Close(CloseCause::kIdleAtShutdown);
+bool CallerConnection::IsIdle() const {
+  // Bytes that have arrived may be a request.
+  error_code ignored;
+  return !this->exchange && !this->reader && !this->closing && !this->closed &&
+         this->received.empty() && this->unsent_bytes() == 0 &&
+         this->socket.available(ignored) == 0;
+}
+
+void CallerConnection::CloseIfIdle(bool unused_too) {
+  if (this->IsIdle() && (this->had_request || unused_too)) {
+    this->StartClosing(CloseCause::kIdleAtShutdown);
   }
 }
 
@@ -280,17 +294,19 @@
 
 void CallerConnection::ReportUnanswered(CloseCause cause) {
   if (cause == CloseCause::kCallerClosed ||
-      cause == CloseCause::kCallerNotReading) {
+      cause == CloseCause::kCallerNotReading || this->unanswered_reported) {
     return;
   }
   const TimePoint now = std::chrono::steady_clock::now();
   if (this->exchange && !this->exchange->has_ended()) {
+    this->unanswered_reported = true;
     this->context.observer.OnUnanswered(
         {.request_id = this->exchange->request_id(),
          .cause = cause,
          .is_whole = true,
          .age = now - this->exchange->arrived_at()});
   } else if (this->reader || !this->received.empty()) {
+    this->unanswered_reported = true;
     this->context.observer.OnUnanswered(
         {.request_id =
              this->reader && this->reader->has_head()
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -26,11 +26,12 @@
   void Start();
   // Checks timeouts; called periodically.
   void Tick(TimePoint now);
-  // Closes the connection if no request is being read or handled and no
-  // response is being sent.
-  void CloseIfIdle();
-  // Closes the connection and drops its request at once. Must not be called
-  // from within the request's own functions.
+  // Starts to close the connection if no request is being read or handled and
+  // no response is being sent. A connection that never had a request is about
+  // to have one; it is closed only if `unused_too`.
+  void CloseIfIdle(bool unused_too);
+  // Closes the connection and drops its request at once, without a response.
+  // Must not be called from within the request's own functions.
   void Terminate();
   [[nodiscard]] bool is_closed() const { return this->closed; }
   // Returns whether a request is being handled.
@@ -52,13 +53,20 @@
   void Reject(int status);
   // Starts to send `outgoing`, unless a write is pending.
   void Flush();
-  void CloseAfterFlush();
+  // Returns whether no request is being read or handled and no response is
+  // being sent.
+  [[nodiscard]] bool IsIdle() const;
+  // Closes the connection in order: ends it towards the caller once all is
+  // sent, and still reads until the caller closes it, since unread bytes would
+  // reset it.
+  void StartClosing(CloseCause cause);
   // Ends the connection towards the caller once all is sent.
   void EndSending();
   // Handles a caller that disconnected or does not read its response.
   void OnCallerLost(CloseCause cause);
   void Close(CloseCause cause);
-  // Reports the request, or the part of one, that was read and has no outcome.
+  // Reports the request, or the part of one, that was read and has no outcome;
+  // only the first call has an effect.
   void ReportUnanswered(CloseCause cause);
   [[nodiscard]] CallerLimits Limits() const;
 
@@ -75,8 +83,12 @@
   bool reading = false;
   // The exchange has ended and is about to be destroyed.
   bool finishing = false;
-  // No further request is accepted; the connection closes once all is sent.
-  bool closing = false;
+  // Why the connection is being closed: no further request is accepted. Nullopt
+  // before.
+  std::optional<CloseCause> closing;
+  // A request was read as a whole.
+  bool had_request = false;
+  bool unanswered_reported = false;
   // A closing connection is reset instead of closed in order.
   bool reset_after_flush = false;
   bool closed = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -42,6 +42,8 @@
 // Retry-After of an instance that has no configuration yet, and of services
 // that are not configured.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+// Retry-After of an instance that is shutting down, while others are ready.
+constexpr Duration kDrainingRetryAfter = std::chrono::milliseconds(100);
 // Fraction of its target that a request may wait for capacity. The rest has to
 // suffice for the time to the first event.
 constexpr double kMaxWaitFraction = 0.4;
@@ -129,6 +131,10 @@
   if (!this->ResolveRoute()) {
     return;
   }
+  if (this->context.refuses_requests) {
+    this->RejectAsNotExecuted(EndCause::kDraining, kDrainingRetryAfter);
+    return;
+  }
   this->SetSuspects();
   this->ChooseService();
   this->Place();
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -43,6 +43,9 @@
   RequestId next_request_id = 1;
   // The instance is stopping; responses ask callers to close their connections.
   bool is_draining = false;
+  // Requests that arrive are refused as not executed, since the process is
+  // about to exit.
+  bool refuses_requests = false;
   // Total size of the request bodies in memory. Once it exceeds the maximum,
   // further requests are rejected after their heads are read.
   std::size_t buffered_body_bytes = 0;
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -33,31 +33,48 @@
     return;
   }
   this->accept_pending = true;
-  this->acceptor.async_accept([this](error_code failure,
-                                     boost::asio::ip::tcp::socket socket) {
-    this->accept_pending = false;
-    if (failure) {
-      // Out of file descriptors, or the caller disconnected; the next tick
-      // accepts again.
-      return;
-    }
-    auto caller =
-        std::make_shared<CallerConnection>(std::move(socket), this->context);
-    this->callers.push_back(caller);
-    caller->Start();
-    this->Accept();
-  });
+  this->acceptor.async_accept(
+      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
+        this->accept_pending = false;
+        if (failure) {
+          // Out of file descriptors, or the caller disconnected; the next tick
+          // accepts again.
+          return;
+        }
+        this->Add(std::move(socket));
+        this->Accept();
+      });
+}
+
+void ProxyServer::Add(boost::asio::ip::tcp::socket socket) {
+  auto caller =
+      std::make_shared<CallerConnection>(std::move(socket), this->context);
+  this->callers.push_back(caller);
+  caller->Start();
 }
 
 void ProxyServer::StopAccepting() {
+  if (!this->accepting) {
+    return;
+  }
   this->accepting = false;
+  // Closing the listener resets connections that wait to be accepted.
+  error_code failure;
+  this->acceptor.non_blocking(true, failure);
+  while (!failure && this->callers.size() < this->options.max_connections) {
+    boost::asio::ip::tcp::socket socket(this->context.io);
+    this->acceptor.accept(socket, failure);
+    if (!failure) {
+      this->Add(std::move(socket));
+    }
+  }
   error_code ignored;
   this->acceptor.close(ignored);
 }
 
-void ProxyServer::CloseIdle() {
+void ProxyServer::CloseIdle(bool unused_too) {
   for (const auto& caller : this->callers) {
-    caller->CloseIfIdle();
+    caller->CloseIfIdle(unused_too);
   }
 }
 
@@ -73,6 +90,12 @@
   this->Accept();
 }
 
+std::size_t ProxyServer::connection_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->callers.begin(), this->callers.end(),
+                    [](const auto& caller) { return !caller->is_closed(); }));
+}
+
 std::size_t ProxyServer::active_request_count() const {
   return static_cast<std::size_t>(
       std::count_if(this->callers.begin(), this->callers.end(),
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -36,17 +36,17 @@
   // Binds and starts to accept. Returns an error message, or nullopt on
   // success.
   std::optional<std::string> Start();
-  // Stops accepting connections; the open ones remain.
+  // Stops accepting connections, after those that the system has established
+  // already; the open ones remain.
   void StopAccepting();
-  // Closes connections on which no request is being read or handled.
-  void CloseIdle();
+  // Starts to close connections on which no request is being read or handled;
+  // those that never had a request only if `unused_too`.
+  void CloseIdle(bool unused_too);
   // Checks timeouts and removes closed connections; called periodically.
   void Tick(TimePoint now);
 
   // The number of open connections.
-  [[nodiscard]] std::size_t connection_count() const {
-    return this->callers.size();
-  }
+  [[nodiscard]] std::size_t connection_count() const;
   // The number of requests that are being handled.
   [[nodiscard]] std::size_t active_request_count() const;
   // The port bound, which the system chose if port 0 was requested.
@@ -54,6 +54,7 @@
 
  private:
   void Accept();
+  void Add(boost::asio::ip::tcp::socket socket);
 
   ProxyServerOptions options;
   ProxyContext& context;
