End requests at the end of the shutdown grace with a true outcome

Callers saw: requests that were open half a second before the end of the grace got neither a response nor an outcome in the log; their connections were closed.

Cause: the end of the process was left to end them. Now each is ended as at its deadline: one that certainly no server executed is refused with 503 and the time to come back, one that may have run gets 502, a response that has begun is broken off, and a request that is still being read is refused. All are counted (cause draining).

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -307,11 +307,10 @@
   }
   this->proxy_server.StopAccepting();
   this->context.refuses_requests = is_over || elapsed >= kLastRequestDelay;
-  this->proxy_server.CloseIdle(this->context.refuses_requests);
-  const std::size_t open_requests = this->proxy_server.active_request_count();
-  if (is_over && open_requests > 0 && !this->requests_cut_off) {
-    this->requests_cut_off = true;
-    this->log.Write(LogEvent::kDrainCutOff, {{"lost", open_requests}});
+  if (is_over) {
+    this->CutOffRequests();
+  } else {
+    this->proxy_server.CloseIdle(this->context.refuses_requests);
   }
   if (this->proxy_server.connection_count() == 0 ||
       elapsed >= cut_off_delay + kFlushTime) {
@@ -320,6 +319,15 @@
   }
 }
 
+void Gateway::CutOffRequests() {
+  const std::size_t open_requests = this->proxy_server.active_request_count();
+  if (!this->requests_cut_off && open_requests > 0) {
+    this->requests_cut_off = true;
+    this->log.Write(LogEvent::kDrainCutOff, {{"lost", open_requests}});
+  }
+  this->proxy_server.Shutdown();
+}
+
 void Gateway::ApplyConfiguration(const SharedDocument& document,
                                  const std::string& from) {
   if (document.is_removed ||
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -123,6 +123,8 @@
   // Advances a started drain; stops the event loop once all callers'
   // connections are closed.
   void ContinueDrain(TimePoint now);
+  // Ends the requests that are open at the end of the shutdown grace.
+  void CutOffRequests();
   // Puts the configuration in force if it is newer than the current one. `from`
   // is the source for the log: the store or an instance.
   void ApplyConfiguration(const SharedDocument& document,
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -274,6 +274,16 @@
   }
 }
 
+void CallerConnection::Shutdown() {
+  if (this->exchange) {
+    this->exchange->CutOff();
+  } else if (this->reader && !this->closing) {
+    this->Reject(http_status::kUnavailable);
+  } else {
+    this->CloseIfIdle(true);
+  }
+}
+
 void CallerConnection::EndSending() {
   // Errors are ignored: the caller may have disconnected meanwhile.
   error_code ignored;
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -30,6 +30,9 @@
   // no response is being sent. A connection that never had a request is about
   // to have one; it is closed only if `unused_too`.
   void CloseIfIdle(bool unused_too);
+  // Ends the request with a true outcome and starts to close the connection,
+  // since the process is about to exit.
+  void Shutdown();
   // Closes the connection and drops its request at once, without a response.
   // Must not be called from within the request's own functions.
   void Terminate();
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -986,6 +986,20 @@
                          .reason = "silent"});
 }
 
+void Exchange::CutOff() {
+  if (this->ended) {
+    return;
+  }
+  const bool is_refused =
+      this->pending_failure && !this->pending_failure->may_have_executed;
+  if (this->choice && this->send_started && !is_refused) {
+    ++this->possible_executions;
+  }
+  this->StopWaiting(false);
+  this->EndAttempt();
+  this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
+}
+
 void Exchange::OnCallerDisconnected() {
   if (this->ended) {
     return;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -55,6 +55,9 @@
   // Called when the caller closed its connection or does not read its response.
   // Ends the request.
   void OnCallerDisconnected();
+  // Ends the request with a true outcome, since the process is about to exit:
+  // "not executed" if that is certain.
+  void CutOff();
   // Tries to place a waiting request.
   AdmitResult TryAdmit(TimePoint now);
   [[nodiscard]] bool has_ended() const { return this->ended; }
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -78,6 +78,12 @@
   }
 }
 
+void ProxyServer::Shutdown() {
+  for (const auto& caller : this->callers) {
+    caller->Shutdown();
+  }
+}
+
 void ProxyServer::Tick(TimePoint now) {
   this->callers.remove_if([](const auto& caller) {
     return caller->is_closed() && !caller->is_busy();
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -42,6 +42,9 @@
   // Starts to close connections on which no request is being read or handled;
   // those that never had a request only if `unused_too`.
   void CloseIdle(bool unused_too);
+  // Ends all requests with a true outcome and starts to close their
+  // connections.
+  void Shutdown();
   // Checks timeouts and removes closed connections; called periodically.
   void Tick(TimePoint now);
 
