Don't end a request because its server is silent

Callers saw: a repeatable request whose only server fell silent for a second, and then went on, got 502; a stream was broken off in its pause; and so was a long body of which a part had been forwarded.

Cause: after a silence, the attempt was given up first, and only then was it decided whether another one is allowed and who could take it. With no other server, no budget, or a part of a body forwarded, the request ended although its server was sound. A server that is not read since its caller does not read isn't silent.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -774,7 +774,7 @@
     ++this->not_executed_attempts;
   }
   std::string no_retry_reason;
-  const bool retry = this->MayRetry(no_retry_reason);
+  const bool retry = failure.next || this->MayRetry(no_retry_reason);
   this->context.observer.OnAttemptFailed(
       {.request_id = this->request_info.request_id,
        .attempt = this->attempts,
@@ -790,7 +790,11 @@
        .next_reason = no_retry_reason});
   if (retry) {
     this->ClearResponse();
-    this->Place();
+    if (failure.next) {
+      this->Send(*failure.next);
+    } else {
+      this->Place();
+    }
     return;
   }
   if (failure.result == SendResult::kError && this->response.status != 0 &&
@@ -957,6 +961,11 @@
 
 void Exchange::CheckSilence(TimePoint now) {
   const Route& route = *this->query.route;
+  // While the caller does not read, the server is not read either.
+  if (this->sink.unsent_bytes() > kMaxUnsentBytes) {
+    this->last_bytes_at = now;
+    return;
+  }
   if (!route.MayRepeat() || !this->send_started || this->pending_failure ||
       this->possible_executions + 1 >= route.max_attempts) {
     return;
@@ -977,13 +986,34 @@
     timeout = std::min(timeout, kSuspectedSilenceTimeout +
                                     this->choice->predicted_first_event);
   }
-  if (silence <= timeout) {
+  if (silence <= timeout ||
+      now - this->silence_checked_at < kMinSilenceTimeout) {
+    return;
+  }
+  this->silence_checked_at = now;
+  const std::optional<ServerChoice> next = this->ChooseInsteadOfSilent(now);
+  if (!next) {
     return;
   }
   this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
   this->AbandonResponse({.result = SendResult::kSilent,
                          .may_have_executed = true,
-                         .reason = "silent"});
+                         .reason = "silent",
+                         .next = next});
+}
+
+std::optional<ServerChoice> Exchange::ChooseInsteadOfSilent(TimePoint now) {
+  NoChoiceReason no_choice = NoChoiceReason::kNoServer;
+  this->query.withheld = this->context.placement_queues.WithheldOnArrival(
+      this->service_name, this->RequestUrgency());
+  this->query.tried_servers.push_back(this->choice->server.id);
+  std::optional<ServerChoice> next = this->ChooseServer(now, no_choice);
+  this->query.tried_servers.pop_back();
+  std::string no_retry_reason;
+  if (next && !this->MayRetry(no_retry_reason)) {
+    next.reset();
+  }
+  return next;
 }
 
 void Exchange::CutOff() {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -93,6 +93,9 @@
     // The server is not tried again for this request.
     bool avoid_server = true;
     std::string reason;
+    // The server of the next attempt, which the retry budget allows already;
+    // nullopt if it is still to be decided.
+    std::optional<ServerChoice> next = {};
   };
 
   // Sets the route, the customer and the deadline. If that fails, responds with
@@ -172,9 +175,13 @@
   // Records that the server's connection ended, which shows a crash if it had
   // just begun to run the request.
   void RecordConnectionEnd();
-  // Fails the current attempt if its server has been silent for too long, which
-  // causes a retry at another server or ends the request.
+  // Fails the current attempt if its server has been silent for long and
+  // another server can take the request now. A silent server may go on, so the
+  // request is never ended for its silence.
   void CheckSilence(TimePoint now);
+  // Returns the server that can take the request instead of the current one,
+  // and spends retry budget on it; nullopt if there is none.
+  std::optional<ServerChoice> ChooseInsteadOfSilent(TimePoint now);
   // Reports the outcome and completes the response; only the first call has an
   // effect.
   void End(Outcome outcome, EndCause cause, int status);
@@ -223,6 +230,8 @@
   // When bytes of the response last arrived; at first, when the attempt
   // started.
   TimePoint last_bytes_at;
+  // When another server was last sought because of a silence.
+  TimePoint silence_checked_at;
   bool first_event_received = false;
   // When it was received.
   TimePoint attempt_first_event_at;
