--- a/tests/test_drain.cc
+++ b/tests/test_drain.cc
@@ -161,6 +161,27 @@
   CHECK(draining.gateway->AwaitEnd());
 }
 
+// Guards against requests that are started too late to be finished within the
+// grace.
+TEST(Drain, RequestThatArrivesLateIsRefusedAsNotRun) {
+  DrainingGateway draining;
+  const std::string request = PlatformFixture::Request("/once/x", "r1");
+  const auto caller = draining.gateway->Connect();
+  draining.StartDrain();
+  // The whole request takes less than the time limit of its head.
+  std::this_thread::sleep_until(draining.drain_started_at + milliseconds(1500));
+  const std::size_t half = request.size() / 2;
+  caller->Send(request.substr(0, half));
+  std::this_thread::sleep_until(draining.drain_started_at + milliseconds(3200));
+  caller->Send(request.substr(half));
+  const std::string refusal = caller->ReadMessage().value_or("");
+  STRCMP_EQUAL("HTTP/1.1 503 Service Unavailable", StatusLine(refusal).c_str());
+  STRCMP_EQUAL("close", HeaderValue(refusal, "Connection").c_str());
+  CHECK(!HeaderValue(refusal, "Retry-After").empty());
+  CHECK(!draining.engines.HasReceived("r1"));
+  CHECK(draining.gateway->AwaitEnd());
+}
+
 // Guards against a kept connection that is closed as idle, at the end of a
 // drain, with a request in the kernel's receive buffer.
 TEST(Drain, RequestThatArrivedBeforeItsConnectionIsClosedIsAnswered) {
