serve: answer the requests that are open when a drain times out

Callers saw: when the time for the drain of `serve` ran out, or after a second signal, the process ended and open requests got neither a response nor an outcome.

The same cause as at the end of the grace of `gateway`: the end of the process was left to end them. The node now ends each: one that was not sent is refused (503, not run), the others get 502 with the outcome unknown, a stream its error event. The process waits up to half a second for the responses to be sent. StatusOf did not know that a request that may have run can end with cause draining.

RequestThatIsCutOffIsAnswered failed without the change (no response until the engine's own, 7 s later) and passes; test_http and test_fleet pass.

--- a/src/app/instance.cc
+++ b/src/app/instance.cc
@@ -23,6 +23,8 @@
 
 // Interval at which Drain checks for open requests.
 constexpr auto kDrainPollInterval = std::chrono::milliseconds(20);
+// Time for the responses to requests that were cut off.
+constexpr auto kCutOffTime = std::chrono::milliseconds(500);
 constexpr int kMaxOperatorConnections = 32;
 // Allowance for the header in the limit on a whole request, in bytes.
 constexpr std::size_t kMaxHeaderBytes = 1U << 16U;
@@ -188,6 +190,16 @@
   return true;
 }
 
+void Instance::CutOffRequests() {
+  this->caller_server->StartDraining();
+  this->host->Post(DrainTimedOut{});
+  const auto deadline = std::chrono::steady_clock::now() + kCutOffTime;
+  while (this->caller_server->active_count() > 0 &&
+         std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+}
+
 bool Instance::Drain(const std::function<bool()>& should_abort) {
   this->log.Write(LogEvent::kDrainStarted,
                   {{"open", this->host->open_requests()}});
@@ -204,6 +216,7 @@
   const std::size_t lost = this->host->open_requests();
   if (lost > 0) {
     this->log.Write(LogEvent::kDrainCutOff, {{"lost", lost}});
+    this->CutOffRequests();
     this->log.Flush();
     return false;
   }
--- a/src/app/instance.h
+++ b/src/app/instance.h
@@ -49,6 +49,8 @@
   bool StartServers();
   void MakeServers();
   void MakePeerService();
+  // Ends the open requests at the end of a drain, each with its outcome.
+  void CutOffRequests();
 
   Settings settings;
   // The instance's name with a random suffix, unique for each start.
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -108,6 +108,9 @@
 // the others until they end.
 struct DrainStarted {};
 
+// The time for the shutdown has run out: the node ends all requests.
+struct DrainTimedOut {};
+
 // Sent periodically, so that the node can act on timeouts.
 struct Tick {};
 
@@ -119,7 +122,7 @@
 
 using Event = std::variant<RequestArrived, CallerDisconnected, AttemptProgress,
                            AttemptEnded, LoadReported, ResourcesChanged,
-                           ClaimAnswered, DrainStarted, PeerUp, PeerDraining,
-                           PeerDown, PeerMessageReceived, Tick>;
+                           ClaimAnswered, DrainStarted, DrainTimedOut, PeerUp,
+                           PeerDraining, PeerDown, PeerMessageReceived, Tick>;
 
 }  // namespace rosemarycove
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -451,9 +451,17 @@
     return;
   }
   Request& request = found->second;
+  this->Withdraw(request);
+  this->Finish(
+      event.id, Outcome::kCancelled, EndCause::kCallerLeft,
+      request.sent ? ExecutionStatus::kUnknown : ExecutionStatus::kNotExecuted);
+}
+
+void Node::Withdraw(Request& request) {
+  const RequestId id = request.arrived.id;
   if (request.phase == Phase::kRunning) {
     this->actions.emplace_back(
-        CancelAttempt{.id = event.id, .attempt = request.attempt});
+        CancelAttempt{.id = id, .attempt = request.attempt});
     this->ReleaseSlot(request, SlotEnd::kNeutral);
     --this->running_requests;
     request.phase = Phase::kQueuedLocally;
@@ -461,14 +469,11 @@
   } else if (request.phase == Phase::kQueuedRemotely) {
     this->SendMessage(
         request.scheduler,
-        SlotRequestWithdrawn{.id = event.id,
+        SlotRequestWithdrawn{.id = id,
                              .slot_request_id = request.slot_request_id});
   } else {
-    this->local_scheduler.Remove(event.id);
+    this->local_scheduler.Remove(id);
   }
-  this->Finish(
-      event.id, Outcome::kCancelled, EndCause::kCallerLeft,
-      request.sent ? ExecutionStatus::kUnknown : ExecutionStatus::kNotExecuted);
 }
 
 void Node::On(const LoadReported& event) {
@@ -497,6 +502,21 @@
   this->RerouteAll();
 }
 
+void Node::On(const DrainTimedOut& /*event*/) {
+  while (!this->requests.empty()) {
+    const RequestId id = this->requests.begin()->first;
+    Request& request = this->requests.begin()->second;
+    this->Withdraw(request);
+    if (request.sent) {
+      this->Finish(id, Outcome::kUnknown, EndCause::kDraining,
+                   ExecutionStatus::kUnknown);
+    } else {
+      this->Finish(id, Outcome::kRefused, EndCause::kDraining,
+                   ExecutionStatus::kNotExecuted, std::chrono::seconds(1));
+    }
+  }
+}
+
 void Node::On(const Tick& /*event*/) {
   this->local_scheduler.Tick(this->now);
   for (const DroppedRequest& dropped :
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -132,6 +132,7 @@
   void On(const ResourcesChanged& event);
   void On(const ClaimAnswered& event);
   void On(const DrainStarted& event);
+  void On(const DrainTimedOut& event);
   void On(const PeerUp& event);
   void On(const PeerDraining& event);
   void On(const PeerDown& event);
@@ -170,6 +171,9 @@
   [[nodiscard]] bool IsSelf(const std::string& instance) const {
     return instance == this->assignment.self();
   }
+  // Cancels the attempt of a request that is about to end, or removes it from
+  // its queue.
+  void Withdraw(Request& request);
   // Releases the slot of a running request at its scheduler.
   void ReleaseSlot(Request& request, SlotEnd end);
   void BeginAttempt(Request& request, BackendIndex backend);
--- a/src/http/caller_api.cc
+++ b/src/http/caller_api.cc
@@ -45,6 +45,10 @@
     case EndCause::kAnswerMalformed:
     case EndCause::kWrongAnswerId:
       return http_status::kBadGateway;
+    case EndCause::kDraining:
+      return finish.execution == ExecutionStatus::kNotExecuted
+                 ? http_status::kUnavailable
+                 : http_status::kBadGateway;
     default:
       return http_status::kUnavailable;
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -39,6 +39,9 @@
   // Closes idle connections, and others after their current response.
   void StartDraining() { this->is_draining = true; }
 
+  // The number of connections that are served.
+  [[nodiscard]] int active_count() const { return this->connection_count; }
+
   // Returns the socket of the request that this thread is handling, or -1.
   static int CurrentSocket();
 
