--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -45,8 +45,12 @@
 constexpr Duration kUnreadyDelay = std::chrono::milliseconds(2600);
 // End of the shutdown grace that is reserved for an orderly exit.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
-// Time for the last bytes to leave the process.
-constexpr Duration kFlushTime = std::chrono::milliseconds(100);
+// Requests that arrive later, on connections that are still open, may not be
+// finished within the grace; they are refused.
+constexpr Duration kLastRequestDelay = std::chrono::milliseconds(3000);
+// Time for the last bytes to leave the process after the requests that are open
+// at the end of the grace were cut off.
+constexpr Duration kFlushTime = std::chrono::milliseconds(250);
 // Minimum time between two log events on dropped lines.
 constexpr Duration kDropLogInterval = std::chrono::seconds(5);
 
@@ -180,7 +184,13 @@
 
 bool Gateway::Run() {
   this->io.run();
-  this->log.Write(LogEvent::kStopped, {{"cut_off", this->requests_cut_off}});
+  this->log.Write(LogEvent::kStopped,
+                  {{"cut_off", this->requests_cut_off},
+                   {"open", this->proxy_server.active_request_count()},
+                   {"callers", this->proxy_server.connection_count()},
+                   {"read", this->request_counts().read},
+                   {"ended", this->request_counts().ended},
+                   {"unanswered", this->request_counts().unanswered}});
   return !this->requests_cut_off;
 }
 
@@ -288,29 +298,34 @@
   if (!this->drain_started_at) {
     return;
   }
-  if (this->flush_started_at) {
-    if (now - *this->flush_started_at >= kFlushTime) {
-      this->stopped = true;
-      this->io.stop();
-    }
+  const Duration elapsed = now - *this->drain_started_at;
+  const Duration cut_off_delay = std::max(
+      Duration{}, Duration(this->options.shutdown_grace - kShutdownMargin));
+  const bool is_over = elapsed >= cut_off_delay;
+  if (elapsed < kUnreadyDelay && !is_over) {
     return;
   }
-  const Duration elapsed = now - *this->drain_started_at;
+  this->proxy_server.StopAccepting();
+  this->context.refuses_requests = is_over || elapsed >= kLastRequestDelay;
+  if (is_over) {
+    this->CutOffRequests();
+  } else {
+    this->proxy_server.CloseIdle(this->context.refuses_requests);
+  }
+  if (this->proxy_server.connection_count() == 0 ||
+      elapsed >= cut_off_delay + kFlushTime) {
+    this->stopped = true;
+    this->io.stop();
+  }
+}
+
+void Gateway::CutOffRequests() {
   const std::size_t open_requests = this->proxy_server.active_request_count();
-  const bool is_over =
-      elapsed >= this->options.shutdown_grace - kShutdownMargin;
-  if (is_over && open_requests > 0) {
+  if (!this->requests_cut_off && open_requests > 0) {
     this->requests_cut_off = true;
     this->log.Write(LogEvent::kDrainCutOff, {{"lost", open_requests}});
   }
-  if (elapsed >= kUnreadyDelay) {
-    // Requests that arrive later could not be finished within the grace.
-    this->proxy_server.StopAccepting();
-    this->proxy_server.CloseIdle();
-  }
-  if (is_over || (open_requests == 0 && elapsed >= kUnreadyDelay)) {
-    this->flush_started_at = now;
-  }
+  this->proxy_server.Shutdown();
 }
 
 void Gateway::ApplyConfiguration(const SharedDocument& document,
@@ -584,6 +599,10 @@
             std::to_string(value) + "\n";
   };
   add("rosemarycove_caller_connections", this->proxy_server.connection_count());
+  add("rosemarycove_requests_read_total", this->request_counts().read);
+  add("rosemarycove_requests_ended_total", this->request_counts().ended);
+  add("rosemarycove_requests_unanswered_total",
+      this->request_counts().unanswered);
   add("rosemarycove_idle_backend_connections", this->pool.idle_count());
   add("rosemarycove_backend_servers", this->directory.servers().size());
   add("rosemarycove_quarantined_parts",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -83,6 +83,9 @@
   // finishes its open requests within the shutdown grace.
   void StartDrain();
   [[nodiscard]] bool ready() const;
+  [[nodiscard]] const RequestCounts& request_counts() const {
+    return this->observer.counts();
+  }
   [[nodiscard]] int caller_port() const { return this->proxy_server.port(); }
   [[nodiscard]] int status_port() const { return this->status_server.port(); }
   [[nodiscard]] int peer_port() const { return this->links.port(); }
@@ -117,8 +120,11 @@
   void ReloadOptions();
   void ScheduleTick();
   void Tick(TimePoint now);
-  // Advances a started drain; stops the event loop at its end.
+  // Advances a started drain; stops the event loop once all callers'
+  // connections are closed.
   void ContinueDrain(TimePoint now);
+  // Ends the requests that are open at the end of the shutdown grace.
+  void CutOffRequests();
   // Puts the configuration in force if it is newer than the current one. `from`
   // is the source for the log: the store or an instance.
   void ApplyConfiguration(const SharedDocument& document,
@@ -179,8 +185,6 @@
   TimePoint own_directory_read_at;
   // Set once the drain has started.
   std::optional<TimePoint> drain_started_at;
-  // Set once the drain has ended and only the last bytes are being sent.
-  std::optional<TimePoint> flush_started_at;
   // Requests were still open when the shutdown grace ended.
   bool requests_cut_off = false;
   bool stopped = false;
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -61,7 +61,7 @@
           return;
         }
         if (failure) {
-          self->OnCallerLost();
+          self->OnCallerLost(CloseCause::kCallerClosed);
           return;
         }
         self->OnBytesRead(count);
@@ -70,8 +70,14 @@
 
 void CallerConnection::OnBytesRead(std::size_t count) {
   this->last_read = std::chrono::steady_clock::now();
-  if (!this->closing) {
-    this->received.append(this->read_buffer.data(), count);
+  this->received.append(this->read_buffer.data(), count);
+  if (this->closing) {
+    // A response that announced the close allows no further request.
+    if (*this->closing != CloseCause::kResponseSent) {
+      this->ReportUnanswered(*this->closing);
+    }
+    this->received.clear();
+  } else {
     this->ParseReceived();
   }
   this->Read();
@@ -110,6 +116,8 @@
 }
 
 void CallerConnection::StartExchange() {
+  this->had_request = true;
+  this->context.observer.OnRequestRead();
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
@@ -130,7 +138,9 @@
                           .body = std::string(ReasonPhrase(status)) + "\n",
                           .close = true}));
   this->reader.reset();
-  this->CloseAfterFlush();
+  // What follows belongs to the rejected request.
+  this->received.clear();
+  this->StartClosing(CloseCause::kResponseSent);
 }
 
 void CallerConnection::Write(std::string bytes) {
@@ -159,7 +169,7 @@
           return;
         }
         if (failure) {
-          self->OnCallerLost();
+          self->OnCallerLost(CloseCause::kCallerClosed);
           return;
         }
         self->Flush();
@@ -188,7 +198,7 @@
                       self->waiting_since = std::chrono::steady_clock::now();
                       self->last_read = self->waiting_since;
                       if (!keep_open) {
-                        self->CloseAfterFlush();
+                        self->StartClosing(CloseCause::kResponseSent);
                         return;
                       }
                       self->ParseReceived();
@@ -196,8 +206,9 @@
                     });
 }
 
-void CallerConnection::CloseAfterFlush() {
-  this->closing = true;
+void CallerConnection::StartClosing(CloseCause cause) {
+  this->ReportUnanswered(cause);
+  this->closing = cause;
   this->received.clear();
   this->close_at = std::chrono::steady_clock::now() + kLingerTime;
   if (this->unsent_bytes() == 0) {
@@ -221,7 +232,7 @@
     }
     if (!this->sending.empty() &&
         now - this->last_write > this->Limits().idle_timeout) {
-      this->OnCallerLost();
+      this->OnCallerLost(CloseCause::kCallerNotReading);
     }
     return;
   }
@@ -229,7 +240,7 @@
     const bool write_timed_out =
         now - this->last_write > this->Limits().idle_timeout;
     if (this->unsent_bytes() == 0 ? now >= *this->close_at : write_timed_out) {
-      this->Close();
+      this->Close(*this->closing);
     }
     return;
   }
@@ -243,16 +254,33 @@
   if (now - this->last_read > limits.idle_timeout) {
     if (this->reader) {
       this->Reject(http_status::kRequestTimeout);
-    } else {
-      this->Close();
+    } else if (this->IsIdle()) {
+      this->StartClosing(CloseCause::kIdleTimeout);
     }
   }
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (!this->exchange && !this->reader && this->received.empty() &&
-      this->unsent_bytes() == 0) {
-    this->Close();
+bool CallerConnection::IsIdle() const {
+  // Bytes that have arrived may be a request.
+  error_code ignored;
+  return !this->exchange && !this->reader && !this->closing && !this->closed &&
+         this->received.empty() && this->unsent_bytes() == 0 &&
+         this->socket.available(ignored) == 0;
+}
+
+void CallerConnection::CloseIfIdle(bool unused_too) {
+  if (this->IsIdle() && (this->had_request || unused_too)) {
+    this->StartClosing(CloseCause::kIdleAtShutdown);
+  }
+}
+
+void CallerConnection::Shutdown() {
+  if (this->exchange) {
+    this->exchange->CutOff();
+  } else if (this->reader && !this->closing) {
+    this->Reject(http_status::kUnavailable);
+  } else {
+    this->CloseIfIdle(true);
   }
 }
 
@@ -261,23 +289,50 @@
   error_code ignored;
   if (this->reset_after_flush) {
     this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    this->Close();
+    this->Close(CloseCause::kResponseSent);
     return;
   }
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-void CallerConnection::OnCallerLost() {
+void CallerConnection::OnCallerLost(CloseCause cause) {
   if (this->exchange) {
     this->exchange->OnCallerDisconnected();
   }
-  this->Close();
+  this->Close(cause);
+}
+
+void CallerConnection::ReportUnanswered(CloseCause cause) {
+  if (cause == CloseCause::kCallerClosed ||
+      cause == CloseCause::kCallerNotReading || this->unanswered_reported) {
+    return;
+  }
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (this->exchange && !this->exchange->has_ended()) {
+    this->unanswered_reported = true;
+    this->context.observer.OnUnanswered(
+        {.request_id = this->exchange->request_id(),
+         .cause = cause,
+         .is_whole = true,
+         .age = now - this->exchange->arrived_at()});
+  } else if (this->reader || !this->received.empty()) {
+    this->unanswered_reported = true;
+    this->context.observer.OnUnanswered(
+        {.request_id =
+             this->reader && this->reader->has_head()
+                 ? this->context.dialect.ReadRequest(this->reader->head())
+                       .request_id
+                 : std::string(),
+         .cause = cause,
+         .age = now - this->waiting_since});
+  }
 }
 
-void CallerConnection::Close() {
+void CallerConnection::Close(CloseCause cause) {
   if (this->closed) {
     return;
   }
+  this->ReportUnanswered(cause);
   this->closed = true;
   // The descriptor is released even if close reports an error.
   error_code ignored;
@@ -292,7 +347,7 @@
 
 void CallerConnection::Terminate() {
   this->finishing = true;
-  this->Close();
+  this->Close(CloseCause::kProcessEnds);
   this->exchange.reset();
 }
 
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -42,6 +42,8 @@
 // Retry-After of an instance that has no configuration yet, and of services
 // that are not configured.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+// Retry-After of an instance that is shutting down, while others are ready.
+constexpr Duration kDrainingRetryAfter = std::chrono::milliseconds(100);
 // Fraction of its target that a request may wait for capacity. The rest has to
 // suffice for the time to the first event.
 constexpr double kMaxWaitFraction = 0.4;
@@ -129,6 +131,10 @@
   if (!this->ResolveRoute()) {
     return;
   }
+  if (this->context.refuses_requests) {
+    this->RejectAsNotExecuted(EndCause::kDraining, kDrainingRetryAfter);
+    return;
+  }
   this->SetSuspects();
   this->ChooseService();
   this->Place();
@@ -493,11 +499,14 @@
 void Exchange::ForwardHead(const ResponseHead& head, BodyFraming body_framing) {
   this->head_forwarded = true;
   this->framing = body_framing;
-  this->sink.Write(WriteResponseHead(head, body_framing, !this->CanKeepOpen()));
+  this->sink.Write(WriteResponseHead(head, body_framing, this->DecideClose()));
 }
 
-bool Exchange::CanKeepOpen() const {
-  return this->request.KeepsAlive() && !this->context.is_draining;
+bool Exchange::DecideClose() {
+  this->announced_close = !this->request.KeepsAlive() ||
+                          this->context.is_draining ||
+                          this->framing == BodyFraming::kUntilClose;
+  return this->announced_close;
 }
 
 void Exchange::RecordFirstEvent() {
@@ -765,7 +774,7 @@
     ++this->not_executed_attempts;
   }
   std::string no_retry_reason;
-  const bool retry = this->MayRetry(no_retry_reason);
+  const bool retry = failure.next || this->MayRetry(no_retry_reason);
   this->context.observer.OnAttemptFailed(
       {.request_id = this->request_info.request_id,
        .attempt = this->attempts,
@@ -781,7 +790,11 @@
        .next_reason = no_retry_reason});
   if (retry) {
     this->ClearResponse();
-    this->Place();
+    if (failure.next) {
+      this->Send(*failure.next);
+    } else {
+      this->Place();
+    }
     return;
   }
   if (failure.result == SendResult::kError && this->response.status != 0 &&
@@ -881,7 +894,7 @@
       WriteLocalResponse({.status = status,
                           .retry_after = retry_after,
                           .body = std::string(ToString(cause)) + "\n",
-                          .close = !this->CanKeepOpen(),
+                          .close = this->DecideClose(),
                           .head_only = this->request.method == "HEAD"}));
   this->End(
       this->possible_executions > 0 ? Outcome::kUnknown : Outcome::kRefused,
@@ -948,6 +961,11 @@
 
 void Exchange::CheckSilence(TimePoint now) {
   const Route& route = *this->query.route;
+  // While the caller does not read, the server is not read either.
+  if (this->sink.unsent_bytes() > kMaxUnsentBytes) {
+    this->last_bytes_at = now;
+    return;
+  }
   if (!route.MayRepeat() || !this->send_started || this->pending_failure ||
       this->possible_executions + 1 >= route.max_attempts) {
     return;
@@ -968,13 +986,48 @@
     timeout = std::min(timeout, kSuspectedSilenceTimeout +
                                     this->choice->predicted_first_event);
   }
-  if (silence <= timeout) {
+  if (silence <= timeout ||
+      now - this->silence_checked_at < kMinSilenceTimeout) {
+    return;
+  }
+  this->silence_checked_at = now;
+  const std::optional<ServerChoice> next = this->ChooseInsteadOfSilent(now);
+  if (!next) {
     return;
   }
   this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
   this->AbandonResponse({.result = SendResult::kSilent,
                          .may_have_executed = true,
-                         .reason = "silent"});
+                         .reason = "silent",
+                         .next = next});
+}
+
+std::optional<ServerChoice> Exchange::ChooseInsteadOfSilent(TimePoint now) {
+  NoChoiceReason no_choice = NoChoiceReason::kNoServer;
+  this->query.withheld = this->context.placement_queues.WithheldOnArrival(
+      this->service_name, this->RequestUrgency());
+  this->query.tried_servers.push_back(this->choice->server.id);
+  std::optional<ServerChoice> next = this->ChooseServer(now, no_choice);
+  this->query.tried_servers.pop_back();
+  std::string no_retry_reason;
+  if (next && !this->MayRetry(no_retry_reason)) {
+    next.reset();
+  }
+  return next;
+}
+
+void Exchange::CutOff() {
+  if (this->ended) {
+    return;
+  }
+  const bool is_refused =
+      this->pending_failure && !this->pending_failure->may_have_executed;
+  if (this->choice && this->send_started && !is_refused) {
+    ++this->possible_executions;
+  }
+  this->StopWaiting(false);
+  this->EndAttempt();
+  this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
 }
 
 void Exchange::OnCallerDisconnected() {
@@ -1037,8 +1090,7 @@
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
   if (outcome != Outcome::kCancelled) {
-    this->sink.Finish(this->CanKeepOpen() &&
-                      this->framing != BodyFraming::kUntilClose);
+    this->sink.Finish(!this->announced_close);
   }
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -55,8 +55,16 @@
   // Called when the caller closed its connection or does not read its response.
   // Ends the request.
   void OnCallerDisconnected();
+  // Ends the request with a true outcome, since the process is about to exit:
+  // "not executed" if that is certain.
+  void CutOff();
   // Tries to place a waiting request.
   AdmitResult TryAdmit(TimePoint now);
+  [[nodiscard]] bool has_ended() const { return this->ended; }
+  [[nodiscard]] const std::string& request_id() const {
+    return this->request_info.request_id;
+  }
+  [[nodiscard]] TimePoint arrived_at() const { return this->arrival; }
   // Called when written bytes were sent to the caller. Resumes reading from the
   // server if it was paused and little enough remains to be sent.
   void OnOutputSent();
@@ -85,6 +93,9 @@
     // The server is not tried again for this request.
     bool avoid_server = true;
     std::string reason;
+    // The server of the next attempt, which the retry budget allows already;
+    // nullopt if it is still to be decided.
+    std::optional<ServerChoice> next = {};
   };
 
   // Sets the route, the customer and the deadline. If that fails, responds with
@@ -164,14 +175,19 @@
   // Records that the server's connection ended, which shows a crash if it had
   // just begun to run the request.
   void RecordConnectionEnd();
-  // Fails the current attempt if its server has been silent for too long, which
-  // causes a retry at another server or ends the request.
+  // Fails the current attempt if its server has been silent for long and
+  // another server can take the request now. A silent server may go on, so the
+  // request is never ended for its silence.
   void CheckSilence(TimePoint now);
+  // Returns the server that can take the request instead of the current one,
+  // and spends retry budget on it; nullopt if there is none.
+  std::optional<ServerChoice> ChooseInsteadOfSilent(TimePoint now);
   // Reports the outcome and completes the response; only the first call has an
   // effect.
   void End(Outcome outcome, EndCause cause, int status);
-  // Returns whether the caller's connection may be used for another request.
-  [[nodiscard]] bool CanKeepOpen() const;
+  // Decides whether the caller's connection may be used for another request,
+  // as the head of the response announces it. Returns whether it is closed.
+  bool DecideClose();
   [[nodiscard]] Duration Remaining(TimePoint now) const;
   // Returns whether the data centre of the attempt's server appears to be
   // unreachable.
@@ -214,6 +230,8 @@
   // When bytes of the response last arrived; at first, when the attempt
   // started.
   TimePoint last_bytes_at;
+  // When another server was last sought because of a silence.
+  TimePoint silence_checked_at;
   bool first_event_received = false;
   // When it was received.
   TimePoint attempt_first_event_at;
@@ -244,6 +262,8 @@
   // Attempts that may have been executed.
   int possible_executions = 0;
   bool head_forwarded = false;
+  // The response announced that the connection is closed after it.
+  bool announced_close = false;
   // How the end of the response is marked for the caller.
   BodyFraming framing = BodyFraming::kNone;
   // When the first event was received; TimePoint{} before.
