Leave the bytes of an idle server connection in its socket

A server that wrote an earlier refusal right after an answer had it read as the answer to the next request: its caller was told "not run" while the server ran it, or the request was sent to a second server.

Cause: while a connection was idle, a read was under way that took bytes from the socket at once and handled them later. IsReusable looks for unread bytes in the socket, so in between it found none and handed the connection out. Class of fault: a check that looks where the thing has just been moved from.

An idle connection is now only watched for becoming readable. Its bytes stay in the socket until IsReusable or the watch sees them, and both close the connection.

BytesThatWereReadMeanwhileMakeAConnectionUnusable failed before ("!is_reusable") and passes now; it blocks the event loop until the late bytes have arrived, so the order is the same each time. Ruled out, by tests that passed before: late refusals while the connection is idle, in one segment with the answer, with the id of an earlier request, and a plain 503, 429 or 408 without the field for "not run".

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -130,6 +130,10 @@
   if (this->reading || this->paused || this->closed) {
     return;
   }
+  if (this->listener == nullptr) {
+    this->WatchIdle();
+    return;
+  }
   this->reading = true;
   this->read_buffer.resize(kReadBufferBytes);
   this->socket.async_read_some(
@@ -143,10 +147,6 @@
           self->OnBytesRead(count);
           return;
         }
-        if (self->listener == nullptr) {
-          self->Close();
-          return;
-        }
         const bool clean = failure == boost::asio::error::eof;
         if (clean && self->head_reported && !self->skipping &&
             self->reader->FeedEof() == ResponseReader::Progress::kComplete) {
@@ -158,6 +158,24 @@
       });
 }
 
+void BackendConnection::WatchIdle() {
+  // Bytes stay in the socket's buffer, where IsReusable finds them.
+  this->reading = true;
+  this->socket.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = this->shared_from_this()](error_code /*failure*/) {
+        self->reading = false;
+        if (self->closed) {
+          return;
+        }
+        if (self->listener == nullptr && !self->IsReusable()) {
+          self->Close();
+          return;
+        }
+        self->Read();
+      });
+}
+
 FailureKind BackendConnection::FailureKindOf(error_code failure) const {
   if (this->written == 0 && !this->head_reported) {
     return FailureKind::kNotSent;
@@ -173,11 +191,6 @@
 
 void BackendConnection::OnBytesRead(std::size_t count) {
   this->received.append(this->read_buffer.data(), count);
-  if (this->listener == nullptr) {
-    // Bytes after a complete response belong to no request.
-    this->Close();
-    return;
-  }
   this->ProcessReceived();
   if (!this->closed) {
     this->Read();
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -84,6 +84,9 @@
   void Connect();
   void Write();
   void Read();
+  // Closes the connection if bytes arrive, or it ends, while no request is
+  // under way: such bytes belong to no request.
+  void WatchIdle();
   void OnBytesRead(std::size_t count);
   void ProcessReceived();
   void FinishResponse();
--- /dev/null
+++ b/tests/test_late_refusals.cc
@@ -0,0 +1,246 @@
+// Tests of refusals and other responses that a backend server writes at the
+// wrong time: a refusal counts only if it is certainly of the request.
+#include <fmt/format.h>
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <future>
+
+#include "proxy/backend_connection.h"
+#include "proxy/endpoint.h"
+#include "tests/gateway_fixture.h"
+
+// Included last, since CppUTest defines macros that break standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace rosemarycove;            // NOLINT
+using namespace rosemarycove::platform;  // NOLINT
+
+namespace {
+
+// The refusals that servers write: a status line and fields.
+struct RefusalKind {
+  std::string status;
+  std::string fields;
+};
+
+const std::string kNotExecuted = "Rosemarycove-Not-Executed: 1\r\n";
+const std::vector<RefusalKind> kRefusalKinds = {
+    {"503 Full", kNotExecuted + "Retry-After: 0.1\r\n"},
+    {"429 Limit", kNotExecuted},
+    {"421 Misdirected", ""},
+    {"400 No Id", kNotExecuted},
+    {"408 Late", kNotExecuted}};
+
+// Returns a refusal; without an id if `id` is empty.
+std::string Refusal(const RefusalKind& kind, const std::string& id) {
+  const std::string id_field =
+      id.empty() ? "" : "Rosemarycove-Request-Id: " + id + "\r\n";
+  return fmt::format("HTTP/1.1 {}\r\n{}{}Content-Length: 4\r\n\r\nfull",
+                     kind.status, id_field, kind.fields);
+}
+
+std::string IdOf(const std::string& request) {
+  return HeaderValue(request, "Rosemarycove-Request-Id");
+}
+
+using ExtraBytes = std::function<std::string(
+    const std::string& request, const std::string& earlier_request)>;
+
+// Answers the requests of a connection. `extra` returns the bytes that are
+// written before the answer to each request but the first.
+RawServer::Handler RespondAfter(ExtraBytes extra) {
+  return [extra = std::move(extra)](RawConnection& connection) {
+    std::string earlier;
+    while (const auto request = connection.ReadMessage()) {
+      if (!earlier.empty()) {
+        connection.Send(extra(*request, earlier));
+      }
+      connection.Send(EngineResponse(*request, "own"));
+      earlier = *request;
+    }
+  };
+}
+
+// Sends requests with these ids one after the other to a server that writes
+// extra bytes before each answer but the first on a connection. Checks that all
+// get their own answer, over this many connections.
+void CheckOwnAnswers(const ExtraBytes& extra,
+                     const std::vector<std::string>& requests,
+                     int connections) {
+  PlatformFixture platform(RespondAfter(extra));
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  for (const std::string& request : requests) {
+    CHECK(gateway.SendRequest(request).ends_with("\r\n\r\nown"));
+  }
+  CHECK_EQUAL(connections, platform.engine.connection_count());
+}
+
+const std::vector<std::string> kThreeRequests = {
+    PlatformFixture::Request("/once/x", "r1"),
+    PlatformFixture::Request("/once/x", "r2"),
+    PlatformFixture::Request("/once/x", "r3")};
+
+}  // namespace
+
+TEST_GROUP(LateRefusals){};
+
+TEST(LateRefusals, RefusalOfAnEarlierRequestIsSkipped) {
+  for (const RefusalKind& kind : kRefusalKinds) {
+    CheckOwnAnswers(
+        [&](const std::string&, const std::string& earlier) {
+          return Refusal(kind, IdOf(earlier)) + Refusal(kind, IdOf(earlier));
+        },
+        kThreeRequests, 2);
+  }
+}
+
+// A server that refuses the first request of a connection without its id is
+// believed: no earlier response can exist.
+TEST(LateRefusals, RefusalWithoutIdOnANewConnectionIsBelieved) {
+  for (const RefusalKind& kind : kRefusalKinds) {
+    PlatformFixture platform([&](RawConnection& connection) {
+      if (connection.ReadMessage()) {
+        connection.Send(Refusal(kind, ""));
+        connection.ReadToEnd();
+      }
+    });
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    CHECK(gateway.SendRequest(PlatformFixture::Request("/once/x", "r1"))
+              .starts_with("HTTP/1.1 503"));
+  }
+}
+
+// Refusals without the field that states them promise nothing.
+TEST(LateRefusals, StatusAloneDoesNotMeanThatTheRequestDidNotRun) {
+  for (const char* status : {"503 Full", "429 Limit", "408 Late"}) {
+    PlatformFixture platform([&](RawConnection& connection) {
+      while (const auto request = connection.ReadMessage()) {
+        connection.Send(EngineResponse(*request, "", status));
+      }
+    });
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    CHECK(gateway.SendRequest(PlatformFixture::Request("/once/x", "r1"))
+              .starts_with("HTTP/1.1 502"));
+  }
+}
+
+TEST(LateRefusals, RefusalInOneSegmentWithAnAnswerClosesTheConnection) {
+  PlatformFixture platform([](RawConnection& connection) {
+    while (const auto request = connection.ReadMessage()) {
+      connection.Send(EngineResponse(*request, "own") +
+                      Refusal(kRefusalKinds.front(), ""));
+    }
+  });
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  for (const std::string& request : kThreeRequests) {
+    CHECK(gateway.SendRequest(request).ends_with("\r\n\r\nown"));
+  }
+  CHECK_EQUAL(3, platform.engine.connection_count());
+}
+
+// The server writes a refusal, or half of it, while the connection is idle.
+TEST(LateRefusals, RefusalOnAnIdleConnectionClosesIt) {
+  const std::string refusal = Refusal(kRefusalKinds.front(), "");
+  for (const std::size_t size : {refusal.size(), refusal.size() / 2}) {
+    std::promise<void> is_idle;
+    std::promise<void> refusal_sent;
+    std::atomic<int> connections = 0;
+    PlatformFixture platform([&](RawConnection& connection) {
+      const bool is_first = ++connections == 1;
+      while (const auto request = connection.ReadMessage()) {
+        connection.Send(EngineResponse(*request, "own"));
+        if (is_first) {
+          is_idle.get_future().wait();
+          connection.Send(refusal.substr(0, size));
+          refusal_sent.set_value();
+          connection.ReadToEnd();
+        }
+      }
+    });
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    CHECK(gateway.SendRequest(kThreeRequests[0]).ends_with("\r\n\r\nown"));
+    is_idle.set_value();
+    refusal_sent.get_future().wait();
+    CHECK(gateway.SendRequest(kThreeRequests[1]).ends_with("\r\n\r\nown"));
+    CHECK_EQUAL(2, connections.load());
+  }
+}
+
+namespace {
+
+// Records the last response on a connection.
+class ResponseRecorder : public ResponseListener {
+ public:
+  explicit ResponseRecorder(BackendConnection& connection)
+      : connection(connection) {}
+
+  void OnSendStarted() override {}
+  HeadDecision OnHead(const ResponseHead& head) override {
+    this->status = head.status;
+    return HeadDecision::kAccept;
+  }
+  void OnBody(std::string /*bytes*/) override {
+    if (this->pauses) {
+      this->connection.PauseReading();
+    }
+  }
+  void OnComplete() override {
+    ++this->complete_responses;
+    if (this->on_complete) {
+      this->on_complete();
+    }
+  }
+  void OnFailed(FailureKind /*kind*/, const std::string& /*reason*/) override {}
+
+  bool pauses = false;
+  int status = 0;
+  int complete_responses = 0;
+  std::function<void()> on_complete;
+
+ private:
+  BackendConnection& connection;
+};
+
+const std::string kRawRequest =
+    "POST /x HTTP/1.1\r\nHost: site.example\r\n"
+    "Rosemarycove-Request-Id: r1\r\nContent-Length: 0\r\n\r\n";
+
+}  // namespace
+
+// Guards against bytes that arrive right after an answer being read as the
+// answer to the next request: they were taken from the socket, where
+// IsReusable looks for them, before the connection was handed out.
+TEST(LateRefusals, BytesThatWereReadMeanwhileMakeAConnectionUnusable) {
+  std::promise<void> answer_received;
+  std::promise<void> refusal_sent;
+  const RawServer server([&](RawConnection& connection) {
+    connection.Send(EngineResponse(connection.ReadMessage().value_or(""), "x"));
+    answer_received.get_future().wait();
+    connection.Send(Refusal(kRefusalKinds.front(), ""));
+    refusal_sent.set_value();
+    connection.ReadToEnd();
+  });
+  boost::asio::io_context io;
+  const auto connection = std::make_shared<BackendConnection>(
+      io, *ParseTcpEndpoint(server.address()));
+  ResponseRecorder recorder(*connection);
+  bool is_reusable = true;
+  recorder.on_complete = [&] {
+    answer_received.set_value();
+    refusal_sent.get_future().wait();
+    boost::asio::post(io, [&] {
+      is_reusable = connection->IsReusable();
+      connection->Abort();
+    });
+  };
+  connection->Send(kRawRequest, false, recorder);
+  io.run_for(std::chrono::seconds(5));
+  CHECK_EQUAL(1, recorder.complete_responses);
+  CHECK(!is_reusable);
+}
