End the pause of a server connection with its response

A request on a kept connection to a server waited for its deadline although the server had answered it.

Cause: reading from a server pauses while a slow caller has too much unsent. If the rest of that response had been read already, the connection went back to the pool paused, and nobody resumed it: the next answer was never read, and bytes that came meanwhile were not noticed by the watch of idle connections.

PauseEndsWithTheResponse failed before (one of two responses) and passes now.

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -251,6 +251,7 @@
 
 void BackendConnection::FinishResponse() {
   ResponseListener* receiver = std::exchange(this->listener, nullptr);
+  this->paused = false;
   const bool keep_open =
       this->reader->head().KeepsAlive() && !this->must_close &&
       this->written == this->request.size() && this->received.empty();
--- a/tests/test_late_refusals.cc
+++ b/tests/test_late_refusals.cc
@@ -244,3 +244,30 @@
   CHECK_EQUAL(1, recorder.complete_responses);
   CHECK(!is_reusable);
 }
+
+// Guards against a connection being kept for other requests whose reading was
+// paused for a slow caller: their answers were never read.
+TEST(LateRefusals, PauseEndsWithTheResponse) {
+  const RawServer server([&](RawConnection& connection) {
+    while (const auto request = connection.ReadMessage()) {
+      connection.Send(EngineResponse(*request, "x"));
+    }
+  });
+  boost::asio::io_context io;
+  const auto connection = std::make_shared<BackendConnection>(
+      io, *ParseTcpEndpoint(server.address()));
+  ResponseRecorder recorder(*connection);
+  recorder.pauses = true;
+  recorder.on_complete = [&] {
+    if (recorder.complete_responses > 1) {
+      connection->Abort();
+      return;
+    }
+    boost::asio::post(io,
+                      [&] { connection->Send(kRawRequest, false, recorder); });
+  };
+  connection->Send(kRawRequest, false, recorder);
+  io.run_for(std::chrono::seconds(2));
+  CHECK_EQUAL(2, recorder.complete_responses);
+  connection->Abort();
+}
