Send requests with the same id, or with none, on separate connections

When a caller used an id again, or none, a server that wrote the refusal of the first request before its answer to the second one had it believed: "not run" for a request that ran.

Cause: on a connection, responses are told apart by the request's id alone, which two requests may share: callers are told to choose a new id for each attempt, but nothing holds them to it. Class of fault: a key that others choose is taken for unique.

A connection remembers hashes of the ids that it served and takes no request with one of them; the pool then uses another one. A request without an id gets a new connection, where the first response can only be its own. A connection is closed after 500 requests, which bounds the list.

RequestsWithTheSameIdDoNotShareAConnection and RequestWithoutIdGetsANewConnection failed before and pass now.

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -2,8 +2,10 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 #include "proxy/socket_options.h"
@@ -21,6 +23,9 @@
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
 // A response to another request with a larger body counts as endless.
 constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20U;
+// A connection is closed after this many requests, which limits the number of
+// ids that it remembers.
+constexpr std::size_t kMaxRequests = 500;
 // Idle timeout of a connection when the server does not send one.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
 // Subtracted from the server's idle timeout, so that the server does not close
@@ -254,7 +259,8 @@
   this->paused = false;
   const bool keep_open =
       this->reader->head().KeepsAlive() && !this->must_close &&
-      this->written == this->request.size() && this->received.empty();
+      this->written == this->request.size() && this->received.empty() &&
+      this->request_id_hashes.size() < kMaxRequests;
   this->idle_limit = IdleTimeoutOf(this->reader->head());
   this->idle_start = std::chrono::steady_clock::now();
   if (!keep_open) {
@@ -263,6 +269,16 @@
   receiver->OnComplete();
 }
 
+bool BackendConnection::ReserveFor(const std::string& request_id) {
+  const std::size_t hash = std::hash<std::string>()(request_id);
+  if (std::find(this->request_id_hashes.begin(), this->request_id_hashes.end(),
+                hash) != this->request_id_hashes.end()) {
+    return false;
+  }
+  this->request_id_hashes.push_back(hash);
+  return true;
+}
+
 bool BackendConnection::IsReusable() const {
   if (!this->connected || this->closed || this->listener != nullptr ||
       !this->received.empty()) {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/types.h"
 #include "proxy/http_reader.h"
@@ -72,6 +73,9 @@
   // another request.
   [[nodiscard]] bool IsReusable() const;
   [[nodiscard]] bool is_closed() const { return this->closed; }
+  // Records the id of the next request. Returns false if an earlier one had the
+  // same id, since their responses could not be told apart.
+  [[nodiscard]] bool ReserveFor(const std::string& request_id);
   // Returns how long it took to connect.
   [[nodiscard]] Duration connect_time() const { return this->connect_duration; }
   // Returns when the last response ended.
@@ -120,6 +124,8 @@
   bool closed = false;
   // The connection can't be reused after the current response.
   bool must_close = false;
+  // Hashes of the ids of all requests.
+  std::vector<std::size_t> request_id_hashes;
   TimePoint connect_started_at;
   Duration connect_duration{};
   TimePoint idle_start;
--- a/src/proxy/connection_pool.cc
+++ b/src/proxy/connection_pool.cc
@@ -15,25 +15,31 @@
 }  // namespace
 
 std::optional<PooledConnection> ConnectionPool::Acquire(
-    const RegisteredServer& server, TimePoint now) {
+    const RegisteredServer& server, const std::string& request_id,
+    TimePoint now) {
   std::vector<std::shared_ptr<BackendConnection>>& idle =
       this->idle_by_server[server.id];
-  while (!idle.empty()) {
-    std::shared_ptr<BackendConnection> connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->IsReusable() &&
-        now - connection->idle_since() < connection->idle_timeout()) {
+  auto candidate = request_id.empty() ? idle.begin() : idle.end();
+  while (candidate != idle.begin()) {
+    --candidate;
+    if (!(*candidate)->IsReusable() ||
+        now - (*candidate)->idle_since() >= (*candidate)->idle_timeout()) {
+      (*candidate)->Abort();
+      candidate = idle.erase(candidate);
+    } else if ((*candidate)->ReserveFor(request_id)) {
+      std::shared_ptr<BackendConnection> connection = std::move(*candidate);
+      idle.erase(candidate);
       return PooledConnection{.connection = std::move(connection),
                               .reused = true};
     }
-    connection->Abort();
   }
   const auto endpoint = ParseTcpEndpoint(server.address);
   if (!endpoint) {
     return std::nullopt;
   }
-  return PooledConnection{
-      .connection = std::make_shared<BackendConnection>(this->io, *endpoint)};
+  auto connection = std::make_shared<BackendConnection>(this->io, *endpoint);
+  static_cast<void>(connection->ReserveFor(request_id));
+  return PooledConnection{.connection = std::move(connection)};
 }
 
 void ConnectionPool::Release(const RegisteredServer& server,
--- a/src/proxy/connection_pool.h
+++ b/src/proxy/connection_pool.h
@@ -25,9 +25,13 @@
  public:
   explicit ConnectionPool(boost::asio::io_context& io) : io(io) {}
 
-  // Returns the most recently used idle connection, or a new one that is not
-  // connected yet; nullopt if the server's address is invalid.
+  // Returns a connection for a request with this id: the most recently used
+  // idle one that served no request with the same id, or a new one that is not
+  // connected yet. A request without an id gets a new one, on which a response
+  // without an id can only be its own. Returns nullopt if the server's address
+  // is invalid.
   std::optional<PooledConnection> Acquire(const RegisteredServer& server,
+                                          const std::string& request_id,
                                           TimePoint now);
   // Returns a connection to the pool after a complete response. Closes it if
   // the pool already holds the maximum of idle connections to the server.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -355,8 +355,8 @@
 
 void Exchange::Send(const ServerChoice& chosen) {
   const TimePoint now = std::chrono::steady_clock::now();
-  std::optional<PooledConnection> acquired =
-      this->context.pool.Acquire(chosen.server, now);
+  std::optional<PooledConnection> acquired = this->context.pool.Acquire(
+      chosen.server, this->request_info.request_id, now);
   if (!acquired) {
     this->query.tried_servers.push_back(chosen.server.id);
     this->Place();
--- a/tests/test_late_refusals.cc
+++ b/tests/test_late_refusals.cc
@@ -128,6 +128,32 @@
   }
 }
 
+// Guards against a refusal that the same caller's id names, but that was the
+// answer to an earlier request, being believed.
+TEST(LateRefusals, RequestsWithTheSameIdDoNotShareAConnection) {
+  for (const RefusalKind& kind : kRefusalKinds) {
+    const std::string request = PlatformFixture::Request("/once/x", "r1");
+    CheckOwnAnswers(
+        [&](const std::string&, const std::string& earlier) {
+          return Refusal(kind, IdOf(earlier));
+        },
+        {request, request, request}, 3);
+  }
+}
+
+// Guards against a refusal of an earlier request being believed, and against
+// the answer being waited for in vain, if neither has an id.
+TEST(LateRefusals, RequestWithoutIdGetsANewConnection) {
+  const std::string request =
+      "POST /once/x HTTP/1.1\r\nHost: site.example\r\n"
+      "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+  CheckOwnAnswers(
+      [](const std::string&, const std::string&) {
+        return Refusal(kRefusalKinds.front(), "");
+      },
+      {request, request, request}, 3);
+}
+
 TEST(LateRefusals, RefusalInOneSegmentWithAnAnswerClosesTheConnection) {
   PlatformFixture platform([](RawConnection& connection) {
     while (const auto request = connection.ReadMessage()) {
