Take no response without an id as the answer on a kept connection

A server at fault wrote an earlier refusal, without an id, before the answer to the next request on a kept connection. Its caller got 503, "not run, try again", for a request that the server ran; a request that may run once could be sent to a second server. An earlier success without an id was passed on in the same way.

Cause: a response without an id counted as that of the request under way. On a new connection this is certain, on a kept one it isn't. Class of fault: absence of a mark is taken for the right mark.

Such a response is now skipped on a connection that brought a response before, as one with the id of another request was already: the own answer is waited for, and the connection is closed after it. Without one, the request may have run. Alike, the load and the rate limit that it names are not used.

The four tests added here failed before and pass now. Weighed: a refusal that a sound server writes without an id on a kept connection now costs its request.

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -241,6 +241,7 @@
     if (progress == ResponseReader::Progress::kNeedMore) {
       return;
     }
+    this->response_received = true;
     if (this->skipping) {
       this->skipping = false;
       this->reader = std::make_unique<ResponseReader>(this->is_head_request);
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -76,6 +76,11 @@
   // Records the id of the next request. Returns false if an earlier one had the
   // same id, since their responses could not be told apart.
   [[nodiscard]] bool ReserveFor(const std::string& request_id);
+  // Returns whether a complete response was received on this connection, also
+  // if it belonged to none of its requests.
+  [[nodiscard]] bool has_received_response() const {
+    return this->response_received;
+  }
   // Returns how long it took to connect.
   [[nodiscard]] Duration connect_time() const { return this->connect_duration; }
   // Returns when the last response ended.
@@ -116,6 +121,9 @@
   bool skipping = false;
   // Body bytes of such responses that were dropped.
   std::size_t skipped_bytes = 0;
+  // A response was received, be it to the current request, an earlier one or
+  // none.
+  bool response_received = false;
   bool connected = false;
   bool connecting = false;
   bool writing = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -416,10 +416,17 @@
   ++this->sent_attempts;
 }
 
+bool Exchange::IsOwnResponse(const ResponseInfo& response_info) const {
+  // On a kept connection, a response without an id may belong to an earlier
+  // request: servers at fault write responses more than once.
+  return response_info.request_id.empty()
+             ? !this->connection->has_received_response()
+             : response_info.request_id == this->request_info.request_id;
+}
+
 HeadDecision Exchange::OnHead(const ResponseHead& head) {
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
-  if (!response_info.request_id.empty() &&
-      response_info.request_id != this->request_info.request_id) {
+  if (!this->IsOwnResponse(response_info)) {
     return HeadDecision::kSkip;
   }
   const TimePoint now = std::chrono::steady_clock::now();
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -144,6 +144,9 @@
   // Responds that the request was not executed. Retry-After is `min_delay` plus
   // jitter.
   void RejectAsNotExecuted(EndCause cause, Duration min_delay);
+  // Returns whether the response being received is certainly to the current
+  // attempt.
+  [[nodiscard]] bool IsOwnResponse(const ResponseInfo& response_info) const;
   void ForwardHead(const ResponseHead& head, BodyFraming framing);
   // Forwards `buffered`. Pauses reading from the server if too many bytes wait
   // to be sent to the caller.
--- a/tests/test_late_refusals.cc
+++ b/tests/test_late_refusals.cc
@@ -86,6 +86,28 @@
 
 TEST_GROUP(LateRefusals){};
 
+// Guards against a refusal without an id, written before the answer on a kept
+// connection, being taken for the answer to a request that ran.
+TEST(LateRefusals, RefusalWithoutIdOnAKeptConnectionIsNotOfTheRequest) {
+  for (const RefusalKind& kind : kRefusalKinds) {
+    CheckOwnAnswers([&](const std::string&,
+                        const std::string&) { return Refusal(kind, ""); },
+                    kThreeRequests, 2);
+  }
+}
+
+// Guards against an answer without an id that belongs to an earlier request
+// being passed to the caller.
+TEST(LateRefusals, AnswerWithoutIdOnAKeptConnectionIsNotOfTheRequest) {
+  CheckOwnAnswers(
+      [](const std::string&, const std::string&) {
+        return std::string(
+            "HTTP/1.1 200 OK\r\nRosemarycove-Server-Seal: seal\r\n"
+            "Content-Length: 5\r\n\r\nother");
+      },
+      kThreeRequests, 2);
+}
+
 TEST(LateRefusals, RefusalOfAnEarlierRequestIsSkipped) {
   for (const RefusalKind& kind : kRefusalKinds) {
     CheckOwnAnswers(
@@ -113,6 +135,41 @@
   }
 }
 
+// Of a new connection's responses, only the first one is certainly to its
+// request if it has no id.
+TEST(LateRefusals, RefusalWithoutIdAfterASkippedResponseIsNotBelieved) {
+  PlatformFixture platform([](RawConnection& connection) {
+    if (const auto request = connection.ReadMessage()) {
+      connection.Send(Refusal(kRefusalKinds.front(), "another") +
+                      Refusal(kRefusalKinds.front(), "") +
+                      EngineResponse(*request, "own"));
+      connection.ReadToEnd();
+    }
+  });
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  CHECK(gateway.SendRequest(PlatformFixture::Request("/once/x", "r1"))
+            .ends_with("\r\n\r\nown"));
+}
+
+// What a server writes instead of an answer leaves open whether the request
+// ran.
+TEST(LateRefusals, RefusalWithoutIdInsteadOfAnAnswerMayMeanThatItRan) {
+  PlatformFixture platform([](RawConnection& connection) {
+    const auto first = connection.ReadMessage();
+    connection.Send(EngineResponse(first.value_or(""), "own"));
+    if (connection.ReadMessage()) {
+      connection.Send(Refusal(kRefusalKinds.front(), ""));
+    }
+  });
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  CHECK(gateway.SendRequest(PlatformFixture::Request("/once/x", "r1"))
+            .ends_with("\r\n\r\nown"));
+  CHECK(gateway.SendRequest(PlatformFixture::Request("/once/x", "r2"))
+            .starts_with("HTTP/1.1 502"));
+}
+
 // Refusals without the field that states them promise nothing.
 TEST(LateRefusals, StatusAloneDoesNotMeanThatTheRequestDidNotRun) {
   for (const char* status : {"503 Full", "429 Limit", "408 Late"}) {
