Never answer or pass on bytes between a caller's requests

A caller that sent more body than it had stated got a second answer on its kept connection (408 after three seconds, or 400), which it could take for that of its next request; or the rest became part of the next request: a server got "defPOST /once/2". A line end after a body, which some callers send, had the next request refused with 400.

Cause: all bytes after a request counted as the start of the next one. Class of fault: bytes that belong to no request are used for one, as on servers' connections.

Empty lines before a request are ignored, as HTTP recommends. On a connection that has served a request, bytes that can't begin one with a standard method end the connection without an answer; the caller has been answered, and a request that crosses the close was not read. On the first request of a connection, other methods are still allowed and malformed bytes still get 400. Ruled out as a remedy: to close after each request with bytes behind it, since that would end pipelining.

What can't be told apart remains: surplus bytes that are themselves a whole request.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -1,8 +1,11 @@
 #include "proxy/caller_connection.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <string_view>
 #include <utility>
 
 #include "http/http_status.h"
@@ -26,6 +29,19 @@
 // Retry-After of requests that are rejected while the request bodies in memory
 // exceed their maximum size.
 constexpr Duration kRejectedRetryAfter = std::chrono::seconds(1);
+constexpr std::array<std::string_view, 9> kMethods = {
+    "GET ",     "HEAD ",    "POST ",  "PUT ",  "DELETE ",
+    "CONNECT ", "OPTIONS ", "TRACE ", "PATCH "};
+
+// Returns whether the bytes may be the start of a request with a standard
+// method.
+bool MayBeginRequest(std::string_view bytes) {
+  return std::any_of(
+      kMethods.begin(), kMethods.end(), [bytes](std::string_view method) {
+        const std::size_t count = std::min(bytes.size(), method.size());
+        return bytes.substr(0, count) == method.substr(0, count);
+      });
+}
 
 }  // namespace
 
@@ -83,12 +99,25 @@
     return;
   }
   if (!this->reader) {
+    // Empty lines before a request are ignored, as HTTP recommends.
+    this->received.erase(0, this->received.find_first_not_of("\r\n"));
+    if (this->received.empty()) {
+      return;
+    }
     const CallerLimits limits = this->Limits();
     this->reader.emplace(
         RequestLimits{.max_header_bytes = limits.max_header_bytes,
                       .max_body_bytes = limits.max_body_bytes});
     this->waiting_since = std::chrono::steady_clock::now();
   }
+  // The rest of a body that is longer than stated would become part of the next
+  // request, and an answer to it would be taken for that request's.
+  if (this->has_served_request && !this->reader->has_head() &&
+      !MayBeginRequest(this->received)) {
+    this->reader.reset();
+    this->CloseAfterFlush();
+    return;
+  }
   switch (this->reader->Feed(this->received)) {
     case RequestReader::Progress::kNeedMore:
       return;
@@ -113,6 +142,7 @@
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
+  this->has_served_request = true;
   this->exchange = std::make_unique<Exchange>(this->context, std::move(head),
                                               std::move(body), *this,
                                               std::chrono::steady_clock::now());
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -66,6 +66,7 @@
   std::string read_buffer;
   std::optional<RequestReader> reader;
   std::unique_ptr<Exchange> exchange;
+  bool has_served_request = false;
   // Bytes to be sent after the pending write.
   std::string outgoing;
   // Bytes of the pending write.
