Test: serve does not take late refusals for those of a request

The same cases as on the gateway's connections to servers, against `serve`: earlier refusals with the old id or none before an answer and right after one, and refusals without the field or the id. None is taken to mean that the request was not executed: the id is required, it is new for each request, and a request that must not run twice gets a new connection.

--- a/tests/test_late_refusals.cc
+++ b/tests/test_late_refusals.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <future>
 
+#include "http/attempt_runner.h"
 #include "proxy/backend_connection.h"
 #include "proxy/endpoint.h"
 #include "tests/gateway_fixture.h"
@@ -354,3 +355,137 @@
   CHECK_EQUAL(2, recorder.complete_responses);
   connection->Abort();
 }
+
+// How `serve` takes refusals at the wrong time.
+TEST_GROUP(ServeLateRefusals){};
+
+namespace {
+
+class ResultRecorder : public AttemptListener {
+ public:
+  void OnProgress(const AttemptProgress& /*progress*/) override {}
+  void OnEnded(const AttemptEnded& ended) override {
+    this->results.emplace_back(ToString(ended.result));
+  }
+
+  std::vector<std::string> results;
+};
+
+std::string ServeResponse(const std::string& status, const std::string& id,
+                          const std::string& fields) {
+  return fmt::format("HTTP/1.1 {}\r\n{}{}Content-Length: 3\r\n\r\nown", status,
+                     id.empty() ? "" : "X-Request-Id: " + id + "\r\n", fields);
+}
+
+const std::string kServeNotExecuted = "X-Ran: no\r\n";
+
+// What is written after the request that has this number on its connection.
+using ServeAnswers = std::function<std::string(
+    int number, const std::string& request_id, const std::string& earlier_id)>;
+
+struct ServeRun {
+  std::vector<std::string> results;
+  int connections = 0;
+};
+
+// Runs this many attempts, one after the other.
+ServeRun RunAttempts(int count, bool repeatable, const ServeAnswers& answers) {
+  const RawServer server([&](RawConnection& connection) {
+    std::string earlier_id;
+    int number = 0;
+    while (const auto request = connection.ReadMessage()) {
+      const std::string id = HeaderValue(*request, "X-Request-Id");
+      connection.Send(answers(++number, id, earlier_id));
+      earlier_id = id;
+    }
+  });
+  ClientPool clients({.stall_timeout = std::chrono::seconds(2)});
+  ResultRecorder recorder;
+  AttemptRunner runner(clients, recorder, "p");
+  for (int i = 1; i <= count; ++i) {
+    const auto id = static_cast<RequestId>(i);
+    PendingRequest pending(id, {.path = "/orders",
+                                .content_type = "text/plain",
+                                .repeatable = repeatable,
+                                .is_model = false});
+    runner.Run(pending, {.id = id, .attempt = 1, .address = server.address()});
+  }
+  return {.results = recorder.results,
+          .connections = server.connection_count()};
+}
+
+std::string Name(AttemptResult result) { return std::string(ToString(result)); }
+
+}  // namespace
+
+// On a kept connection, a refusal of an earlier request, or of none, doesn't
+// mean that the request was not executed, and the connection isn't used again.
+TEST(ServeLateRefusals, EarlierRefusalOnAKeptConnectionIsOfAnotherRequest) {
+  for (const bool has_id : {false, true}) {
+    const ServeRun run = RunAttempts(
+        3, true,
+        [&](int number, const std::string& id, const std::string& earlier_id) {
+          const std::string own = ServeResponse("200 OK", id, "");
+          return number == 1
+                     ? own
+                     : ServeResponse("503 Full", has_id ? earlier_id : "",
+                                     kServeNotExecuted) +
+                           own;
+        });
+    CHECK((run.results == std::vector{Name(AttemptResult::kCompleted),
+                                      Name(AttemptResult::kWrongId),
+                                      Name(AttemptResult::kCompleted)}));
+    CHECK_EQUAL(2, run.connections);
+  }
+}
+
+// The HTTP client may drop bytes that it reads together with an answer, so the
+// next request may get its own answer or the earlier refusal.
+TEST(ServeLateRefusals, RefusalAfterAnAnswerIsNotOfTheNextRequest) {
+  const ServeRun run = RunAttempts(
+      2, true,
+      [](int number, const std::string& id, const std::string& /*earlier*/) {
+        const std::string own = ServeResponse("200 OK", id, "");
+        return number == 1
+                   ? own + ServeResponse("503 Full", id, kServeNotExecuted)
+                   : own;
+      });
+  STRCMP_EQUAL(Name(AttemptResult::kCompleted).c_str(),
+               run.results.at(0).c_str());
+  CHECK(run.results.at(1) == Name(AttemptResult::kCompleted) ||
+        run.results.at(1) == Name(AttemptResult::kWrongId));
+}
+
+// No earlier response can exist on a new connection.
+TEST(ServeLateRefusals, RequestThatMustNotRunTwiceGetsANewConnection) {
+  const ServeRun run =
+      RunAttempts(3, false,
+                  [](int /*number*/, const std::string& id,
+                     const std::string& /*earlier*/) {
+                    return ServeResponse("200 OK", id, "") +
+                           ServeResponse("503 Full", id, kServeNotExecuted);
+                  });
+  CHECK((run.results == std::vector(3, Name(AttemptResult::kCompleted))));
+  CHECK_EQUAL(3, run.connections);
+}
+
+TEST(ServeLateRefusals, OnlyAStatedRefusalOfTheRequestMeansThatItDidNotRun) {
+  for (const char* status : {"503 Full", "429 Limit"}) {
+    for (const bool repeatable : {false, true}) {
+      const auto result_of = [&](bool has_id, const std::string& fields) {
+        return RunAttempts(1, repeatable,
+                           [&](int, const std::string& id, const std::string&) {
+                             return ServeResponse(status, has_id ? id : "",
+                                                  fields);
+                           })
+            .results.at(0);
+      };
+      STRCMP_EQUAL(Name(AttemptResult::kNotExecuted).c_str(),
+                   result_of(true, kServeNotExecuted).c_str());
+      STRCMP_EQUAL(Name(AttemptResult::kAnsweredError).c_str(),
+                   result_of(true, "").c_str());
+      STRCMP_EQUAL(Name(AttemptResult::kWrongId).c_str(),
+                   result_of(false, kServeNotExecuted).c_str());
+    }
+  }
+}
