Take no head for a response that contains the start of another one

A server at fault broke off an earlier response within its head, before the answer to the next request. After a refusal, that caller got 503, "not run, try again", for a request that ran; after a success, a failure was passed on as a success.

Cause: the two heads are read as one. With the cut in the reason or in a field's value, the result is valid: the status is that of the earlier response, the id that of the answer. Class of fault: parts of two messages vouch for each other.

A head with "HTTP/1.", a digit, a space and three digits in its reason or in a field's value is now malformed, and the request may have run. A field such as Via may still name the protocol.

RefusalThatBreaksOffInItsHeadIsNotOfTheRequest and SuccessThatBreaksOffInItsHeadDoesNotHideAFailure failed before and pass now. Ruled out, by tests that passed before: an earlier refusal without length, and a reset after a part of the request was written.

--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -1,5 +1,6 @@
 #include "proxy/http_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <limits>
@@ -43,6 +44,36 @@
   return error;
 }
 
+// Returns whether the text contains the start of a response.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kStatusStart = kVersion.size() + 2;
+  constexpr std::size_t kStatusDigits = 3;
+  for (std::size_t at = text.find(kVersion); at != std::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    const std::string_view rest = text.substr(at);
+    if (rest.size() >= kStatusStart + kStatusDigits &&
+        rest[kStatusStart - 1] == ' ' &&
+        rest.substr(kStatusStart, kStatusDigits)
+                .find_first_not_of("0123456789") == std::string_view::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Returns whether another response begins within the head, after the first one
+// broke off in the reason or in a field's value. The rest of the head is then
+// the other one's.
+bool ContainsResponse(const MessageParser<false>& parser) {
+  const std::vector<HeaderField>& fields = parser.fields.all();
+  return ContainsStatusLine(parser.reason) ||
+         std::any_of(fields.begin(), fields.end(),
+                     [](const HeaderField& field) {
+                       return ContainsStatusLine(field.value);
+                     });
+}
+
 // Returns the status code with which to reject a request that the parser does
 // not accept.
 int StatusOf(const boost::beast::error_code& error) {
@@ -181,6 +212,9 @@
       return Progress::kMalformed;
     }
     if (!this->head_received && this->parser->has_head) {
+      if (ContainsResponse(*this->parser)) {
+        return Progress::kMalformed;
+      }
       if (this->parser->status < kFirstFinalStatus) {
         if (++this->interim_responses > kMaxInterimResponses) {
           return Progress::kMalformed;
--- a/tests/test_late_refusals.cc
+++ b/tests/test_late_refusals.cc
@@ -171,6 +171,73 @@
             .starts_with("HTTP/1.1 502"));
 }
 
+// Guards against an earlier refusal that breaks off within its head being
+// joined with the answer, whose id then made it a refusal of the request.
+TEST(LateRefusals, RefusalThatBreaksOffInItsHeadIsNotOfTheRequest) {
+  for (const char* part :
+       {"HTTP/1.1 503 Full\r\nRosemarycove-Not-Executed: 1\r\nRetry-After: 0.",
+        "HTTP/1.1 421 Misdi"}) {
+    PlatformFixture platform(
+        RespondAfter([&](const std::string&, const std::string&) {
+          return std::string(part);
+        }));
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    CHECK(gateway.SendRequest(kThreeRequests[0]).ends_with("\r\n\r\nown"));
+    CHECK(gateway.SendRequest(kThreeRequests[1]).starts_with("HTTP/1.1 502"));
+  }
+}
+
+// Guards against a failure being passed on as a success, after an earlier
+// success that breaks off within its head.
+TEST(LateRefusals, SuccessThatBreaksOffInItsHeadDoesNotHideAFailure) {
+  PlatformFixture platform([&](RawConnection& connection) {
+    const auto first = connection.ReadMessage();
+    connection.Send(EngineResponse(first.value_or(""), "own"));
+    if (const auto second = connection.ReadMessage()) {
+      connection.Send("HTTP/1.1 200 OK\r\nRosemarycove-Server-Seal: se" +
+                      EngineResponse(*second, "own", "500 Failed"));
+      connection.ReadToEnd();
+    }
+  });
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  CHECK(gateway.SendRequest(kThreeRequests[0]).ends_with("\r\n\r\nown"));
+  CHECK(gateway.SendRequest(kThreeRequests[1]).starts_with("HTTP/1.1 502"));
+}
+
+// A field may name the protocol, as Via does.
+TEST(LateRefusals, FieldThatNamesTheProtocolIsNoOtherResponse) {
+  PlatformFixture platform([&](RawConnection& connection) {
+    while (const auto request = connection.ReadMessage()) {
+      connection.Send(EngineResponse(*request, "own", "200 OK",
+                                     "Via: HTTP/1.1 proxy, HTTP/1.1\r\n"));
+    }
+  });
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  CHECK(gateway.SendRequest(kThreeRequests[0]).ends_with("\r\n\r\nown"));
+}
+
+// All that follows a response without length is part of it.
+TEST(LateRefusals, EarlierRefusalWithoutLengthMayMeanThatTheRequestRan) {
+  for (const char* id : {"", "Rosemarycove-Request-Id: r1\r\n"}) {
+    PlatformFixture platform([&](RawConnection& connection) {
+      const auto first = connection.ReadMessage();
+      connection.Send(EngineResponse(first.value_or(""), "own"));
+      if (const auto second = connection.ReadMessage()) {
+        connection.Send(fmt::format("HTTP/1.1 503 Full\r\n{}{}\r\n{}", id,
+                                    kNotExecuted,
+                                    EngineResponse(*second, "own")));
+      }
+    });
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    CHECK(gateway.SendRequest(kThreeRequests[0]).ends_with("\r\n\r\nown"));
+    CHECK(gateway.SendRequest(kThreeRequests[1]).starts_with("HTTP/1.1 502"));
+  }
+}
+
 // Refusals without the field that states them promise nothing.
 TEST(LateRefusals, StatusAloneDoesNotMeanThatTheRequestDidNotRun) {
   for (const char* status : {"503 Full", "429 Limit", "408 Late"}) {
@@ -280,11 +347,14 @@
       this->on_complete();
     }
   }
-  void OnFailed(FailureKind /*kind*/, const std::string& /*reason*/) override {}
+  void OnFailed(FailureKind kind, const std::string& /*reason*/) override {
+    this->failure = kind;
+  }
 
   bool pauses = false;
   int status = 0;
   int complete_responses = 0;
+  std::optional<FailureKind> failure;
   std::function<void()> on_complete;
 
  private:
@@ -356,6 +426,26 @@
   connection->Abort();
 }
 
+// A request of which a part was written may have been executed.
+TEST(LateRefusals, ResetWithinTheRequestMayMeanThatItRan) {
+  constexpr std::size_t kBodyBytes = std::size_t{64} << 20U;
+  const RawServer server([&](RawConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Reset();
+  });
+  boost::asio::io_context io;
+  const auto connection = std::make_shared<BackendConnection>(
+      io, *ParseTcpEndpoint(server.address()));
+  ResponseRecorder recorder(*connection);
+  connection->Send(
+      fmt::format("POST /x HTTP/1.1\r\nHost: site.example\r\nContent-Length: {}"
+                  "\r\n\r\n{}",
+                  kBodyBytes, std::string(kBodyBytes, 'b')),
+      false, recorder);
+  io.run_for(std::chrono::seconds(5));
+  CHECK(recorder.failure == FailureKind::kNoResponse);
+}
+
 // How `serve` takes refusals at the wrong time.
 TEST_GROUP(ServeLateRefusals){};
 
