--- a/tests/test_extra_bytes.cc
+++ b/tests/test_extra_bytes.cc
@@ -1,4 +1,6 @@
 // Tests of bytes on a caller's connection that belong to no request.
+#include <fmt/format.h>
+
 #include <mutex>
 #include <vector>
 
@@ -71,7 +73,7 @@
     for (const std::string& next : {std::string(), kSecond}) {
       ExtraBytesFixture fixture;
       const std::string answers =
-          fixture.SendAndReadToEnd(kFirst + rest + next);
+          fixture.SendAndReadToEnd(fmt::format("{}{}{}", kFirst, rest, next));
       CHECK_EQUAL(1, CountAnswers(answers));
       CHECK(answers.ends_with("\r\n\r\nown"));
       CHECK_EQUAL(1U, fixture.Requests().size());
@@ -96,7 +98,7 @@
   for (const std::string lines : {"\r\n", "\r\n\r\n", "\n"}) {
     ExtraBytesFixture fixture;
     const auto caller = fixture.gateway.Connect();
-    caller->Send(lines + kFirst + lines);
+    caller->Send(fmt::format("{0}{1}{0}", lines, kFirst));
     CHECK(caller->ReadMessage().value_or("").ends_with("\r\n\r\nown"));
     caller->Send(kSecond);
     CHECK(caller->ReadMessage().value_or("").ends_with("\r\n\r\nown"));
--- a/tests/test_faulty_servers.cc
+++ b/tests/test_faulty_servers.cc
@@ -161,7 +161,7 @@
     return this->WriteLateBytes(earlier, connection, random);
   }
 
-  // Writes earlier responses, or a half of one, right after a response or some
+  // Writes earlier responses, or a part of one, right after a response or some
   // time later, when the connection may be idle or have a new request.
   bool WriteLateBytes(const std::vector<std::string>& earlier,
                       RawConnection& connection, Random& random) {
@@ -187,9 +187,13 @@
       connection.Send(bytes);
       return;
     }
-    connection.Send(bytes.substr(0, bytes.size() / 2));
-    std::this_thread::sleep_for(std::chrono::microseconds(200));
-    connection.Send(bytes.substr(bytes.size() / 2));
+    const auto cut =
+        std::uniform_int_distribution<std::size_t>(1, bytes.size() - 1)(random);
+    connection.Send(bytes.substr(0, cut));
+    if (Chance(random, 0.5)) {
+      std::this_thread::sleep_for(std::chrono::microseconds(200));
+      connection.Send(bytes.substr(cut));
+    }
   }
 
   int seed;
@@ -283,6 +287,7 @@
       gateway.AwaitReady();
       std::vector<std::vector<SentRequest>> by_caller(kCallers);
       std::vector<std::thread> callers;
+      callers.reserve(kCallers);
       for (int caller = 0; caller < kCallers; ++caller) {
         callers.emplace_back([&, caller] {
           by_caller[static_cast<std::size_t>(caller)] =
