--- a/tests/test_late_refusals.cc
+++ b/tests/test_late_refusals.cc
@@ -279,6 +279,21 @@
       {request, request, request}, 3);
 }
 
+// The list of the ids that a connection served is bounded.
+TEST(LateRefusals, ConnectionIsClosedAfterManyRequests) {
+  PlatformFixture platform(RespondAfter(
+      [](const std::string&, const std::string&) { return std::string(); }));
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  const auto caller = gateway.Connect();
+  for (int i = 0; i <= 500; ++i) {
+    CHECK_EQUAL(1, std::max(1, platform.engine.connection_count()));
+    caller->Send(PlatformFixture::Request("/once/x", fmt::format("r{}", i)));
+    CHECK(caller->ReadMessage().value_or("").ends_with("\r\n\r\nown"));
+  }
+  CHECK_EQUAL(2, platform.engine.connection_count());
+}
+
 TEST(LateRefusals, RefusalInOneSegmentWithAnAnswerClosesTheConnection) {
   PlatformFixture platform([](RawConnection& connection) {
     while (const auto request = connection.ReadMessage()) {
