--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -2,8 +2,10 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 #include "proxy/socket_options.h"
@@ -21,6 +23,9 @@
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
 // A response to another request with a larger body counts as endless.
 constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20U;
+// A connection is closed after this many requests, which limits the number of
+// ids that it remembers.
+constexpr std::size_t kMaxRequests = 500;
 // Idle timeout of a connection when the server does not send one.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
 // Subtracted from the server's idle timeout, so that the server does not close
@@ -130,6 +135,10 @@
   if (this->reading || this->paused || this->closed) {
     return;
   }
+  if (this->listener == nullptr) {
+    this->WatchIdle();
+    return;
+  }
   this->reading = true;
   this->read_buffer.resize(kReadBufferBytes);
   this->socket.async_read_some(
@@ -143,10 +152,6 @@
           self->OnBytesRead(count);
           return;
         }
-        if (self->listener == nullptr) {
-          self->Close();
-          return;
-        }
         const bool clean = failure == boost::asio::error::eof;
         if (clean && self->head_reported && !self->skipping &&
             self->reader->FeedEof() == ResponseReader::Progress::kComplete) {
@@ -158,6 +163,24 @@
       });
 }
 
+void BackendConnection::WatchIdle() {
+  // Bytes stay in the socket's buffer, where IsReusable finds them.
+  this->reading = true;
+  this->socket.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = this->shared_from_this()](error_code /*failure*/) {
+        self->reading = false;
+        if (self->closed) {
+          return;
+        }
+        if (self->listener == nullptr && !self->IsReusable()) {
+          self->Close();
+          return;
+        }
+        self->Read();
+      });
+}
+
 FailureKind BackendConnection::FailureKindOf(error_code failure) const {
   if (this->written == 0 && !this->head_reported) {
     return FailureKind::kNotSent;
@@ -173,11 +196,6 @@
 
 void BackendConnection::OnBytesRead(std::size_t count) {
   this->received.append(this->read_buffer.data(), count);
-  if (this->listener == nullptr) {
-    // Bytes after a complete response belong to no request.
-    this->Close();
-    return;
-  }
   this->ProcessReceived();
   if (!this->closed) {
     this->Read();
@@ -223,6 +241,7 @@
     if (progress == ResponseReader::Progress::kNeedMore) {
       return;
     }
+    this->response_received = true;
     if (this->skipping) {
       this->skipping = false;
       this->reader = std::make_unique<ResponseReader>(this->is_head_request);
@@ -238,9 +257,11 @@
 
 void BackendConnection::FinishResponse() {
   ResponseListener* receiver = std::exchange(this->listener, nullptr);
+  this->paused = false;
   const bool keep_open =
       this->reader->head().KeepsAlive() && !this->must_close &&
-      this->written == this->request.size() && this->received.empty();
+      this->written == this->request.size() && this->received.empty() &&
+      this->request_id_hashes.size() < kMaxRequests;
   this->idle_limit = IdleTimeoutOf(this->reader->head());
   this->idle_start = std::chrono::steady_clock::now();
   if (!keep_open) {
@@ -249,6 +270,16 @@
   receiver->OnComplete();
 }
 
+bool BackendConnection::ReserveFor(const std::string& request_id) {
+  const std::size_t hash = std::hash<std::string>()(request_id);
+  if (std::find(this->request_id_hashes.begin(), this->request_id_hashes.end(),
+                hash) != this->request_id_hashes.end()) {
+    return false;
+  }
+  this->request_id_hashes.push_back(hash);
+  return true;
+}
+
 bool BackendConnection::IsReusable() const {
   if (!this->connected || this->closed || this->listener != nullptr ||
       !this->received.empty()) {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/types.h"
 #include "proxy/http_reader.h"
@@ -72,6 +73,14 @@
   // another request.
   [[nodiscard]] bool IsReusable() const;
   [[nodiscard]] bool is_closed() const { return this->closed; }
+  // Records the id of the next request. Returns false if an earlier one had the
+  // same id, since their responses could not be told apart.
+  [[nodiscard]] bool ReserveFor(const std::string& request_id);
+  // Returns whether a complete response was received on this connection, also
+  // if it belonged to none of its requests.
+  [[nodiscard]] bool has_received_response() const {
+    return this->response_received;
+  }
   // Returns how long it took to connect.
   [[nodiscard]] Duration connect_time() const { return this->connect_duration; }
   // Returns when the last response ended.
@@ -84,6 +93,9 @@
   void Connect();
   void Write();
   void Read();
+  // Closes the connection if bytes arrive, or it ends, while no request is
+  // under way: such bytes belong to no request.
+  void WatchIdle();
   void OnBytesRead(std::size_t count);
   void ProcessReceived();
   void FinishResponse();
@@ -109,6 +121,9 @@
   bool skipping = false;
   // Body bytes of such responses that were dropped.
   std::size_t skipped_bytes = 0;
+  // A response was received, be it to the current request, an earlier one or
+  // none.
+  bool response_received = false;
   bool connected = false;
   bool connecting = false;
   bool writing = false;
@@ -117,6 +132,8 @@
   bool closed = false;
   // The connection can't be reused after the current response.
   bool must_close = false;
+  // Hashes of the ids of all requests.
+  std::vector<std::size_t> request_id_hashes;
   TimePoint connect_started_at;
   Duration connect_duration{};
   TimePoint idle_start;
