Log the software versions of servers and what a request resumes

For the incident of streams joined from two versions: no line told at which version a stream began, at which it went on, or that a request resumes a stream. call_placed, attempt_failed, call_ended and server_changed now name the version, and the first and the third the request that received the stream's first event. Placement does not use them.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -375,6 +375,7 @@
                      {"service", item.server.service},
                      {"address", item.server.address},
                      {"data_centre", item.server.data_centre},
+                     {"software", item.server.software_version},
                      {"revision", item.revision},
                      {"from", from}});
   }
--- a/src/core/backend_directory.h
+++ b/src/core/backend_directory.h
@@ -28,6 +28,9 @@
   int slots = 1;
   // True if the server accepts no new requests and will exit.
   bool is_draining = false;
+  // The version of the server's software; empty if unknown. Streams of
+  // different versions don't fit together.
+  std::string software_version;
 
   bool operator==(const RegisteredServer&) const = default;
 };
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -32,6 +32,9 @@
   // The id of the last event that the caller received of the stream that it
   // resumes; empty if it resumes none.
   std::string last_event_id;
+  // The id of the request that received the first event of this stream; empty
+  // if the caller names none.
+  std::string resumed_request;
 };
 
 // What is sent to a backend server in addition to the caller's own fields.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -389,6 +389,7 @@
        .tier = this->query.tier,
        .attempt = this->attempts,
        .choice = chosen,
+       .resumed_request = this->request_info.resumed_request,
        .ledger_age = this->context.placer.ledger().MaxPeerAge(now),
        .directory_age = now - this->context.directory.read_at(),
        .directory_revision = this->context.directory.revision(),
@@ -507,9 +508,11 @@
   const TimePoint now = std::chrono::steady_clock::now();
   this->first_event_received = true;
   this->attempt_first_event_at = now;
+  this->last_software_version = this->choice->server.software_version;
   this->context.placer.RecordFirstEvent(this->query, *this->choice,
                                         now - this->sent_at, now);
   if (this->first_event_at == TimePoint{}) {
+    this->first_software_version = this->last_software_version;
     this->first_event_at = now;
     this->last_event_at = now;
   }
@@ -770,6 +773,7 @@
       {.request_id = this->request_info.request_id,
        .attempt = this->attempts,
        .server = failed.server.id,
+       .software_version = failed.server.software_version,
        .result = std::string(ToString(failure.result)),
        .reason = failure.reason,
        .elapsed = now - this->sent_at,
@@ -1020,6 +1024,9 @@
        .status = status,
        .attempts = this->attempts,
        .server = server,
+       .resumed_request = this->request_info.resumed_request,
+       .first_software_version = this->first_software_version,
+       .last_software_version = this->last_software_version,
        .time_to_first_event =
            has_first_event ? this->first_event_at - this->arrival : Duration{},
        .total_time = now - this->arrival,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -246,6 +246,10 @@
   bool head_forwarded = false;
   // How the end of the response is marked for the caller.
   BodyFraming framing = BodyFraming::kNone;
+  // The software versions of the servers that sent the first and the last
+  // event.
+  std::string first_software_version;
+  std::string last_software_version;
   // When the first event was received; TimePoint{} before.
   TimePoint first_event_at;
   Duration max_event_gap{};
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -24,6 +24,8 @@
   // The number of the attempt, from 1.
   int attempt = 0;
   ServerChoice choice;
+  // See EndedRecord.
+  std::string resumed_request;
   // The ages of the oldest load report of a peer and of the directory, which
   // the decision used.
   Duration ledger_age{};
@@ -42,8 +44,9 @@
   std::string request_id;
   // The number of the attempt, from 1.
   int attempt = 0;
-  // The id of the server.
+  // The id of the server, and the version of its software.
   std::string server;
+  std::string software_version;
   // The word of the SendResult.
   std::string result;
   // What happened, as text.
@@ -78,6 +81,13 @@
   // The id of the server whose response completed the request; empty if there
   // is none.
   std::string server;
+  // The id of the request that received the first event of the stream that this
+  // request resumes; empty if it resumes none.
+  std::string resumed_request;
+  // The software versions of the servers that sent the first and the last event
+  // of this response; empty if there was none.
+  std::string first_software_version;
+  std::string last_software_version;
   // From arrival to the first event; zero if there was none.
   Duration time_to_first_event{};
   // From arrival to the end.
