Keep a stream at the software version that began it

Callers got streams whose parts come from servers of two software versions, with nothing in the answer to show it (ORDER).

Cause: nothing read a server's version or the request that a caller resumes, so a resumed stream was placed like any other request. The failing tests show it within one response, at another instance, and after a restart of all; that a directory entry was outdated is ruled out as the cause there.

Now the first event of a resumable stream records the version that began it, and the stream goes on only at servers of that version: within a response, else it is broken off, and when its caller resumes it, else it is refused as not run. Instances tell each other of their streams, 8 bytes each and once to each peer, only while several versions can have begun a stream: while one version of a service was in service for as long as streams are resumed, a stream that is not known belongs to it. An instance that starts learns the versions of that time from the others; if all start together, streams from before are refused. A stream that waits for the servers of its version holds no other request back.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -47,6 +47,13 @@
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
 // Time for the last bytes to leave the process.
 constexpr Duration kFlushTime = std::chrono::milliseconds(100);
+// Time between two updates of the software in use without a change of servers.
+constexpr Duration kSoftwareInterval = std::chrono::milliseconds(500);
+// A directory that is older may lack servers that other instances use.
+constexpr Duration kMaxDirectoryLag = std::chrono::milliseconds(2500);
+// Callers resume a stream at most for this long after its beginning, or for the
+// longest timeout of the routes for streams.
+constexpr Duration kMinResumptionWindow = std::chrono::seconds(30);
 // Minimum time between two log events on dropped lines.
 constexpr Duration kDropLogInterval = std::chrono::seconds(5);
 
@@ -124,6 +131,8 @@
               .directory = this->directory,
               .placer = this->placer,
               .quarantine = this->quarantine,
+              .software_history = this->software_history,
+              .stream_origins = this->stream_origins,
               .retry_budget = this->retry_budget,
               .pool = this->pool,
               .observer = this->observer,
@@ -261,6 +270,9 @@
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
   this->HandleDirectoryChanges(this->directory.Tick(now), "grace");
   this->UpdateRateLimits(now);
+  if (now - this->software_updated_at >= kSoftwareInterval) {
+    this->UpdateSoftware(now);
+  }
   this->links.Tick(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
@@ -379,6 +391,9 @@
                      {"revision", item.revision},
                      {"from", from}});
   }
+  if (!changes.empty()) {
+    this->UpdateSoftware(std::chrono::steady_clock::now());
+  }
 }
 
 void Gateway::UpdateSuspectedDataCentres() {
@@ -437,6 +452,24 @@
   }
 }
 
+void Gateway::UpdateSoftware(TimePoint now) {
+  if (this->directory.revision() == 0) {
+    return;
+  }
+  this->software_updated_at = now;
+  // Servers register in the store, so while all instances lack it, none can
+  // appear.
+  const bool is_current = now - this->directory.read_at() <= kMaxDirectoryLag ||
+                          this->links.HearsAllPeers();
+  if (this->context.configuration) {
+    this->software_history.SetWindow(
+        std::max(kMinResumptionWindow,
+                 this->context.configuration->LongestStreamTimeout()));
+  }
+  this->software_history.Update(this->directory.servers(), is_current, now);
+  this->stream_origins.Expire(this->software_history.resumption_window(), now);
+}
+
 std::string Gateway::FindServerId(std::uint64_t lifetime_hash) const {
   for (const auto& [id, server] : this->directory.servers()) {
     if (LifetimeHash(id, server.incarnation) == lifetime_hash) {
@@ -515,6 +548,16 @@
     report.suspected_parts = this->quarantine.RecordsSince(told, now);
   }
   this->suspect_records_sent += report.suspected_parts.size();
+  std::uint64_t& told_streams = this->told_streams[peer.identity.address];
+  if (report.identity) {
+    report.software = this->software_history.Report(now);
+    told_streams = 0;
+  }
+  if (!this->software_history.IsSettled(now)) {
+    report.stream_origins = this->stream_origins.AddedSince(told_streams);
+    told_streams = this->stream_origins.added_count();
+    this->stream_origins_sent += report.stream_origins.size();
+  }
   if (configuration.revision <= peer.configuration_revision) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->IsTurnToSend(this->configuration_throttle, peer,
@@ -545,6 +588,10 @@
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
   this->quarantine.Merge(report.suspected_parts, now);
+  if (report.software) {
+    this->software_history.Merge(*report.software, now);
+  }
+  this->stream_origins.Merge(report.stream_origins, now);
   this->placer.rate_limits().Merge(peer.identity.instance, report.rate_limits,
                                    report.identity.has_value(), now);
   if (this->links.RanksFirst(peer.identity.instance)) {
@@ -563,6 +610,7 @@
 void Gateway::OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) {
   if (status == PeerStatus::kGone) {
     this->told_suspects.erase(peer.identity.address);
+    this->told_streams.erase(peer.identity.address);
   }
   if (status != PeerStatus::kUp) {
     this->placer.RemovePeer(peer.identity.instance);
@@ -600,6 +648,8 @@
           this->directory_feed.call_count());
   add("rosemarycove_peer_bytes_sent_total", this->links.bytes_sent());
   add("rosemarycove_suspect_records_sent_total", this->suspect_records_sent);
+  add("rosemarycove_known_streams", this->stream_origins.size());
+  add("rosemarycove_stream_origins_sent_total", this->stream_origins_sent);
   add("rosemarycove_oldest_peer_report_ms",
       static_cast<std::uint64_t>(ToLogMilliseconds(
           this->placer.ledger().MaxPeerAge(std::chrono::steady_clock::now()))));
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -130,6 +130,8 @@
   void UpdateSuspectedDataCentres();
   // Advances the quarantine, logs its changes and reports them at once.
   void UpdateQuarantine(TimePoint now);
+  // Records the software in use and drops the origins of old streams.
+  void UpdateSoftware(TimePoint now);
   // Advances the servers' rate limits, and logs and reports their changes.
   void UpdateRateLimits(TimePoint now);
   // Returns the id of the server with this LifetimeHash, for the log.
@@ -153,6 +155,8 @@
   BackendDirectory directory;
   Placer placer;
   RequestQuarantine quarantine;
+  SoftwareHistory software_history;
+  StreamOrigins stream_origins;
   FleetRetryBudget retry_budget;
   ConnectionPool pool;
   ProxyContext context;
@@ -175,6 +179,10 @@
   // The last change of the quarantine that each peer was sent, by address.
   std::map<std::string, std::uint64_t> told_suspects;
   std::uint64_t suspect_records_sent = 0;
+  TimePoint software_updated_at;
+  // The number of own streams that each peer was told, by address.
+  std::map<std::string, std::uint64_t> told_streams;
+  std::uint64_t stream_origins_sent = 0;
   // When this instance last read the directory from the store itself.
   TimePoint own_directory_read_at;
   // Set once the drain has started.
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -70,6 +70,10 @@
   kQuarantined,           // The request crashes servers; see RequestQuarantine.
   // The rate limits that the servers name are used up; see ServerRateLimits.
   kRateLimited,
+  // It resumes a stream that several software versions may have begun.
+  kUnknownSoftware,
+  // No server has the software that began the stream that it resumes.
+  kSoftwareGone,
 };
 
 // Reports the outcome of a request to its caller and to the logs. Each request
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -11,6 +11,8 @@
 #include "core/request_quarantine.h"
 #include "core/server_rate_limits.h"
 #include "core/shared_document.h"
+#include "core/software_history.h"
+#include "core/stream_origins.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -55,6 +57,11 @@
   std::vector<ServicePartition> partitions;
   std::vector<SuspectCrashes> suspected_parts;
   std::vector<RateLimitReport> rate_limits;
+  // The software that the sender saw in use; sent only in the first report of a
+  // connection.
+  std::optional<SoftwareReport> software;
+  // Streams that the sender began and has not yet told the receiver.
+  std::vector<StreamOrigin> stream_origins;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/core/placement_queue.h
+++ b/src/core/placement_queue.h
@@ -20,6 +20,9 @@
   // Its affinity server. Other servers have capacity, so requests behind it
   // need not wait.
   kAffinity,
+  // A server of the software that it requires. Others may have capacity, so
+  // requests behind it need not wait.
+  kSoftware,
 };
 
 // Orders waiting requests by urgency, then by latest start, and predicts how
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -133,6 +133,17 @@
   return server.service == service && !server.is_draining;
 }
 
+bool Accepts(const RegisteredServer& server, const PlacementQuery& query) {
+  return AcceptsRequestsOf(server, query.service->name) &&
+         (!query.required_software ||
+          SoftwareHash(server) == *query.required_software);
+}
+
+bool WasTried(const PlacementQuery& query, const std::string& server) {
+  return std::find(query.tried_servers.begin(), query.tried_servers.end(),
+                   server) != query.tried_servers.end();
+}
+
 bool IsGapSensitive(const Route& route) {
   return route.gap_target && *route.gap_target <= kMaxSensitiveGap;
 }
@@ -163,6 +174,10 @@
       return "full";
     case NoChoiceReason::kHeldBack:
       return "held_back";
+    case NoChoiceReason::kSoftwareGone:
+      return "software_gone";
+    case NoChoiceReason::kAwaitsSoftware:
+      return "awaits_software";
     case NoChoiceReason::kAwaitsAffinity:
       return "awaits_affinity";
     case NoChoiceReason::kRateLimited:
@@ -472,7 +487,7 @@
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
   std::vector<std::pair<std::uint64_t, const RegisteredServer*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (AcceptsRequestsOf(server, query.service->name) &&
+    if (Accepts(server, query) &&
         this->IsReserved(query, id) == query.tolerates_pauses) {
       ranked.emplace_back(RendezvousScore(part, id), &server);
     }
@@ -491,16 +506,16 @@
 
 std::vector<Placer::Candidate> Placer::Candidates(
     const PlacementQuery& query, TimePoint now, NoChoiceReason& why_not) const {
-  why_not = NoChoiceReason::kNoServer;
+  why_not = query.required_software ? NoChoiceReason::kSoftwareGone
+                                    : NoChoiceReason::kNoServer;
   std::vector<Candidate> candidates;
   const std::vector<const RegisteredServer*> affinity_servers =
       this->AffinityServers(query);
   for (const auto& [id, server] : this->directory.servers()) {
-    if (!AcceptsRequestsOf(server, query.service->name)) {
+    if (!Accepts(server, query)) {
       continue;
     }
-    if (std::find(query.tried_servers.begin(), query.tried_servers.end(), id) !=
-        query.tried_servers.end()) {
+    if (WasTried(query, id)) {
       why_not = NoChoiceReason::kUnreachable;
       continue;
     }
@@ -618,7 +633,9 @@
   if (load.running + 1 > UsableSlots(*candidate.server, tier)) {
     return CapacityLimit::kSlots;
   }
-  if (!this->WinsSlot(query, candidate, load.running, now)) {
+  // Other instances can't send a stream that goes on to another version either.
+  if (!query.required_software &&
+      !this->WinsSlot(query, candidate, load.running, now)) {
     return CapacityLimit::kContended;
   }
   const double memory_share =
@@ -633,6 +650,10 @@
   if (load.running == 0) {
     return CapacityLimit::kNone;
   }
+  // A stream that goes on late is better than one that ends.
+  if (query.required_software) {
+    return CapacityLimit::kNone;
+  }
   const bool is_reserved = this->IsReserved(query, candidate.server->id);
   if (query.tolerates_pauses && !is_reserved &&
       load.gap_sensitive_streams >
@@ -660,7 +681,8 @@
                                    const std::vector<Candidate>& candidates,
                                    const Candidate& best, TimePoint now) {
   const int shared = SharedTokens(query);
-  if (now >= query.affinity_wait_until || best.IsFirstAffinity() ||
+  if (query.required_software || now >= query.affinity_wait_until ||
+      best.IsFirstAffinity() ||
       shared - best.cached_tokens < kMinSavedShareToWait * WorkOf(query)) {
     return false;
   }
@@ -739,13 +761,16 @@
                                      const std::vector<Candidate>& candidates,
                                      TimePoint now) {
   NoChoiceReason reason = NoChoiceReason::kRateLimited;
+  const NoChoiceReason held_back = query.required_software
+                                       ? NoChoiceReason::kAwaitsSoftware
+                                       : NoChoiceReason::kHeldBack;
   for (const Candidate& candidate : candidates) {
     if (candidate.limit == CapacityLimit::kRate) {
       this->limits.RecordRefusal(
           LifetimeHash(candidate.server->id, candidate.server->incarnation),
           query.tier, now);
     } else {
-      reason = NoChoiceReason::kHeldBack;
+      reason = held_back;
     }
   }
   return reason;
@@ -755,10 +780,7 @@
                                                   TimePoint now) const {
   const RegisteredServer* best = nullptr;
   for (const auto& [id, server] : this->directory.servers()) {
-    const bool tried =
-        std::find(query.tried_servers.begin(), query.tried_servers.end(), id) !=
-        query.tried_servers.end();
-    if (!AcceptsRequestsOf(server, query.service->name) || tried ||
+    if (!Accepts(server, query) || WasTried(query, id) ||
         !this->HasRateFor(server, query.tier, now)) {
       continue;
     }
@@ -843,13 +865,23 @@
       .ObserveSilence(choice.server.id, choice.latency_inputs, silence, now);
 }
 
+bool Placer::HasAlternative(const PlacementQuery& query,
+                            const std::string& server) const {
+  return std::any_of(this->directory.servers().begin(),
+                     this->directory.servers().end(), [&](const auto& item) {
+                       return item.first != server &&
+                              Accepts(item.second, query) &&
+                              !WasTried(query, item.first);
+                     });
+}
+
 Duration Placer::EstimateRetryDelay(const PlacementQuery& query,
                                     TimePoint now) const {
   constexpr Duration kMinDelay = std::chrono::milliseconds(200);
   constexpr Duration kMaxDelay = std::chrono::seconds(3);
   std::optional<Duration> shortest;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (!AcceptsRequestsOf(server, query.service->name)) {
+    if (!Accepts(server, query)) {
       continue;
     }
     Duration delay{};
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -18,6 +18,7 @@
 #include "core/routing_configuration.h"
 #include "core/server_health.h"
 #include "core/server_rate_limits.h"
+#include "core/software_history.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -35,6 +36,9 @@
   int expected_output_tokens = 0;
   // See RoutingConfiguration::ToleratesPauses.
   bool tolerates_pauses = false;
+  // The only software that may serve the request, since it goes on with a
+  // stream; nullopt if any may. See SoftwareHash.
+  std::optional<std::uint64_t> required_software;
   // Ids of the servers where an attempt of this request failed.
   std::vector<std::string> tried_servers;
   // The shortest target of the service's streams; nullopt if it has no streams.
@@ -107,7 +111,9 @@
   kUnreachable,  // All servers of the service were tried for this request.
   // No server is a candidate, and the last one has too many queued requests.
   kFull,
-  kHeldBack,  // All candidates are at a limit.
+  kHeldBack,        // All candidates are at a limit.
+  kSoftwareGone,    // No server has the software that the request requires.
+  kAwaitsSoftware,  // All servers that have it are at a limit.
   // The request should wait for its affinity server, which is at a limit,
   // rather than go to another server that has capacity.
   kAwaitsAffinity,
@@ -192,6 +198,10 @@
   void ObserveSilence(const PlacementQuery& query, const ServerChoice& choice,
                       Duration silence, TimePoint now);
 
+  // Returns whether the directory has a server that accepts the request and was
+  // not tried for it, other than this one.
+  [[nodiscard]] bool HasAlternative(const PlacementQuery& query,
+                                    const std::string& server) const;
   // Estimates how long it takes until capacity for the request is likely to be
   // available.
   [[nodiscard]] Duration EstimateRetryDelay(const PlacementQuery& query,
--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -27,6 +27,24 @@
   return "unknown";
 }
 
+std::vector<std::string> Route::ServiceNames() const {
+  std::vector<std::string> names;
+  for (const WeightedService& weighted : this->services) {
+    names.push_back(weighted.service);
+  }
+  return names;
+}
+
+Duration RoutingConfiguration::LongestStreamTimeout() const {
+  Duration longest{};
+  for (const Route& route : this->routes) {
+    if (route.kind == RouteKind::kStream) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return longest;
+}
+
 void RoutingConfiguration::BuildIndexes() {
   for (const auto& [key, holder] : this->holder_by_key) {
     this->max_tier = std::max(this->max_tier, holder.tier.value_or(0));
--- a/src/core/routing_configuration.h
+++ b/src/core/routing_configuration.h
@@ -62,6 +62,7 @@
   // True if another backend server can resume a stream after its last event.
   bool is_resumable = false;
 
+  [[nodiscard]] std::vector<std::string> ServiceNames() const;
   // Returns whether a request that may have been executed may be sent again.
   [[nodiscard]] bool MayRepeat() const {
     return this->kind == RouteKind::kRepeatable ||
@@ -128,6 +129,9 @@
   // null.
   [[nodiscard]] const Route* FindRoute(std::string_view host,
                                        std::string_view path) const;
+  // Returns the longest timeout of the routes for streams; zero if there is
+  // none.
+  [[nodiscard]] Duration LongestStreamTimeout() const;
   // Returns the named service, or null.
   [[nodiscard]] const RoutedService* FindService(std::string_view name) const;
   // Returns the shortest target of the service's streams, or nullopt if it has
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -42,6 +42,12 @@
 // Retry-After of an instance that has no configuration yet, and of services
 // that are not configured.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+// Retry-After of a resumed stream of unknown origin: another instance may be
+// about to tell the origin.
+constexpr Duration kUnknownSoftwareRetryAfter = std::chrono::milliseconds(500);
+// A stream that was broken off waits for a server to go on at for this many
+// times its gap target.
+constexpr int kResumptionWaitGaps = 2;
 // Fraction of its target that a request may wait for capacity. The rest has to
 // suffice for the time to the first event.
 constexpr double kMaxWaitFraction = 0.4;
@@ -75,12 +81,19 @@
 // Returns whether a request that was not placed for this reason may wait.
 bool MayWait(NoChoiceReason reason) {
   return reason == NoChoiceReason::kHeldBack ||
-         reason == NoChoiceReason::kAwaitsAffinity;
+         reason == NoChoiceReason::kAwaitsAffinity ||
+         reason == NoChoiceReason::kAwaitsSoftware;
 }
 
 WaitReason WaitReasonOf(NoChoiceReason reason) {
-  return reason == NoChoiceReason::kAwaitsAffinity ? WaitReason::kAffinity
-                                                   : WaitReason::kCapacity;
+  switch (reason) {
+    case NoChoiceReason::kAwaitsAffinity:
+      return WaitReason::kAffinity;
+    case NoChoiceReason::kAwaitsSoftware:
+      return WaitReason::kSoftware;
+    default:
+      return WaitReason::kCapacity;
+  }
 }
 
 // Returns whether the response is a stream of events. On stream routes the type
@@ -130,10 +143,51 @@
     return;
   }
   this->SetSuspects();
+  if (!this->RequireStreamSoftware()) {
+    return;
+  }
   this->ChooseService();
   this->Place();
 }
 
+bool Exchange::RequireStreamSoftware() {
+  if (this->query.route->kind != RouteKind::kStream) {
+    return true;
+  }
+  this->stream_hash = StreamHash(this->customer, this->request_info.request_id);
+  if (!this->ResumesStream()) {
+    return true;
+  }
+  std::optional<std::uint64_t> software;
+  if (!this->request_info.resumed_request.empty()) {
+    this->stream_hash =
+        StreamHash(this->customer, this->request_info.resumed_request);
+    software = this->context.stream_origins.Find(this->stream_hash);
+  }
+  if (!software) {
+    software = this->context.software_history.OnlySoftware(
+        this->query.route->ServiceNames(), std::chrono::steady_clock::now());
+  }
+  if (!software) {
+    this->GiveUp(EndCause::kUnknownSoftware, kUnknownSoftwareRetryAfter);
+    return false;
+  }
+  this->query.required_software = software;
+  return true;
+}
+
+void Exchange::RecordStreamOrigin() {
+  const Route& route = *this->query.route;
+  if (!route.is_resumable || this->response_mode != ResponseMode::kStream) {
+    return;
+  }
+  const std::uint64_t software = SoftwareHash(this->choice->server);
+  this->query.required_software = software;
+  this->context.stream_origins.Add(
+      {.stream = this->stream_hash, .software = software},
+      std::chrono::steady_clock::now());
+}
+
 bool Exchange::ResolveRoute() {
   const Route* route = this->configuration->FindRoute(
       this->request.fields.Find("host").value_or(""), this->request.Path());
@@ -203,6 +257,10 @@
       break;
     }
   }
+  if (this->query.required_software) {
+    this->service_name =
+        this->ServiceOf(*this->query.required_software, this->service_name);
+  }
   this->query.service = this->configuration->FindService(this->service_name);
   this->query.parts = this->request_info.prompt_parts;
   this->query.prompt_tokens = this->request_info.prompt_tokens;
@@ -221,6 +279,18 @@
   }
 }
 
+std::string Exchange::ServiceOf(std::uint64_t software,
+                                const std::string& default_service) const {
+  const std::vector<std::string> names = this->query.route->ServiceNames();
+  for (const auto& [id, server] : this->context.directory.servers()) {
+    if (SoftwareHash(server) == software &&
+        std::find(names.begin(), names.end(), server.service) != names.end()) {
+      return server.service;
+    }
+  }
+  return default_service;
+}
+
 Duration Exchange::Remaining(TimePoint now) const {
   return this->deadline - now;
 }
@@ -290,6 +360,12 @@
     return;
   }
   this->wait_deadline = this->arrival + max_wait;
+  if (this->head_forwarded) {
+    this->wait_deadline =
+        std::max(this->wait_deadline,
+                 now + kResumptionWaitGaps *
+                           this->query.route->gap_target.value_or(Duration{}));
+  }
   this->waiting_id = this->context.next_request_id++;
   this->Queue().Add(*this->waiting_id, this->RequestUrgency(),
                     this->wait_deadline, reason);
@@ -512,6 +588,7 @@
   this->context.placer.RecordFirstEvent(this->query, *this->choice,
                                         now - this->sent_at, now);
   if (this->first_event_at == TimePoint{}) {
+    this->RecordStreamOrigin();
     this->first_software_version = this->last_software_version;
     this->first_event_at = now;
     this->last_event_at = now;
@@ -837,8 +914,12 @@
     case NoChoiceReason::kRateLimited:
       this->GiveUp(EndCause::kRateLimited);
       return;
+    case NoChoiceReason::kSoftwareGone:
+      this->GiveUp(EndCause::kSoftwareGone);
+      return;
     case NoChoiceReason::kFull:
     case NoChoiceReason::kHeldBack:
+    case NoChoiceReason::kAwaitsSoftware:
       this->GiveUp(EndCause::kQueueFull);
       return;
     case NoChoiceReason::kNoServer:
@@ -1043,6 +1124,9 @@
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
   this->EndAttempt();
+  if (outcome == Outcome::kCompleted) {
+    this->context.stream_origins.RecordCompletion(this->stream_hash);
+  }
   if (outcome != Outcome::kCancelled) {
     this->sink.Finish(this->CanKeepOpen() &&
                       this->framing != BodyFraming::kUntilClose);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -93,10 +93,25 @@
   // Returns whether the caller may use the route; sets the customer and the
   // tier.
   bool CheckApiKey(const Route& route);
+  // Requires the software that began the stream that the request resumes, if it
+  // resumes one. If that is unknown, refuses the request and returns false.
+  bool RequireStreamSoftware();
+  // Records which software began the stream of this response.
+  void RecordStreamOrigin();
+  // Returns whether the request goes on with a stream that a caller received in
+  // part.
+  [[nodiscard]] bool ResumesStream() const {
+    return !this->request_info.last_event_id.empty() ||
+           !this->request_info.resumed_request.empty();
+  }
   // Sets the ids by which the request and its parts are recognized elsewhere.
   void SetSuspects();
-  // Chooses one of the route's services at random, by weight.
+  // Chooses one of the route's services at random, by weight; for a stream that
+  // goes on, the one that began it.
   void ChooseService();
+  // Returns the route's service that has servers of this software.
+  [[nodiscard]] std::string ServiceOf(std::uint64_t software,
+                                      const std::string& default_service) const;
   // Sends the request to a server, queues it or gives up.
   void Place();
   // Gives up and returns true if one of the request's suspects is quarantined.
@@ -196,6 +211,8 @@
   // See EndedRecord.
   int waiting_ahead = 0;
   Duration expected_wait{};
+  // The StreamHash of this response's stream, if it is one.
+  std::uint64_t stream_hash = 0;
   RequestSuspects suspects;
   // The suspect because of which the request was refused; 0 if there is none.
   std::uint64_t quarantined_suspect = 0;
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -15,6 +15,8 @@
 #include "core/placer.h"
 #include "core/request_quarantine.h"
 #include "core/routing_configuration.h"
+#include "core/software_history.h"
+#include "core/stream_origins.h"
 #include "proxy/call_dialect.h"
 #include "proxy/connection_pool.h"
 #include "proxy/proxy_observer.h"
@@ -31,6 +33,8 @@
   BackendDirectory& directory;
   Placer& placer;
   RequestQuarantine& quarantine;
+  SoftwareHistory& software_history;
+  StreamOrigins& stream_origins;
   FleetRetryBudget& retry_budget;
   ConnectionPool& pool;
   ProxyObserver& observer;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstring>
 #include <limits>
+#include <map>
 #include <utility>
 
 #include "wire/fleet_generated.h"
@@ -118,6 +119,63 @@
   return report;
 }
 
+Offset<wire::SoftwareHistory> EncodeSoftware(FlatBufferBuilder& builder,
+                                             const SoftwareReport& report) {
+  std::vector<wire::SoftwareUse> uses;
+  for (const SoftwareUse& use : report.uses) {
+    uses.emplace_back(use.software, use.service_hash, EncodeAge(use.age));
+  }
+  return wire::CreateSoftwareHistory(builder, EncodeAge(report.known_for),
+                                     builder.CreateVectorOfStructs(uses));
+}
+
+SoftwareReport DecodeSoftware(const wire::SoftwareHistory& frame) {
+  SoftwareReport report{.known_for =
+                            std::chrono::milliseconds(frame.known_ms())};
+  if (frame.uses() != nullptr) {
+    for (const wire::SoftwareUse* use : *frame.uses()) {
+      report.uses.push_back({.software = use->software(),
+                             .service_hash = use->service(),
+                             .age = std::chrono::milliseconds(use->age_ms())});
+    }
+  }
+  return report;
+}
+
+Offset<flatbuffers::Vector<Offset<wire::BegunStreams>>> EncodeOrigins(
+    FlatBufferBuilder& builder, const std::vector<StreamOrigin>& origins) {
+  if (origins.empty()) {
+    return {};
+  }
+  std::map<std::uint64_t, std::vector<std::uint64_t>> streams_by_software;
+  for (const StreamOrigin& origin : origins) {
+    streams_by_software[origin.software].push_back(origin.stream);
+  }
+  std::vector<Offset<wire::BegunStreams>> groups;
+  for (const auto& [software, streams] : streams_by_software) {
+    groups.push_back(wire::CreateBegunStreams(builder, software,
+                                              builder.CreateVector(streams)));
+  }
+  return builder.CreateVector(groups);
+}
+
+std::vector<StreamOrigin> DecodeOrigins(
+    const flatbuffers::Vector<Offset<wire::BegunStreams>>* groups) {
+  std::vector<StreamOrigin> origins;
+  if (groups == nullptr) {
+    return origins;
+  }
+  for (const wire::BegunStreams* group : *groups) {
+    if (group->streams() == nullptr) {
+      continue;
+    }
+    for (const std::uint64_t stream : *group->streams()) {
+      origins.push_back({.stream = stream, .software = group->software()});
+    }
+  }
+  return origins;
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -164,6 +222,10 @@
       report.rate_limits.push_back(DecodeRateLimit(*limit));
     }
   }
+  if (frame.software() != nullptr) {
+    report.software = DecodeSoftware(*frame.software());
+  }
+  report.stream_origins = DecodeOrigins(frame.begun_streams());
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -243,13 +305,19 @@
   if (!limits.empty()) {
     limit_vector = builder.CreateVectorOfStructs(limits);
   }
+  Offset<wire::SoftwareHistory> software;
+  if (report.software) {
+    software = EncodeSoftware(builder, *report.software);
+  }
+  const auto origin_vector = EncodeOrigins(builder, report.stream_origins);
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
       EncodeAge(report.directory_age), report.directory_read_id.reader,
       report.directory_read_id.sequence, report.directory_update.base_revision,
       report.directory_update.is_snapshot, share_vector, division_vector,
-      neighbours, configuration, server_vector, part_vector, limit_vector));
+      neighbours, configuration, server_vector, part_vector, limit_vector,
+      software, origin_vector));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -27,6 +27,14 @@
 
 struct ServerLimit;
 
+struct SoftwareUse;
+
+struct SoftwareHistory;
+struct SoftwareHistoryBuilder;
+
+struct BegunStreams;
+struct BegunStreamsBuilder;
+
 struct Identity;
 struct IdentityBuilder;
 
@@ -216,6 +224,40 @@
 };
 FLATBUFFERS_STRUCT_END(ServerLimit, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SoftwareUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t software_;
+  uint64_t service_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  SoftwareUse()
+      : software_(0),
+        service_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  SoftwareUse(uint64_t _software, uint64_t _service, uint32_t _age_ms)
+      : software_(flatbuffers::EndianScalar(_software)),
+        service_(flatbuffers::EndianScalar(_service)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SoftwareUse, 24);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -303,6 +345,132 @@
       crashes__);
 }
 
+struct SoftwareHistory FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SoftwareHistoryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KNOWN_MS = 4,
+    VT_USES = 6
+  };
+  uint32_t known_ms() const {
+    return GetField<uint32_t>(VT_KNOWN_MS, 0);
+  }
+  const flatbuffers::Vector<const rosemarycove::wire::SoftwareUse *> *uses() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::SoftwareUse *> *>(VT_USES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_KNOWN_MS, 4) &&
+           VerifyOffset(verifier, VT_USES) &&
+           verifier.VerifyVector(uses()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SoftwareHistoryBuilder {
+  typedef SoftwareHistory Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_known_ms(uint32_t known_ms) {
+    fbb_.AddElement<uint32_t>(SoftwareHistory::VT_KNOWN_MS, known_ms, 0);
+  }
+  void add_uses(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SoftwareUse *>> uses) {
+    fbb_.AddOffset(SoftwareHistory::VT_USES, uses);
+  }
+  explicit SoftwareHistoryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SoftwareHistory> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SoftwareHistory>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SoftwareHistory> CreateSoftwareHistory(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t known_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SoftwareUse *>> uses = 0) {
+  SoftwareHistoryBuilder builder_(_fbb);
+  builder_.add_uses(uses);
+  builder_.add_known_ms(known_ms);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SoftwareHistory> CreateSoftwareHistoryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t known_ms = 0,
+    const std::vector<rosemarycove::wire::SoftwareUse> *uses = nullptr) {
+  auto uses__ = uses ? _fbb.CreateVectorOfStructs<rosemarycove::wire::SoftwareUse>(*uses) : 0;
+  return rosemarycove::wire::CreateSoftwareHistory(
+      _fbb,
+      known_ms,
+      uses__);
+}
+
+struct BegunStreams FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BegunStreamsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SOFTWARE = 4,
+    VT_STREAMS = 6
+  };
+  uint64_t software() const {
+    return GetField<uint64_t>(VT_SOFTWARE, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *streams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_STREAMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SOFTWARE, 8) &&
+           VerifyOffset(verifier, VT_STREAMS) &&
+           verifier.VerifyVector(streams()) &&
+           verifier.EndTable();
+  }
+};
+
+struct BegunStreamsBuilder {
+  typedef BegunStreams Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_software(uint64_t software) {
+    fbb_.AddElement<uint64_t>(BegunStreams::VT_SOFTWARE, software, 0);
+  }
+  void add_streams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams) {
+    fbb_.AddOffset(BegunStreams::VT_STREAMS, streams);
+  }
+  explicit BegunStreamsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BegunStreams> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BegunStreams>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BegunStreams> CreateBegunStreams(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t software = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams = 0) {
+  BegunStreamsBuilder builder_(_fbb);
+  builder_.add_software(software);
+  builder_.add_streams(streams);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BegunStreams> CreateBegunStreamsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t software = 0,
+    const std::vector<uint64_t> *streams = nullptr) {
+  auto streams__ = streams ? _fbb.CreateVector<uint64_t>(*streams) : 0;
+  return rosemarycove::wire::CreateBegunStreams(
+      _fbb,
+      software,
+      streams__);
+}
+
 struct Identity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef IdentityBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -490,7 +658,9 @@
     VT_CONFIGURATION = 30,
     VT_SERVERS = 32,
     VT_SUSPECTED_PARTS = 34,
-    VT_LIMITS = 36
+    VT_LIMITS = 36,
+    VT_SOFTWARE = 38,
+    VT_BEGUN_STREAMS = 40
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -543,6 +713,12 @@
   const flatbuffers::Vector<const rosemarycove::wire::ServerLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServerLimit *> *>(VT_LIMITS);
   }
+  const rosemarycove::wire::SoftwareHistory *software() const {
+    return GetPointer<const rosemarycove::wire::SoftwareHistory *>(VT_SOFTWARE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *>(VT_BEGUN_STREAMS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -573,6 +749,11 @@
            verifier.VerifyVectorOfTables(suspected_parts()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyTable(software()) &&
+           VerifyOffset(verifier, VT_BEGUN_STREAMS) &&
+           verifier.VerifyVector(begun_streams()) &&
+           verifier.VerifyVectorOfTables(begun_streams()) &&
            verifier.EndTable();
   }
 };
@@ -632,6 +813,12 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits) {
     fbb_.AddOffset(FleetReport::VT_LIMITS, limits);
   }
+  void add_software(flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software) {
+    fbb_.AddOffset(FleetReport::VT_SOFTWARE, software);
+  }
+  void add_begun_streams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams) {
+    fbb_.AddOffset(FleetReport::VT_BEGUN_STREAMS, begun_streams);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -661,13 +848,17 @@
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0,
+    flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_servers_since(servers_since);
   builder_.add_directory_reading(directory_reading);
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_begun_streams(begun_streams);
+  builder_.add_software(software);
   builder_.add_limits(limits);
   builder_.add_suspected_parts(suspected_parts);
   builder_.add_servers(servers);
@@ -701,13 +892,16 @@
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts = nullptr,
-    const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr) {
+    const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr,
+    flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software = 0,
+    const std::vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::Document>>(*servers) : 0;
   auto suspected_parts__ = suspected_parts ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>(*suspected_parts) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerLimit>(*limits) : 0;
+  auto begun_streams__ = begun_streams ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>(*begun_streams) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -726,7 +920,9 @@
       configuration,
       servers__,
       suspected_parts__,
-      limits__);
+      limits__,
+      software,
+      begun_streams__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -739,3 +739,35 @@
   CHECK(!engines.Choose(query).has_value());
   CHECK(engines.why_not == NoChoiceReason::kUnreachable);
 }
+
+// Guards against a stream that goes on at another software version, by its
+// prompt's affinity or for lack of capacity.
+TEST(Routing, StreamGoesOnOnlyAtItsSoftware) {
+  for (std::uint64_t part = 1; part <= 20; ++part) {
+    Engines engines(6);
+    PlacementQuery query = QueryOf(kStream, part);
+    const RegisteredServer own = *engines.directory.Find("e3");
+    // Engines of unknown version have different software.
+    query.required_software = SoftwareHash(own);
+    const auto choice = engines.Choose(query);
+    CHECK(choice.has_value());
+    STRCMP_EQUAL("e3", choice->server.id.c_str());
+    CHECK(engines.placer.HasAlternative(query, "e0"));
+    CHECK(!engines.placer.HasAlternative(query, "e3"));
+    engines.placer.ledger().Add("e3", {.running = 8});
+    CHECK(!engines.Choose(query));
+    CHECK(engines.why_not == NoChoiceReason::kAwaitsSoftware);
+    query.required_software = 1;
+    CHECK(!engines.Choose(query));
+    CHECK(engines.why_not == NoChoiceReason::kSoftwareGone);
+  }
+}
+
+// Guards against streams that wait for the servers of their version and make
+// instances refuse or hold back all others.
+TEST(Routing, RequestThatAwaitsItsSoftwareIsNotAheadOfOthers) {
+  PlacementQueue queue;
+  queue.Add(1, {.tier = 0}, kStart, WaitReason::kSoftware);
+  CHECK(!queue.HasMoreUrgent({.tier = 2}));
+  LONGS_EQUAL(0, queue.CountAhead({.tier = 2}));
+}
