Stay with a silent server when no other could go on

A stream whose server is silent for a second, which a sound server may be, was broken off towards its caller if no other server of its version was there, no retry was left in the budget, or no time. Cause: the silence ended the attempt before it was known whether another one is possible.

Now the attempt goes on unless another server accepts the request and the retry budget has room.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -1031,6 +1031,13 @@
   return true;
 }
 
+bool Exchange::HasAlternative(TimePoint now) const {
+  return this->Remaining(now) >= kMinRetryTime &&
+         this->context.retry_budget.HasRoom(this->service_name, now) &&
+         this->context.placer.HasAlternative(this->query,
+                                             this->choice->server.id);
+}
+
 void Exchange::CheckSilence(TimePoint now) {
   const Route& route = *this->query.route;
   if (!route.MayRepeat() || !this->send_started || this->pending_failure ||
@@ -1053,7 +1060,7 @@
     timeout = std::min(timeout, kSuspectedSilenceTimeout +
                                     this->choice->predicted_first_event);
   }
-  if (silence <= timeout) {
+  if (silence <= timeout || !this->HasAlternative(now)) {
     return;
   }
   this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -179,8 +179,10 @@
   // Records that the server's connection ended, which shows a crash if it had
   // just begun to run the request.
   void RecordConnectionEnd();
-  // Fails the current attempt if its server has been silent for too long, which
-  // causes a retry at another server or ends the request.
+  // Returns whether another server could take the place of the current one.
+  [[nodiscard]] bool HasAlternative(TimePoint now) const;
+  // Fails the current attempt if its server has been silent for too long and
+  // another one could take its place.
   void CheckSilence(TimePoint now);
   // Reports the outcome and completes the response; only the first call has an
   // effect.
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -152,6 +152,7 @@
     streams_by_software[origin.software].push_back(origin.stream);
   }
   std::vector<Offset<wire::BegunStreams>> groups;
+  groups.reserve(streams_by_software.size());
   for (const auto& [software, streams] : streams_by_software) {
     groups.push_back(wire::CreateBegunStreams(builder, software,
                                               builder.CreateVector(streams)));
--- a/tests/test_resumed_streams.cc
+++ b/tests/test_resumed_streams.cc
@@ -26,6 +26,8 @@
 // Longer than a read of the directory and its relay.
 constexpr auto kDirectoryTime = std::chrono::milliseconds(1500);
 constexpr int kResumptions = 6;
+// Longer than the silence after which a stream goes on elsewhere.
+constexpr auto kSilence = std::chrono::milliseconds(1200);
 
 // A server of the model service with a software version. It breaks each stream
 // off after the second event, unless it resumes one.
@@ -54,6 +56,8 @@
   }
   void Unregister() { this->platform.store.Remove("servers/" + this->id); }
   void set_breaks_off(bool value) { this->breaks_off = value; }
+  // Makes the server silent for this long after the second event.
+  void set_pause(std::chrono::milliseconds value) { this->pause = value; }
   [[nodiscard]] int run_count() const { return this->runs; }
 
  private:
@@ -68,6 +72,9 @@
           connection.Reset();
           return;
         }
+        if (i == 3) {
+          std::this_thread::sleep_for(this->pause.load());
+        }
         connection.Send(
             Chunk(fmt::format("id: {}\ndata: {}\n\n", i, this->version)));
         // Separates the last bytes from the reset.
@@ -81,6 +88,7 @@
   std::string id;
   std::string version;
   std::atomic<bool> breaks_off;
+  std::atomic<std::chrono::milliseconds> pause{};
   std::atomic<int> runs = 0;
   RawServer server;
 };
@@ -173,6 +181,25 @@
   }
 }
 
+// Guards against a stream that is broken off because its server is silent for a
+// while, although no other server could go on with it.
+TEST(ResumedStreams, SilenceDoesNotEndAStreamThatNoOtherServerCanGoOnWith) {
+  VersionedPlatform platform;
+  VersionedServer old_server(platform, "old", "v1", false);
+  RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  AwaitUse(gateway, old_server);
+  VersionedServer new_server(platform, "new", "v2", false);
+  std::this_thread::sleep_for(kDirectoryTime);
+  old_server.set_pause(kSilence);
+  new_server.set_pause(kSilence);
+  const std::string response = ReadStream(gateway, "r1");
+  CHECK(IsComplete(response));
+  const bool has_old = response.find("data: v1") != std::string::npos;
+  const bool has_new = response.find("data: v2") != std::string::npos;
+  CHECK(has_old != has_new);
+}
+
 // Guards against a stream that its caller resumes at another instance, and that
 // goes on there at another software version.
 TEST(ResumedStreams, CallerResumesAtTheVersionThatBeganTheStream) {
