Decide on a silent server in one place

Two changes kept a request at a silent server while no other can take it. The one that chooses the next server and spends the budget first remains; the check of the directory and of the budget's room, which it makes needless, go. Their two checks in test_routing go with the function. The test of a silent server of a version stays (test_resumed_streams).

--- a/src/core/fleet_retry_budget.cc
+++ b/src/core/fleet_retry_budget.cc
@@ -39,8 +39,8 @@
   ++tally.requests[static_cast<std::size_t>(tally.slice % kSlices)];
 }
 
-bool FleetRetryBudget::HasRoom(const std::string& service, TimePoint now) {
-  const Tally& tally = this->Advance(service, now);
+bool FleetRetryBudget::TrySpend(const std::string& service, TimePoint now) {
+  Tally& tally = this->Advance(service, now);
   const int requests =
       std::accumulate(tally.requests.begin(), tally.requests.end(), 0);
   const int retries =
@@ -48,14 +48,9 @@
   const double allowed =
       (1 - kSafetyMargin) * (this->bounds.ratio * requests +
                              this->bounds.slack / this->instance_count);
-  return retries + 1 <= allowed;
-}
-
-bool FleetRetryBudget::TrySpend(const std::string& service, TimePoint now) {
-  if (!this->HasRoom(service, now)) {
+  if (retries + 1 > allowed) {
     return false;
   }
-  Tally& tally = this->Advance(service, now);
   ++tally.retries[static_cast<std::size_t>(tally.slice % kSlices)];
   return true;
 }
--- a/src/core/fleet_retry_budget.h
+++ b/src/core/fleet_retry_budget.h
@@ -34,8 +34,6 @@
   void set_instance_count(int count);
   // Counts a caller's request for the service.
   void RecordRequest(const std::string& service, TimePoint now);
-  // Returns whether the budget allows a retry.
-  [[nodiscard]] bool HasRoom(const std::string& service, TimePoint now);
   // Counts a retry if the budget allows it; returns false if it does not.
   bool TrySpend(const std::string& service, TimePoint now);
 
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -865,16 +865,6 @@
       .ObserveSilence(choice.server.id, choice.latency_inputs, silence, now);
 }
 
-bool Placer::HasAlternative(const PlacementQuery& query,
-                            const std::string& server) const {
-  return std::any_of(this->directory.servers().begin(),
-                     this->directory.servers().end(), [&](const auto& item) {
-                       return item.first != server &&
-                              Accepts(item.second, query) &&
-                              !WasTried(query, item.first);
-                     });
-}
-
 Duration Placer::EstimateRetryDelay(const PlacementQuery& query,
                                     TimePoint now) const {
   constexpr Duration kMinDelay = std::chrono::milliseconds(200);
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -198,10 +198,6 @@
   void ObserveSilence(const PlacementQuery& query, const ServerChoice& choice,
                       Duration silence, TimePoint now);
 
-  // Returns whether the directory has a server that accepts the request and was
-  // not tried for it, other than this one.
-  [[nodiscard]] bool HasAlternative(const PlacementQuery& query,
-                                    const std::string& server) const;
   // Estimates how long it takes until capacity for the request is likely to be
   // available.
   [[nodiscard]] Duration EstimateRetryDelay(const PlacementQuery& query,
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -752,8 +752,6 @@
     const auto choice = engines.Choose(query);
     CHECK(choice.has_value());
     STRCMP_EQUAL("e3", choice->server.id.c_str());
-    CHECK(engines.placer.HasAlternative(query, "e0"));
-    CHECK(!engines.placer.HasAlternative(query, "e3"));
     engines.placer.ledger().Add("e3", {.running = 8});
     CHECK(!engines.Choose(query));
     CHECK(engines.why_not == NoChoiceReason::kAwaitsSoftware);
