Report an unreadable entry once, with its fault, and relay it without value

Operators saw a line "unreadable" (5002) at every instance for each heartbeat of an odd entry, without what is wrong with it. Its value, of any size, was sent to all other instances each time; with values of 3 MB or more the report was longer than the receiver takes, which then closed the connection, so that an instance without the store no longer followed the list.

Cause: an unreadable entry counted as changed whenever it was written, and was kept with its value.

The decoder now returns what is wrong; the directory reports and relays the entry when it becomes unreadable, and again only after it was valid or gone. It keeps and relays the key and the revision only: the receiver can't read an empty value either.

Ruled out: skipping unreadable entries in reports. A receiver would then go on using the server that the entry named before.

The signature of ServerDecoder::Decode changes in two fakes of the tests.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -369,14 +369,17 @@
       this->placer.Forget(item.server.id);
       this->pool.CloseIdleTo(item.server.id);
     }
-    this->log.Write(LogEvent::kServerChanged,
-                    {{"server", item.server.id},
-                     {"change", ToString(item.kind)},
-                     {"service", item.server.service},
-                     {"address", item.server.address},
-                     {"data_centre", item.server.data_centre},
-                     {"revision", item.revision},
-                     {"from", from}});
+    LogFields fields = {{"server", item.server.id},
+                        {"change", ToString(item.kind)},
+                        {"service", item.server.service},
+                        {"address", item.server.address},
+                        {"data_centre", item.server.data_centre},
+                        {"revision", item.revision},
+                        {"from", from}};
+    if (item.kind == ServerChangeKind::kUnreadable) {
+      fields["fault"] = item.fault;
+    }
+    this->log.Write(LogEvent::kServerChanged, fields);
   }
 }
 
--- a/src/core/backend_directory.cc
+++ b/src/core/backend_directory.cc
@@ -119,24 +119,23 @@
     this->Remove(entry, document, now, changes);
     return;
   }
-  std::optional<RegisteredServer> server = this->decoder.Decode(document);
+  tl::expected<RegisteredServer, std::string> server =
+      this->decoder.Decode(document);
+  if (!server) {
+    this->MarkUnreadable(entry, document, server.error(), changes);
+    return;
+  }
+  entry.is_unreadable = false;
   const std::optional<RegisteredServer> before = std::move(entry.server);
-  const bool is_unchanged = server.has_value() && server == before &&
-                            !entry.document.is_removed && !entry.grace_end;
+  const bool is_unchanged =
+      before == *server && !entry.document.is_removed && !entry.grace_end;
   entry.document = document;
   entry.grace_end.reset();
-  entry.server = server;
+  entry.server = *server;
   if (is_unchanged) {
     return;
   }
   entry.changed_revision = document.revision;
-  if (!server) {
-    this->usable_servers.erase(document.key);
-    changes.push_back({.kind = ServerChangeKind::kUnreadable,
-                       .server = {.id = document.key},
-                       .revision = document.revision});
-    return;
-  }
   ServerChangeKind kind = ServerChangeKind::kChanged;
   if (!before) {
     kind = ServerChangeKind::kAppeared;
@@ -146,12 +145,32 @@
     kind = ServerChangeKind::kDraining;
   }
   this->usable_servers[document.key] = *server;
-  if (server != before) {
+  if (before != *server) {
     changes.push_back(
         {.kind = kind, .server = *server, .revision = document.revision});
   }
 }
 
+void BackendDirectory::MarkUnreadable(Entry& entry,
+                                      const SharedDocument& document,
+                                      const std::string& fault,
+                                      std::vector<ServerChange>& changes) {
+  // The value is of no use to other instances and may have any size.
+  entry.document = {.key = document.key, .revision = document.revision};
+  if (entry.is_unreadable) {
+    return;
+  }
+  entry.is_unreadable = true;
+  entry.changed_revision = document.revision;
+  entry.grace_end.reset();
+  entry.server.reset();
+  this->usable_servers.erase(document.key);
+  changes.push_back({.kind = ServerChangeKind::kUnreadable,
+                     .server = {.id = document.key},
+                     .revision = document.revision,
+                     .fault = fault});
+}
+
 void BackendDirectory::Remove(Entry& entry, const SharedDocument& document,
                               TimePoint now,
                               std::vector<ServerChange>& changes) {
@@ -159,6 +178,7 @@
   entry.document = document;
   entry.changed_revision = document.revision;
   entry.removed_at = now;
+  entry.is_unreadable = false;
   if (!entry.server) {
     return;
   }
--- a/src/core/backend_directory.h
+++ b/src/core/backend_directory.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "core/shared_document.h"
@@ -36,9 +37,9 @@
 class ServerDecoder {
  public:
   virtual ~ServerDecoder() = default;
-  // Returns the registered server, or nullopt if the value is not a valid
-  // registration.
-  [[nodiscard]] virtual std::optional<RegisteredServer> Decode(
+  // Returns the registered server, or what is wrong if the document is not a
+  // valid registration.
+  [[nodiscard]] virtual tl::expected<RegisteredServer, std::string> Decode(
       const SharedDocument& document) const = 0;
 };
 
@@ -49,7 +50,7 @@
   kRestarted,  // The same id has another incarnation.
   kDraining,   // The server began to drain.
   kGone,       // Its entry was removed, or expired and was not renewed in time.
-  kUnreadable,  // The entry is not a valid registration.
+  kUnreadable,  // The entry is no longer a valid registration, or never was.
 };
 
 // Returns the word that logs use.
@@ -61,6 +62,8 @@
   RegisteredServer server;
   // The store's revision of the change.
   std::uint64_t revision = 0;
+  // What is wrong with an unreadable entry; empty otherwise.
+  std::string fault;
 };
 
 // A delta or a snapshot of the directory, for another instance.
@@ -148,6 +151,7 @@
 
  private:
   struct Entry {
+    // Without its value if the entry is unreadable.
     SharedDocument document;
     // The last revision that changed the content; heartbeats rewrite an entry
     // without changing it.
@@ -155,6 +159,8 @@
     // nullopt if the entry is unreadable, or removed without or after a grace
     // period.
     std::optional<RegisteredServer> server;
+    // The entry exists and is unreadable.
+    bool is_unreadable = false;
     // End of the grace period of an expired entry; nullopt for other entries.
     std::optional<TimePoint> grace_end;
     // When this instance applied the removal.
@@ -165,6 +171,9 @@
                 std::vector<ServerChange>& changes);
   void Remove(Entry& entry, const SharedDocument& document, TimePoint now,
               std::vector<ServerChange>& changes);
+  void MarkUnreadable(Entry& entry, const SharedDocument& document,
+                      const std::string& fault,
+                      std::vector<ServerChange>& changes);
   std::vector<ServerChange> ApplyAll(
       const std::vector<SharedDocument>& documents, TimePoint now);
   // Returns the documents, and tombstones for all other entries whose revision
--- a/tests/test_odd_entries.cc
+++ b/tests/test_odd_entries.cc
@@ -172,3 +172,52 @@
   }
   CHECK_EQUAL(kRequests, CountAnswered(gateway, "configured"));
 }
+
+// Guards against a log line at each heartbeat of an odd entry.
+TEST(OddEntries, EachIsReportedOnceWithItsFault) {
+  const PlatformServerDecoder decoder;
+  BackendDirectory directory(decoder);
+  const TimePoint now = std::chrono::steady_clock::now();
+  const std::string odd = EntryText{.slots = "\"8\""}.ToJson();
+  auto changes = directory.Replace({{.key = "a", .revision = 1, .value = odd}},
+                                   1, now, now);
+  CHECK_EQUAL(1U, changes.size());
+  STRCMP_EQUAL("a", changes[0].server.id.c_str());
+  STRCMP_EQUAL("slots is not a number", changes[0].fault.c_str());
+  for (std::uint64_t revision = 2; revision < 9; ++revision) {
+    changes = directory.Replace(
+        {{.key = "a", .revision = revision, .value = odd}}, revision, now, now);
+    CHECK(changes.empty());
+  }
+  // It is reported again if it was readable in between, or gone.
+  const std::string valid = EntryText{}.ToJson();
+  changes = directory.Apply({{.key = "a", .revision = 9, .value = valid},
+                             {.key = "a", .revision = 10, .value = odd},
+                             {.key = "a", .revision = 11, .is_removed = true},
+                             {.key = "a", .revision = 12, .value = odd}},
+                            12, now, now);
+  CHECK_EQUAL(3U, changes.size());
+  CHECK(changes[0].kind == ServerChangeKind::kAppeared);
+  CHECK(changes[1].kind == ServerChangeKind::kUnreadable);
+  CHECK(changes[2].kind == ServerChangeKind::kUnreadable);
+}
+
+// Guards against odd entries that are relayed at each heartbeat and with values
+// of any size.
+TEST(OddEntries, EachIsRelayedOnceWithoutItsValue) {
+  const PlatformServerDecoder decoder;
+  BackendDirectory directory(decoder);
+  const TimePoint now = std::chrono::steady_clock::now();
+  directory.Replace({{.key = "b", .revision = 1, .value = "odd"}}, 1, now, now);
+  directory.Replace({{.key = "b", .revision = 2, .value = "odd"}}, 2, now, now);
+  const DirectoryUpdate first = directory.UpdateSince(0);
+  CHECK_EQUAL(1U, first.documents.size());
+  CHECK_EQUAL(2U, first.documents[0].revision);
+  STRCMP_EQUAL("", first.documents[0].value.c_str());
+  CHECK(directory.UpdateSince(1).documents.empty());
+  BackendDirectory receiver(decoder);
+  const auto changes =
+      receiver.ApplyUpdate(first, 2, {.reader = 1, .sequence = 1}, now, now);
+  CHECK_EQUAL(1U, changes.size());
+  CHECK(receiver.servers().empty());
+}
--- a/tests/test_placement_fleet.cc
+++ b/tests/test_placement_fleet.cc
@@ -29,7 +29,7 @@
 
 class EngineDecoder : public ServerDecoder {
  public:
-  [[nodiscard]] std::optional<RegisteredServer> Decode(
+  [[nodiscard]] tl::expected<RegisteredServer, std::string> Decode(
       const SharedDocument& document) const override {
     return RegisteredServer{.id = document.key,
                             .incarnation = 1,
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -32,7 +32,7 @@
 // Decodes values of the form SERVICE:ADDRESS:STATE:INCARNATION.
 class ColonDecoder : public ServerDecoder {
  public:
-  [[nodiscard]] std::optional<RegisteredServer> Decode(
+  [[nodiscard]] tl::expected<RegisteredServer, std::string> Decode(
       const SharedDocument& document) const override {
     std::vector<std::string> words{""};
     for (const char letter : document.value) {
@@ -43,7 +43,7 @@
       }
     }
     if (words.size() != 4) {
-      return std::nullopt;
+      return tl::unexpected(std::string("not four words"));
     }
     return RegisteredServer{.id = document.key,
                             .incarnation = std::stoull(words[3]),
