Write any bytes in log lines of text

What operators would see: with log_format = "text", a field with bytes that are not UTF-8, such as a request's id or a server's limit, and a space ended the process (json::type_error 316). JSON lines replaced such bytes already.

Cause: quoting used json::dump without the handler that replaces them.

Shown: LogsTakeAnyBytes failed before for text and passes, with 2000 values in each format.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -72,14 +72,20 @@
   return spdlog::level::info;
 }
 
+// Writes a value as JSON, with bytes that are not UTF-8 replaced.
+std::string ToJsonText(const nlohmann::ordered_json& value) {
+  return value.dump(-1, ' ', false,
+                    nlohmann::ordered_json::error_handler_t::replace);
+}
+
 // Formats a value for a text line. Quotes it only if it is empty or contains a
 // separator.
 std::string FormatTextValue(const nlohmann::ordered_json& value) {
   const std::string text =
-      value.is_string() ? value.get<std::string>() : value.dump();
+      value.is_string() ? value.get<std::string>() : ToJsonText(value);
   const bool is_unquoted =
       !text.empty() && text.find_first_of(" \"=\n") == std::string::npos;
-  return is_unquoted ? text : nlohmann::ordered_json(text).dump();
+  return is_unquoted ? text : ToJsonText(text);
 }
 
 }  // namespace
@@ -94,8 +100,7 @@
     line["event"] = static_cast<int>(event);
     line["name"] = info.name;
     line.update(fields);
-    return line.dump(-1, ' ', false,
-                     nlohmann::ordered_json::error_handler_t::replace);
+    return ToJsonText(line);
   }
   std::string line = "event=" + std::to_string(static_cast<int>(event)) +
                      " name=" + std::string(info.name);
