Bound the numbers in reports of other instances

Counts of tokens above 2^31 - 1 became negative when a report was decoded, and the sum over instances could overflow; a share that is not a number was followed.

Counts are now at most 10,000,000 tokens for each instance and server, shares from 0 to 1, and work and limits finite.

--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstring>
 #include <limits>
 #include <utility>
@@ -16,6 +17,8 @@
 
 // The builder's buffer grows if a report needs more.
 constexpr std::size_t kInitialBufferBytes = 512;
+// More prompt tokens than any service reads.
+constexpr float kMaxWork = 1e12F;
 // The value of a limit that has ended.
 constexpr double kNoRateLimit = -1;
 
@@ -26,6 +29,17 @@
       std::clamp<std::int64_t>(value, 0, std::numeric_limits<T>::max()));
 }
 
+// Converts a count of tokens; the sum over all instances fits an int.
+int DecodeTokens(std::uint32_t tokens) {
+  constexpr std::uint32_t kMaxTokens = 10'000'000;
+  return static_cast<int>(std::min(tokens, kMaxTokens));
+}
+
+// Returns 0 if the number is not a number.
+double DecodeNumber(float number, float max) {
+  return std::isnan(number) ? 0 : std::clamp(number, 0.0F, max);
+}
+
 std::string ToString(const flatbuffers::String* text) {
   return text == nullptr ? std::string() : text->str();
 }
@@ -109,7 +123,7 @@
                          .observation = frame.observation(),
                          .age = std::chrono::milliseconds(frame.age_ms()),
                          .sent = frame.sent()};
-  if (frame.per_second() >= 0) {
+  if (frame.per_second() >= 0 && std::isfinite(frame.per_second())) {
     report.per_second = frame.per_second();
   }
   if (frame.refused() > 0) {
@@ -138,20 +152,21 @@
     for (const wire::ServerShare* share : *frame.shares()) {
       report.server_loads.push_back(
           {.server_hash = share->server(),
-           .load = {.running = share->running(),
-                    .prefill_tokens = static_cast<int>(share->unread_tokens()),
-                    .kv_tokens = static_cast<int>(share->held_tokens()),
-                    .long_prefill_tokens =
-                        static_cast<int>(share->long_unread_tokens()),
-                    .gap_sensitive_streams = share->brittle_streams()}});
+           .load = {
+               .running = share->running(),
+               .prefill_tokens = DecodeTokens(share->unread_tokens()),
+               .kv_tokens = DecodeTokens(share->held_tokens()),
+               .long_prefill_tokens = DecodeTokens(share->long_unread_tokens()),
+               .gap_sensitive_streams = share->brittle_streams()}});
     }
   }
   if (frame.divisions() != nullptr) {
     for (const wire::ServiceDivision* division : *frame.divisions()) {
-      report.partitions.push_back({.service_hash = division->service(),
-                                   .reserved_share = division->share(),
-                                   .pause_tolerant_work = division->long_work(),
-                                   .other_work = division->other_work()});
+      report.partitions.push_back(
+          {.service_hash = division->service(),
+           .reserved_share = DecodeNumber(division->share(), 1),
+           .pause_tolerant_work = DecodeNumber(division->long_work(), kMaxWork),
+           .other_work = DecodeNumber(division->other_work(), kMaxWork)});
     }
   }
   if (frame.suspected_parts() != nullptr) {
