Refuse frames that name a message and have none

What operators would see: an instance of `serve` ended (a null pointer) when any program that reached its peers' port sent a frame with the type of a message and without the message. No secret was needed.

Cause: the FlatBuffers verifier accepts a union's type without its value; the decoder relied on the value. It now refuses the frame, and the link is closed. Times of peers are also kept within what a Duration holds.

Ruled out: the reports of `gateway`, whose schema has no union; null strings and tables in its vectors are refused by the verifier.

Shown: PeerFramesWithoutTheirMessageAreMalformed and DamagedPeerFramesDoNoHarm ended the test program before and pass, the latter with 4000 damaged frames.

--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "wire/peer_codec.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstring>
 #include <utility>
@@ -18,8 +19,10 @@
       .count();
 }
 
+// Times of a peer are never negative; about eleven days fit a Duration.
 Duration FromMicroseconds(std::int64_t count) {
-  return std::chrono::microseconds(count);
+  constexpr std::int64_t kMax = 1'000'000'000'000;
+  return std::chrono::microseconds(std::clamp<std::int64_t>(count, 0, kMax));
 }
 
 std::string ToString(const flatbuffers::String* text) {
@@ -167,6 +170,10 @@
 }
 
 std::optional<PeerFrame> DecodeBody(const wire::Frame& frame) {
+  // The verifier accepts a type without a body.
+  if (frame.body() == nullptr) {
+    return std::nullopt;
+  }
   switch (frame.body_type()) {
     case wire::Body::Challenge: {
       const auto& item = *frame.body_as_Challenge();
