Bound the levels of requests and responses of `serve`

What operators would see: an instance of `serve` ended when a caller with a key sent a message whose content has 200,000 nested arrays (400 KB, below the default limit of 1 MB), or when a model engine sent such a value as `usage`.

Cause: the content is written as text, and `usage` was copied; nlohmann/json does both recursively, and the stack of a thread ends. Operators' documents are converted to TOML recursively, too.

All three are now decoded with JsonDecoder: 200 levels for callers, 64 for engines and operators. A count of tokens that no int holds is bounded.

Ruled out: streamed events, of which only those with "error" become a value; validation doesn't recurse.

The HTTP fixture gets a parameter for the limit of a request, with the former value as its default.

--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -10,6 +10,7 @@
 
 #include "app/toml_json.h"
 #include "http/http_status.h"
+#include "wire/json_decoder.h"
 
 namespace rosemarycove {
 namespace {
@@ -255,13 +256,13 @@
                               httplib::Response& response) {
   const std::string kind = request.matches[1];
   const std::string name = request.matches[2];
-  json body = json::parse(request.body, nullptr, false);
+  json body = JsonDecoder().Parse(request.body).value_or(json());
   if (!body.is_object()) {
     ReplyError(response, http_status::kBadRequest, "bad_request",
                "the body is not a JSON object");
     return;
   }
-  if (HasName(kind) && body.value("name", name) != name) {
+  if (HasName(kind) && body.contains("name") && body["name"] != name) {
     ReplyError(response, http_status::kBadRequest, "bad_request",
                "the names in the body and in the path differ");
     return;
--- a/src/http/attempt_runner.cc
+++ b/src/http/attempt_runner.cc
@@ -1,11 +1,13 @@
 #include "http/attempt_runner.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "http/sse_parser.h"
+#include "wire/json_decoder.h"
 
 namespace rosemarycove {
 namespace {
@@ -16,6 +18,8 @@
 constexpr Duration kProgressInterval = std::chrono::milliseconds(100);
 // Maximum size in bytes of a response that is not streamed.
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+// More tokens than any response has.
+constexpr std::int64_t kMaxTokens = 1'000'000'000;
 constexpr std::string_view kDoneEvent = "[DONE]";
 
 constexpr int kFirstErrorStatus = 400;
@@ -32,7 +36,7 @@
   if (data.find("\"error\"") == std::string_view::npos) {
     return json::accept(data);
   }
-  const json event = json::parse(data, nullptr, false);
+  const json event = JsonDecoder().Parse(data).value_or(json());
   return event.is_object() && !event.contains("error");
 }
 
@@ -195,14 +199,16 @@
   // Reads the token count from a model's response that is not streamed. Returns
   // false if the body is not a chat completion.
   bool ReadTokenCount() {
-    const json body = json::parse(this->response.body, nullptr, false);
+    const json body = JsonDecoder().Parse(this->response.body).value_or(json());
     if (!body.is_object() || !body.contains("choices")) {
       return false;
     }
-    const json usage = body.value("usage", json::object());
-    if (usage.is_object() && usage.contains("completion_tokens") &&
-        usage["completion_tokens"].is_number_integer()) {
-      this->token_count = usage["completion_tokens"].get<int>();
+    const auto usage = body.find("usage");
+    if (usage != body.end() && usage->is_object() &&
+        usage->contains("completion_tokens") &&
+        (*usage)["completion_tokens"].is_number_integer()) {
+      this->token_count = static_cast<int>(std::clamp<std::int64_t>(
+          (*usage)["completion_tokens"].get<std::int64_t>(), 0, kMaxTokens));
     }
     return true;
   }
--- a/src/http/caller_api.cc
+++ b/src/http/caller_api.cc
@@ -9,6 +9,7 @@
 
 #include "http/http_status.h"
 #include "store/digest.h"
+#include "wire/json_decoder.h"
 
 namespace rosemarycove {
 namespace {
@@ -21,6 +22,8 @@
 constexpr std::size_t kBytesPerToken = 4;
 // Number of bytes at the start of the prompt that are hashed as its prefix.
 constexpr std::size_t kPrefixBytes = 1024;
+// Maximum number of levels of a request's JSON; schemas of tools have some.
+constexpr int kMaxBodyDepth = 200;
 // Maximum length of an idempotency key, in bytes.
 constexpr std::size_t kMaxKeyBytes = 256;
 
@@ -236,7 +239,9 @@
   if (!customer) {
     return;
   }
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = JsonDecoder({.max_depth = kMaxBodyDepth})
+                        .Parse(request.body)
+                        .value_or(json());
   const std::string error = ValidationError(body);
   if (!error.empty()) {
     Reject(response, http_status::kBadRequest, error, "bad_request");
--- a/tests/http_fixture.cc
+++ b/tests/http_fixture.cc
@@ -30,7 +30,7 @@
           .headers = result->headers};
 }
 
-Settings MakeSettings(const HttpFixture& fixture) {
+Settings MakeSettings(const HttpFixture& fixture, int max_body) {
   Settings settings;
   settings.name = "test";
   settings.data_centre = "a";
@@ -45,7 +45,7 @@
   settings.idle_timeout = std::chrono::milliseconds(300);
   ResourceSet resources = MakeResources(0);
   resources.backends.clear();
-  resources.limits.max_body = 10000;
+  resources.limits.max_body = max_body;
   resources.customers[0].key_hash = Sha256Hex(kKey);
   for (const auto& engine : fixture.engines) {
     resources.backends.push_back(
@@ -72,7 +72,7 @@
   return found == this->headers.end() ? "" : found->second;
 }
 
-HttpFixture::HttpFixture(int engine_count) {
+HttpFixture::HttpFixture(int engine_count, int max_body) {
   for (int i = 0; i < engine_count; ++i) {
     this->engines.push_back(
         std::make_unique<standins::EngineStandin>(standins::EngineOptions{
@@ -81,7 +81,7 @@
     this->engines.back()->Start(0);
   }
   this->orders.Start(0);
-  this->instance = std::make_unique<Instance>(MakeSettings(*this));
+  this->instance = std::make_unique<Instance>(MakeSettings(*this, max_body));
   this->instance->Start();
 }
 
--- a/tests/http_fixture.h
+++ b/tests/http_fixture.h
@@ -31,7 +31,8 @@
 // Runs an instance without peers, with fast engines.
 class HttpFixture {
  public:
-  explicit HttpFixture(int engine_count);
+  // `max_body` is the limit of a caller's request, in bytes.
+  explicit HttpFixture(int engine_count, int max_body = 10000);
   ~HttpFixture();
 
   // Sends a chat request with the customer's key.
