Check the types of what the stores of `serve` return

What operators would see: an instance of `serve` ended when an item of the list of instances had a state that is no string, since it is read on a thread of its own; a request whose idempotency claim in the store had a number as its owner failed with an exception in its handler. A load report with an age of 1e300 ms was converted to an undefined time.

Cause: json::value() throws if the member has another type.

Shown: ResponsesOfTheStoresOfServeHaveTypes and ClaimsThatCannotBeReadAreUnavailable ended the test program before and pass. The load poller has no test of its own.

--- a/src/app/claim_store.cc
+++ b/src/app/claim_store.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "store/digest.h"
+#include "wire/json_decoder.h"
 
 namespace rosemarycove {
 namespace {
@@ -53,15 +54,19 @@
     if (!read) {
       continue;
     }
-    const json value = json::parse(read->value, nullptr, false);
-    if (read->version == 0 || !value.is_object()) {
+    const auto owner =
+        JsonDecoder().DecodeObject(read->value, [](const JsonFields& fields) {
+          return IdempotencyClaim{.fingerprint = fields.String("fingerprint"),
+                                  .owner = fields.String("owner")};
+        });
+    if (read->version == 0 || !owner) {
       // The write may still reach the store, so its result is unknown.
       return ClaimResult::kUnavailable;
     }
-    if (value.value("owner", "") == claim.owner) {
+    if (owner->owner == claim.owner) {
       return ClaimResult::kClaimed;
     }
-    return value.value("fingerprint", "") == claim.fingerprint
+    return owner->fingerprint == claim.fingerprint
                ? ClaimResult::kIdempotencyKeyTaken
                : ClaimResult::kIdempotencyKeyReused;
   }
--- a/src/app/load_poller.cc
+++ b/src/app/load_poller.cc
@@ -3,18 +3,20 @@
 #include <httplib.h>
 
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <vector>
 
+#include "wire/json_decoder.h"
+
 namespace rosemarycove {
 namespace {
 
-using nlohmann::json;
-
 constexpr std::size_t kMaxThreads = 8;
 // For connecting to a server and for reading its response, each.
 constexpr auto kTimeout = std::chrono::milliseconds(500);
 constexpr int kOk = 200;
+// A report out of these ranges is not valid.
+constexpr double kMaxAgeMs = 1e9;
+constexpr int kMaxRunning = 1'000'000;
 
 }  // namespace
 
@@ -58,15 +60,17 @@
   const TimePoint now = std::chrono::steady_clock::now();
   bool is_valid = false;
   if (result && result->status == kOk) {
-    const json load = json::parse(result->body, nullptr, false);
-    is_valid = load.is_object() && load.contains("running") &&
-               load["running"].is_number_integer() && load.contains("age_ms") &&
-               load["age_ms"].is_number();
+    const auto load =
+        JsonDecoder().DecodeObject(result->body, [&](const JsonFields& fields) {
+          const double age_ms = fields.Number("age_ms", 0, kMaxAgeMs);
+          return LoadReported{.backend = backend.name,
+                              .taken_at = now - FromSeconds(age_ms / 1000),
+                              .running = static_cast<int>(
+                                  fields.Integer("running", 0, kMaxRunning))};
+        });
+    is_valid = load.has_value();
     if (is_valid) {
-      const Duration age = FromSeconds(load["age_ms"].get<double>() / 1000);
-      this->host.Post(LoadReported{.backend = backend.name,
-                                   .taken_at = now - age,
-                                   .running = load["running"].get<int>()});
+      this->host.Post(*load);
     }
   }
   this->OnPolled(backend.name, is_valid);
--- a/src/store/http_instance_list.cc
+++ b/src/store/http_instance_list.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "wire/json_decoder.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -27,7 +29,7 @@
         StoreError{.kind = StoreErrorKind::kUnavailable,
                    .message = "reading the list of instances failed"});
   }
-  const json list = json::parse(result->body, nullptr, false);
+  const json list = JsonDecoder().Parse(result->body).value_or(json());
   if (!list.is_array()) {
     return tl::unexpected(
         StoreError{.kind = StoreErrorKind::kUnavailable,
@@ -35,12 +37,15 @@
   }
   std::vector<ListedInstance> instances;
   for (const json& item : list) {
-    if (item.is_object() && item.contains("name") && item["name"].is_string() &&
-        item.contains("peer_address") && item["peer_address"].is_string()) {
+    try {
+      const JsonFields fields(item);
       instances.push_back(
-          {.name = item["name"].get<std::string>(),
-           .peer_address = item["peer_address"].get<std::string>(),
-           .leaving = item.value("state", "live") == "leaving"});
+          {.name = fields.String("name"),
+           .peer_address = fields.String("peer_address"),
+           .leaving = fields.StringOr("state", "live") == "leaving"});
+    } catch (const JsonFieldError&) {
+      // The item names no instance.
+      continue;
     }
   }
   return instances;
--- a/src/store/http_key_value_store.cc
+++ b/src/store/http_key_value_store.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "wire/json_decoder.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -54,7 +56,7 @@
   if (!result || result->status != kOk) {
     return tl::unexpected(ToStoreError(result));
   }
-  const json body = json::parse(result->body, nullptr, false);
+  const json body = JsonDecoder().Parse(result->body).value_or(json());
   if (!body.is_object() || !body.contains("value") ||
       !body["value"].is_string()) {
     return tl::unexpected(StoreError{.kind = StoreErrorKind::kUnknown,
@@ -109,7 +111,7 @@
   if (!result || (result->status != kOk && result->status != kConflict)) {
     return tl::unexpected(ToStoreError(result));
   }
-  const json body = json::parse(result->body, nullptr, false);
+  const json body = JsonDecoder().Parse(result->body).value_or(json());
   const StoreVersion version = body.is_object() ? VersionOf(body) : 0;
   if (result->status == kConflict) {
     return tl::unexpected(StoreError{.kind = StoreErrorKind::kConflict,
