Take only op/config for the configuration

Any document under op/ with a greater version was put in force: one under op/config2 or op/a, perhaps a draft or a backup, replaced the configuration, and the next one under op/config was ignored if its version was lower.

Cause: the store client returned all documents under the prefix, and the gateway takes each for the configuration.

The fixture of the gateway's tests names the key, too.

--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -36,8 +36,9 @@
                                const std::string& store_address,
                                std::vector<std::string> seeds)
     : log(std::make_unique<EventLog>(instance, LogFormat::kJson, "off")),
-      configuration_store(
-          io, {.endpoint = *ParseTcpEndpoint(store_address), .prefix = "op/"}),
+      configuration_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
+                               .prefix = "op/",
+                               .key = "config"}),
       server_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
                         .prefix = "servers/"}),
       gateway(
--- a/tests/test_odd_entries.cc
+++ b/tests/test_odd_entries.cc
@@ -173,6 +173,21 @@
   CHECK_EQUAL(kRequests, CountAnswered(gateway, "configured"));
 }
 
+// Guards against another document of the operators being taken for the
+// configuration, which would keep the next one out.
+TEST(OddEntries, OnlyOneKeyIsTheConfiguration) {
+  PlatformFixture platform(AnsweringEngine());
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  platform.store.Put("op/config2", ConfigurationText{.version = "9"}.ToJson());
+  platform.store.Put("op/a", ConfigurationText{.version = "8"}.ToJson());
+  platform.AddServer("later", "stock", platform.engine.address());
+  CHECK(HasServers(gateway, kFixtureServers + 1));
+  CHECK_EQUAL(1, MetricOf(gateway, "rosemarycove_configuration_version"));
+  platform.PutConfiguration(2);
+  CHECK(HasConfiguration(gateway, 2));
+}
+
 // Guards against a log line at each heartbeat of an odd entry.
 TEST(OddEntries, EachIsReportedOnceWithItsFault) {
   const PlatformServerDecoder decoder;
