Read long values of the store as empty ones

With entries of 7 MB in all, each read of the list took the event loop of the instance that reads 150 to 210 ms in an optimised build, twice a second, on a whole core; instances have less. In a debug build it took 1.1 to 2 s, which may exceed the limit of a read, 1.5 s: the test RelayedOnesNameNoServerAndTheListIsFollowed failed in 5 of 6 runs in a row on a busy machine, after it had passed in the two runs before.

Cause: all values were parsed, although an entry of more than 4 KiB is refused.

JsonDecoder can read longer strings as empty ones: it finds their ends without parsing them.

--- a/src/wire/json_decoder.cc
+++ b/src/wire/json_decoder.cc
@@ -19,21 +19,29 @@
 constexpr std::string_view kReplacement = "\xef\xbf\xbd";
 constexpr std::string_view kReplacementEscape = "\\ufffd";
 
+// Returns the position after the string that begins with the quote at `quote`.
+std::size_t EndOfString(std::string_view text, std::size_t quote) {
+  std::size_t end = quote;
+  while (true) {
+    end = text.find('"', end + 1);
+    if (end == std::string_view::npos) {
+      return text.size();
+    }
+    const std::size_t before = text.find_last_not_of('\\', end - 1);
+    if ((end - 1 - before) % 2 == 0) {
+      return end + 1;
+    }
+  }
+}
+
 // Returns whether arrays and objects are nested more deeply. Brackets in
 // strings don't count.
 bool IsDeeperThan(std::string_view text, int max_depth) {
   int depth = 0;
-  bool in_string = false;
   for (std::size_t i = 0; i < text.size(); ++i) {
     const char byte = text[i];
-    if (in_string) {
-      if (byte == '\\') {
-        ++i;
-      } else if (byte == '"') {
-        in_string = false;
-      }
-    } else if (byte == '"') {
-      in_string = true;
+    if (byte == '"') {
+      i = EndOfString(text, i) - 1;
     } else if (byte == '[' || byte == '{') {
       if (++depth > max_depth) {
         return true;
@@ -45,6 +53,23 @@
   return false;
 }
 
+// Replaces strings of more bytes by empty ones.
+std::string EmptyLongStrings(std::string_view text, std::size_t max_bytes) {
+  constexpr std::size_t kQuotes = 2;
+  std::string shorter;
+  while (!text.empty()) {
+    const std::size_t quote = std::min(text.find('"'), text.size());
+    shorter.append(text.substr(0, quote));
+    text.remove_prefix(quote);
+    if (!text.empty()) {
+      const std::size_t end = EndOfString(text, 0);
+      shorter.append(end > max_bytes + kQuotes ? "\"\"" : text.substr(0, end));
+      text.remove_prefix(end);
+    }
+  }
+  return shorter;
+}
+
 // Returns the length of the UTF-8 sequence at the start of the text; 0 if there
 // is none.
 std::size_t Utf8Length(std::string_view text) {
@@ -272,6 +297,14 @@
     return tl::unexpected("the value has more than " +
                           std::to_string(this->limits.max_depth) + " levels");
   }
+  if (text.empty()) {
+    return tl::unexpected(std::string("the value is empty, or was too long"));
+  }
+  std::string shorter;
+  if (text.size() > this->limits.max_string_bytes) {
+    shorter = EmptyLongStrings(text, this->limits.max_string_bytes);
+    text = shorter;
+  }
   try {
     return json::parse(text);
   } catch (const json::parse_error& error) {
--- a/src/wire/json_decoder.h
+++ b/src/wire/json_decoder.h
@@ -62,6 +62,9 @@
   std::size_t max_bytes = std::size_t{64} << 20U;
   // Copying and writing a value take stack space for each level.
   int max_depth = 64;
+  // Longer strings are read as empty ones, which takes a small part of the
+  // time.
+  std::size_t max_string_bytes = std::size_t{64} << 20U;
   // Text that is not Unicode is replaced by U+FFFD; otherwise it is an error.
   bool replaces_invalid_text = false;
 };
--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -28,6 +28,7 @@
 #include "tests/fake_store.h"
 #include "tests/odd_values.h"
 #include "wire/fleet_codec.h"
+#include "wire/json_decoder.h"
 #include "wire/peer_codec.h"
 #include "wire/peer_generated.h"
 
@@ -113,7 +114,8 @@
   boost::asio::io_context io;
   StoreClient client(io,
                      {.endpoint = *ParseTcpEndpoint(answering.server.address()),
-                      .prefix = "servers/"});
+                      .prefix = "servers/",
+                      .max_value_bytes = kMaxEntryBytes});
   tl::expected<ReadResult, ReadError> read =
       tl::unexpected(ReadError{.message = "no result"});
   const auto done = [&](auto result) {
@@ -292,6 +294,46 @@
   }
 }
 
+// Guards against megabytes of values being parsed, which takes a hundred
+// milliseconds of the event loop at each read of the list.
+TEST(OutsideBytes, LongValuesAreReadAsEmpty) {
+  const std::string value(std::size_t{4} << 20U, 'A');
+  const auto read = ReadStore(PageWith(
+      fmt::format(R"({{"key":"servers/b","value":"{}","rev":2}})", value)));
+  CHECK(read.has_value());
+  CHECK_EQUAL(3U, read->documents.size());
+  STRCMP_EQUAL("b", read->documents[1].key.c_str());
+  STRCMP_EQUAL("", read->documents[1].value.c_str());
+  STRCMP_EQUAL("z", read->documents[2].key.c_str());
+}
+
+// The limits of JSON take account of quotes and brackets in strings.
+TEST(OutsideBytes, LimitsOfJsonFollowStrings) {
+  const JsonDecoder decoder(
+      {.max_bytes = 100, .max_depth = 2, .max_string_bytes = 8});
+  const auto parse = [&](const std::string& text) {
+    const auto value = decoder.Parse(text);
+    return value ? value->dump() : value.error();
+  };
+  STRCMP_EQUAL(R"({"a":["[[[[\\"]})", parse(R"({"a":["[[[[\\"]})").c_str());
+  STRCMP_EQUAL(R"(["\\\"[[["])", parse(R"(["\\\"[[["])").c_str());
+  STRCMP_EQUAL(R"({"a":"","b":1})",
+               parse(R"({"a":"\\\"\"\\\"123456789","b":1})").c_str());
+  STRCMP_EQUAL(R"(["12345678",""])",
+               parse(R"(["12345678","123456789"])").c_str());
+  STRCMP_EQUAL("the value has more than 2 levels", parse("[[[]]]").c_str());
+  STRCMP_EQUAL("the value has more than 2 levels",
+               parse(R"(["\\",[[]]])").c_str());
+  STRCMP_EQUAL("the text has more than 100 bytes",
+               parse(std::string(101, ' ')).c_str());
+  STRCMP_EQUAL("a number is out of range", parse("[-1e400]").c_str());
+  STRCMP_EQUAL("the value is not JSON from byte 2 on", parse("[x").c_str());
+  STRCMP_EQUAL("the value is empty, or was too long", parse("").c_str());
+  CHECK(rc::check("JSON", [&] {
+    (void)decoder.Parse(BytesOrDamaged(R"(["a\\","\"123456789",{"b":2}])"));
+  }));
+}
+
 // Guards against an endless list of pages, and against a part being taken for
 // the whole list.
 TEST(OutsideBytes, ListsThatAreNoneAreErrors) {
