--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -53,13 +53,36 @@
 
 // Bytes that make other values of JSON, TOML, header fields or HTTP.
 std::string Token() {
-  static const std::vector<std::string> kTokens = {
-      "-1",   "0",     "1e400", "1e300",    "99999999999999999999",
-      "\"",   "{",     "[",     "]",        "}",
-      ",",    ":",     "null",  "true",     "\"\\ud800\"",
-      "\xff", "\r\n",  "\n\n",  "-",        "\\",
-      "\0",   "\xc3",  "nan",   "[[[[[[[[", "\"key\":7",
-      "e999", "65536", "\t",    "inf",      "9223372036854775808"};
+  static const std::vector<std::string> kTokens = {"-1",
+                                                   "0",
+                                                   "1e400",
+                                                   "1e300",
+                                                   "99999999999999999999",
+                                                   "\"",
+                                                   "{",
+                                                   "[",
+                                                   "]",
+                                                   "}",
+                                                   ",",
+                                                   ":",
+                                                   "null",
+                                                   "true",
+                                                   "\"\\ud800\"",
+                                                   "\xff",
+                                                   "\r\n",
+                                                   "\n\n",
+                                                   "-",
+                                                   "\\",
+                                                   std::string(1, '\0'),
+                                                   "\xc3",
+                                                   "nan",
+                                                   "[[[[[[[[",
+                                                   "\"key\":7",
+                                                   "e999",
+                                                   "65536",
+                                                   "\t",
+                                                   "inf",
+                                                   "9223372036854775808"};
   return *rc::gen::elementOf(kTokens);
 }
 
