--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -38,10 +38,12 @@
                                std::vector<std::string> seeds,
                                Duration shutdown_grace)
     : log(std::make_unique<EventLog>(instance, LogFormat::kJson, "off")),
-      configuration_store(
-          io, {.endpoint = *ParseTcpEndpoint(store_address), .prefix = "op/"}),
+      configuration_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
+                               .prefix = "op/",
+                               .key = "config"}),
       server_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
-                        .prefix = "servers/"}),
+                        .prefix = "servers/",
+                        .max_value_bytes = platform::kMaxEntryBytes}),
       gateway(
           io, MakeOptions(instance, std::move(seeds), shutdown_grace),
           {.dialect = dialect,
