Send nothing new to a server that says that it is leaving

What callers saw: requests on a server that had said Server-Leaving: 1 in an answer, of which those that came later than it allowed could be cut off when its process ended.

Cause: nothing read the field. A server left only by its entry in the store, which may be late, unreadable, or say ready again. Class of fault: what a server says of itself was no input of the placement.

ServerAvailability keeps it for the lifetime of the server that said so, by the same key as rate limits, apart from the directory. From the head of any response on, also of refusals, streams and skipped ones, the server is no home of prompts, in no partition, and chosen only if no other server takes requests, for one second at most. Queued requests, retries, resumed streams and trials go through the same choice. Answers with status 421 come from another server and do not count. If all servers are leaving, callers are told to come back after a second, when their replacements should be registered.

Ruled out: marking the entry in the directory as draining, since a later or restored entry, or the next process under the id, would share the mark; telling the other instances, as each is told by the first response to itself.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -47,6 +47,7 @@
     {LogEvent::kServerLimit, "server_limit", LogLevel::kWarning},
     {LogEvent::kServerLimitUnreadable, "server_limit_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kServerLeaving, "server_leaving", LogLevel::kInfo},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -53,6 +53,7 @@
   kPartitionChanged = 5006,
   kServerLimit = 5007,
   kServerLimitUnreadable = 5008,
+  kServerLeaving = 5012,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -261,6 +261,7 @@
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
   this->HandleDirectoryChanges(this->directory.Tick(now), "grace");
   this->UpdateRateLimits(now);
+  this->UpdateAvailability(now);
   this->links.Tick(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
@@ -436,6 +437,15 @@
   }
 }
 
+void Gateway::UpdateAvailability(TimePoint now) {
+  ServerAvailability& availability = this->placer.availability();
+  availability.Tick(this->directory.servers(), now);
+  for (const AvailabilityChange& item : availability.TakeChanges()) {
+    this->log.Write(LogEvent::kServerLeaving,
+                    {{"server", item.server}, {"change", ToString(item.kind)}});
+  }
+}
+
 std::string Gateway::FindServerId(std::uint64_t lifetime_hash) const {
   for (const auto& [id, server] : this->directory.servers()) {
     if (LifetimeHash(id, server.incarnation) == lifetime_hash) {
@@ -590,6 +600,9 @@
       static_cast<std::uint64_t>(this->quarantine.quarantined_count()));
   add("rosemarycove_limited_servers",
       static_cast<std::uint64_t>(this->placer.rate_limits().limited_count()));
+  add("rosemarycove_leaving_servers",
+      static_cast<std::uint64_t>(
+          this->placer.availability().leaving_count()));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -132,6 +132,8 @@
   void UpdateQuarantine(TimePoint now);
   // Advances the servers' rate limits, and logs and reports their changes.
   void UpdateRateLimits(TimePoint now);
+  // Drops what servers that are gone said, and logs the changes.
+  void UpdateAvailability(TimePoint now);
   // Returns the id of the server with this LifetimeHash, for the log.
   [[nodiscard]] std::string FindServerId(std::uint64_t lifetime_hash) const;
   // `feed` names the feed that lost or regained the store, `revision` is the
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -306,7 +306,7 @@
   return static_cast<int>(std::count_if(
       this->directory.servers().begin(), this->directory.servers().end(),
       [&](const auto& item) {
-        return AcceptsRequestsOf(item.second, query.service->name) &&
+        return this->IsStaying(item.second, query.service->name) &&
                this->IsReserved(query, item.first) == is_reserved;
       }));
 }
@@ -380,7 +380,7 @@
   }
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (AcceptsRequestsOf(server, service)) {
+    if (this->IsStaying(server, service)) {
       ranked.emplace_back(RendezvousScore(kPartitionSeed, id), &id);
     }
   }
@@ -472,7 +472,7 @@
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
   std::vector<std::pair<std::uint64_t, const RegisteredServer*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (AcceptsRequestsOf(server, query.service->name) &&
+    if (this->IsStaying(server, query.service->name) &&
         this->IsReserved(query, id) == query.tolerates_pauses) {
       ranked.emplace_back(RendezvousScore(part, id), &server);
     }
@@ -489,14 +489,22 @@
   return servers;
 }
 
+bool Placer::IsStaying(const RegisteredServer& server,
+                       const std::string& service) const {
+  return AcceptsRequestsOf(server, service) &&
+         !this->server_availability.IsLeaving(server);
+}
+
 std::vector<Placer::Candidate> Placer::Candidates(
     const PlacementQuery& query, TimePoint now, NoChoiceReason& why_not) const {
   why_not = NoChoiceReason::kNoServer;
   std::vector<Candidate> candidates;
+  std::vector<Candidate> leaving;
   const std::vector<const RegisteredServer*> affinity_servers =
       this->AffinityServers(query);
   for (const auto& [id, server] : this->directory.servers()) {
-    if (!AcceptsRequestsOf(server, query.service->name)) {
+    if (!AcceptsRequestsOf(server, query.service->name) ||
+        this->server_availability.HasLeft(server, now)) {
       continue;
     }
     if (std::find(query.tried_servers.begin(), query.tried_servers.end(), id) !=
@@ -511,7 +519,9 @@
     }
     Candidate candidate{.server = &server,
                         .load = this->EstimateLoad(id, now),
-                        .is_trial = health == ServerHealthStatus::kTrial};
+                        .is_trial = health == ServerHealthStatus::kTrial,
+                        .is_leaving =
+                            this->server_availability.IsLeaving(server)};
     const auto affinity =
         std::find(affinity_servers.begin(), affinity_servers.end(), &server);
     if (affinity != affinity_servers.end()) {
@@ -523,9 +533,9 @@
       why_not = NoChoiceReason::kFull;
       continue;
     }
-    candidates.push_back(candidate);
+    (candidate.is_leaving ? leaving : candidates).push_back(candidate);
   }
-  return candidates;
+  return candidates.empty() ? leaving : candidates;
 }
 
 void Placer::Evaluate(const PlacementQuery& query, Candidate& candidate,
@@ -759,6 +769,7 @@
         std::find(query.tried_servers.begin(), query.tried_servers.end(), id) !=
         query.tried_servers.end();
     if (!AcceptsRequestsOf(server, query.service->name) || tried ||
+        this->server_availability.HasLeft(server, now) ||
         !this->HasRateFor(server, query.tier, now)) {
       continue;
     }
@@ -847,11 +858,18 @@
                                     TimePoint now) const {
   constexpr Duration kMinDelay = std::chrono::milliseconds(200);
   constexpr Duration kMaxDelay = std::chrono::seconds(3);
+  // Until servers that replace the leaving ones are registered.
+  constexpr Duration kReplacementDelay = std::chrono::seconds(1);
   std::optional<Duration> shortest;
+  Duration none_left_delay = kMinDelay;
   for (const auto& [id, server] : this->directory.servers()) {
     if (!AcceptsRequestsOf(server, query.service->name)) {
       continue;
     }
+    if (this->server_availability.IsLeaving(server)) {
+      none_left_delay = kReplacementDelay;
+      continue;
+    }
     Duration delay{};
     if (this->HasRateFor(server, query.tier, now)) {
       // The load per slot, times the target as the time that a request occupies
@@ -868,7 +886,7 @@
     }
     shortest = std::min(shortest.value_or(delay), delay);
   }
-  return std::max(shortest.value_or(kMinDelay), kMinDelay);
+  return std::max(shortest.value_or(none_left_delay), kMinDelay);
 }
 
 void Placer::Forget(const std::string& server) {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -16,6 +16,7 @@
 #include "core/placement_queues.h"
 #include "core/prompt_cache_map.h"
 #include "core/routing_configuration.h"
+#include "core/server_availability.h"
 #include "core/server_health.h"
 #include "core/server_rate_limits.h"
 #include "core/types.h"
@@ -232,6 +233,13 @@
   [[nodiscard]] const ServerRateLimits& rate_limits() const {
     return this->limits;
   }
+  // Mutable, so that responses can be recorded.
+  [[nodiscard]] ServerAvailability& availability() {
+    return this->server_availability;
+  }
+  [[nodiscard]] const ServerAvailability& availability() const {
+    return this->server_availability;
+  }
   [[nodiscard]] const ServerHealth& health() const {
     return this->server_health;
   }
@@ -251,6 +259,8 @@
     // nullopt for other servers.
     std::optional<int> affinity_rank;
     bool is_trial = false;
+    // See ServerAvailability; others are preferred.
+    bool is_leaving = false;
     CapacityLimit limit = CapacityLimit::kNone;
 
     [[nodiscard]] bool IsFirstAffinity() const {
@@ -305,8 +315,11 @@
     TimePoint received_at;
   };
 
+  // Returns whether requests of the service should go to the server.
+  [[nodiscard]] bool IsStaying(const RegisteredServer& server,
+                               const std::string& service) const;
   // Returns the servers that are not tried, ejected or full, without evaluating
-  // them. If there are none, `why_not` is the reason why the last one was
+  // them; leaving ones only if there is no other that takes requests. If there are none, `why_not` is the reason why the last one was
   // excluded.
   [[nodiscard]] std::vector<Candidate> Candidates(
       const PlacementQuery& query, TimePoint now,
@@ -393,6 +406,7 @@
   PromptCacheMap prompt_caches;
   ServerHealth server_health;
   ServerRateLimits limits;
+  ServerAvailability server_availability;
   // By service and whether the server is reserved, since a running request
   // slows others far more where prompts are long.
   std::map<std::pair<std::string, bool>, LatencyModel> latency_models;
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -60,6 +60,8 @@
   bool is_from_server = false;
   // A server other than the intended one listens on the address.
   bool is_misdirected = false;
+  // The server is leaving.
+  bool is_leaving = false;
   // The numbers of requests at the server.
   struct Load {
     int running = 0;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -418,11 +418,16 @@
 
 HeadDecision Exchange::OnHead(const ResponseHead& head) {
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
+  const TimePoint now = std::chrono::steady_clock::now();
+  // A late response to another request says it as well.
+  if (response_info.is_leaving && !response_info.is_misdirected) {
+    this->context.placer.availability().RecordLeaving(this->choice->server,
+                                                      now);
+  }
   if (!response_info.request_id.empty() &&
       response_info.request_id != this->request_info.request_id) {
     return HeadDecision::kSkip;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
   this->last_bytes_at = now;
   this->response = head;
   this->response_framing = head.framing;
--- a/tests/test_leaving_servers.cc
+++ b/tests/test_leaving_servers.cc
@@ -137,7 +137,7 @@
 // being read.
 TEST(LeavingServers, ResponseToAnotherRequestSaysItToo) {
   Servers servers([](const std::string& request) {
-    return EngineResponse("Rosemarycove-Request-Id: other\r\n\r\n", "late",
+    return EngineResponse("\r\nRosemarycove-Request-Id: other\r\n\r\n", "late",
                           "200 OK", kLeaving) +
            EngineResponse(request, "done");
   });
