Keep the pauses that servers ask for

What callers saw: a server that refused a request with 503 and Retry-After got the next ones at once, 70 in a pause of 1.5 s from one instance, and callers of a service's only server were told to come back after 0.2 s instead of 2 s, so their retries were refused too.

Cause: nothing read the field of a server's response. Class of fault: a server's capacity over time was known to it alone.

A pause is now a limit of the placement beside slots, memory and rates, kept by ServerAvailability for the lifetime of the server, like its leaving. Only the server's own 503 to this request counts; seconds with a fraction are read, and anything else is logged (5014) and changes nothing. During the pause the server gets nothing, also no trial, and a request that still waits for its connection goes elsewhere. It is not ejected. A request that no server takes is refused as not run, with the time to the end of the shortest pause. After the pause the instances begin one after the other, each with a single request, and send twice as many with each answer; others wait in the order of their urgency, and less urgent ones do not get ahead of those that were refused. A longer pause than a minute is asked for again with a single request.

Ruled out: ejecting the server, which is sound; letting requests wait out the pause, after which all would arrive together; sharing the pause, which is asked of one instance.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -48,6 +48,9 @@
     {LogEvent::kServerLimitUnreadable, "server_limit_unreadable",
      LogLevel::kWarning},
     {LogEvent::kServerLeaving, "server_leaving", LogLevel::kInfo},
+    {LogEvent::kServerPause, "server_pause", LogLevel::kWarning},
+    {LogEvent::kServerPauseUnreadable, "server_pause_unreadable",
+     LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -54,6 +54,8 @@
   kServerLimit = 5007,
   kServerLimitUnreadable = 5008,
   kServerLeaving = 5012,
+  kServerPause = 5013,
+  kServerPauseUnreadable = 5014,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -441,8 +441,16 @@
   ServerAvailability& availability = this->placer.availability();
   availability.Tick(this->directory.servers(), now);
   for (const AvailabilityChange& item : availability.TakeChanges()) {
-    this->log.Write(LogEvent::kServerLeaving,
-                    {{"server", item.server}, {"change", ToString(item.kind)}});
+    const bool is_leaving = item.kind == AvailabilityChangeKind::kLeaving ||
+                            item.kind == AvailabilityChangeKind::kForgotten;
+    LogFields fields = {{"server", item.server},
+                        {"change", ToString(item.kind)}};
+    if (item.kind == AvailabilityChangeKind::kPaused) {
+      fields["asked_ms"] = ToLogMilliseconds(item.asked);
+      fields["remaining_ms"] = ToLogMilliseconds(item.remaining);
+    }
+    this->log.Write(
+        is_leaving ? LogEvent::kServerLeaving : LogEvent::kServerPause, fields);
   }
 }
 
@@ -601,8 +609,10 @@
   add("rosemarycove_limited_servers",
       static_cast<std::uint64_t>(this->placer.rate_limits().limited_count()));
   add("rosemarycove_leaving_servers",
-      static_cast<std::uint64_t>(
-          this->placer.availability().leaving_count()));
+      static_cast<std::uint64_t>(this->placer.availability().leaving_count()));
+  add("rosemarycove_paused_servers",
+      static_cast<std::uint64_t>(this->placer.availability().paused_count(
+          std::chrono::steady_clock::now())));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version",
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -147,4 +147,11 @@
                    {"text", record.text}});
 }
 
+void GatewayObserver::OnUnreadablePause(const UnreadablePauseRecord& record) {
+  this->log.Write(LogEvent::kServerPauseUnreadable,
+                  {{"request", record.request_id},
+                   {"server", record.server},
+                   {"text", record.text}});
+}
+
 }  // namespace rosemarycove
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -19,6 +19,7 @@
   void OnEnded(const EndedRecord& record) override;
   void OnEjected(const EjectedRecord& record) override;
   void OnUnreadableRateLimit(const UnreadableRateLimitRecord& record) override;
+  void OnUnreadablePause(const UnreadablePauseRecord& record) override;
 
  private:
   EventLog& log;
--- a/src/core/actions.cc
+++ b/src/core/actions.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Indexed by EndCause.
-constexpr std::array<std::string_view, 26> kCauseNames = {
+constexpr std::array<std::string_view, 27> kCauseNames = {
     "answered",          "unknown_model",  "unknown_service",
     "class_not_allowed", "customer_limit", "class_limit",
     "queue_full",        "evicted",        "late",
@@ -15,7 +15,7 @@
     "answer_malformed",  "answer_crossed", "caller_left",
     "key_taken",         "key_reused",     "store_unavailable",
     "unknown_route",     "unknown_key",    "ambiguous",
-    "quarantined",       "rate_limited"};
+    "quarantined",       "rate_limited",   "servers_paused"};
 
 }  // namespace
 
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -70,6 +70,7 @@
   kQuarantined,           // The request crashes servers; see RequestQuarantine.
   // The rate limits that the servers name are used up; see ServerRateLimits.
   kRateLimited,
+  kServersPaused,  // The servers asked for pauses; see ServerAvailability.
 };
 
 // Reports the outcome of a request to its caller and to the logs. Each request
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -167,6 +167,8 @@
       return "awaits_affinity";
     case NoChoiceReason::kRateLimited:
       return "rate_limited";
+    case NoChoiceReason::kPaused:
+      return "paused";
   }
   return "unknown";
 }
@@ -189,6 +191,8 @@
       return "rate";
     case CapacityLimit::kContended:
       return "contended";
+    case CapacityLimit::kPaused:
+      return "paused";
   }
   return "unknown";
 }
@@ -197,7 +201,8 @@
     : options(std::move(options)),
       directory(directory),
       instance_seed(IdHash(this->options.instance)),
-      limits(this->options.instance) {}
+      limits(this->options.instance),
+      server_availability(this->options.instance) {}
 
 const LatencyModel& Placer::LatencyModelOf(const std::string& service,
                                            bool is_reserved) const {
@@ -517,11 +522,11 @@
       why_not = NoChoiceReason::kUnreachable;
       continue;
     }
-    Candidate candidate{.server = &server,
-                        .load = this->EstimateLoad(id, now),
-                        .is_trial = health == ServerHealthStatus::kTrial,
-                        .is_leaving =
-                            this->server_availability.IsLeaving(server)};
+    Candidate candidate{
+        .server = &server,
+        .load = this->EstimateLoad(id, now),
+        .is_trial = health == ServerHealthStatus::kTrial,
+        .is_leaving = this->server_availability.IsLeaving(server)};
     const auto affinity =
         std::find(affinity_servers.begin(), affinity_servers.end(), &server);
     if (affinity != affinity_servers.end()) {
@@ -535,7 +540,17 @@
     }
     (candidate.is_leaving ? leaving : candidates).push_back(candidate);
   }
-  return candidates.empty() ? leaving : candidates;
+  if (leaving.empty()) {
+    return candidates;
+  }
+  const bool others_take_requests = std::any_of(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return this->TakesNow(*candidate.server, query.tier, now);
+      });
+  if (!others_take_requests) {
+    candidates.insert(candidates.end(), leaving.begin(), leaving.end());
+  }
+  return candidates;
 }
 
 void Placer::Evaluate(const PlacementQuery& query, Candidate& candidate,
@@ -606,9 +621,18 @@
                               now);
 }
 
+bool Placer::TakesNow(const RegisteredServer& server, int tier,
+                      TimePoint now) const {
+  return this->server_availability.MaySend(server, tier, now) &&
+         this->HasRateFor(server, tier, now);
+}
+
 CapacityLimit Placer::FindCapacityLimit(const PlacementQuery& query,
                                         const Candidate& candidate,
                                         TimePoint now) const {
+  if (!this->server_availability.MaySend(*candidate.server, query.tier, now)) {
+    return CapacityLimit::kPaused;
+  }
   if (!this->HasRateFor(*candidate.server, query.tier, now)) {
     return CapacityLimit::kRate;
   }
@@ -678,7 +702,8 @@
                      [](const Candidate& candidate) {
                        return candidate.IsFirstAffinity() &&
                               candidate.limit != CapacityLimit::kNone &&
-                              candidate.limit != CapacityLimit::kRate;
+                              candidate.limit != CapacityLimit::kRate &&
+                              candidate.limit != CapacityLimit::kPaused;
                      });
 }
 
@@ -748,17 +773,26 @@
 NoChoiceReason Placer::RecordRefusal(const PlacementQuery& query,
                                      const std::vector<Candidate>& candidates,
                                      TimePoint now) {
-  NoChoiceReason reason = NoChoiceReason::kRateLimited;
+  bool is_paused = false;
+  bool is_held_back = false;
   for (const Candidate& candidate : candidates) {
+    const RegisteredServer& server = *candidate.server;
     if (candidate.limit == CapacityLimit::kRate) {
-      this->limits.RecordRefusal(
-          LifetimeHash(candidate.server->id, candidate.server->incarnation),
-          query.tier, now);
+      this->limits.RecordRefusal(LifetimeHash(server.id, server.incarnation),
+                                 query.tier, now);
+    } else if (candidate.limit == CapacityLimit::kPaused) {
+      this->server_availability.RecordRefusal(server, query.tier, now);
+      // After the pause, the server gets more requests soon.
+      const bool is_over = !this->server_availability.IsPaused(server, now);
+      (is_over ? is_held_back : is_paused) = true;
     } else {
-      reason = NoChoiceReason::kHeldBack;
+      is_held_back = true;
     }
   }
-  return reason;
+  if (is_held_back) {
+    return NoChoiceReason::kHeldBack;
+  }
+  return is_paused ? NoChoiceReason::kPaused : NoChoiceReason::kRateLimited;
 }
 
 std::optional<ServerChoice> Placer::ChooseEjected(const PlacementQuery& query,
@@ -770,6 +804,7 @@
         query.tried_servers.end();
     if (!AcceptsRequestsOf(server, query.service->name) || tried ||
         this->server_availability.HasLeft(server, now) ||
+        !this->server_availability.MaySend(server, query.tier, now) ||
         !this->HasRateFor(server, query.tier, now)) {
       continue;
     }
@@ -811,6 +846,7 @@
   this->load_ledger.Add(choice.server.id, choice.added_load);
   this->limits.RecordSend(
       LifetimeHash(choice.server.id, choice.server.incarnation), now);
+  this->server_availability.RecordSend(choice.server, now);
   RecentlySent& sent = this->recently_sent[choice.server.id];
   if (now - sent.interval_start > this->report_interval) {
     sent = {.interval_start = now};
@@ -871,7 +907,9 @@
       continue;
     }
     Duration delay{};
-    if (this->HasRateFor(server, query.tier, now)) {
+    if (!this->server_availability.MaySend(server, query.tier, now)) {
+      delay = this->server_availability.TimeToReturn(server, now);
+    } else if (this->HasRateFor(server, query.tier, now)) {
       // The load per slot, times the target as the time that a request occupies
       // a slot.
       const double load_per_slot =
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -75,13 +75,14 @@
   kRate,      // The rate limit that the server names is used up.
   // Other instances probably take the free slots that this one knows of.
   kContended,
+  kPaused,  // The server asked for a pause; see ServerAvailability.
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 8>;
+using CapacityLimitCounts = std::array<int, 9>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -113,6 +114,9 @@
   // rather than go to another server that has capacity.
   kAwaitsAffinity,
   kRateLimited,  // The rate limits of all candidates are used up.
+  // All candidates asked for pauses, or some did and the others are at their
+  // rate limits.
+  kPaused,
 };
 
 // Returns the word that logs use.
@@ -319,8 +323,8 @@
   [[nodiscard]] bool IsStaying(const RegisteredServer& server,
                                const std::string& service) const;
   // Returns the servers that are not tried, ejected or full, without evaluating
-  // them; leaving ones only if there is no other that takes requests. If there are none, `why_not` is the reason why the last one was
-  // excluded.
+  // them; leaving ones only if there is no other that takes requests. If there
+  // are none, `why_not` is the reason why the last one was excluded.
   [[nodiscard]] std::vector<Candidate> Candidates(
       const PlacementQuery& query, TimePoint now,
       NoChoiceReason& why_not) const;
@@ -351,6 +355,10 @@
   [[nodiscard]] static bool ShouldWaitForAffinity(
       const PlacementQuery& query, const std::vector<Candidate>& candidates,
       const Candidate& best, TimePoint now);
+  // Returns whether the server takes a request of the tier now: it is in no
+  // pause, and its rate limit has room.
+  [[nodiscard]] bool TakesNow(const RegisteredServer& server, int tier,
+                              TimePoint now) const;
   // Returns whether the server's rate limit has room for a request of the tier.
   [[nodiscard]] bool HasRateFor(const RegisteredServer& server, int tier,
                                 TimePoint now) const;
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -74,6 +74,11 @@
   std::optional<double> rate_limit;
   // What the server names as its limit, if that is unreadable; empty otherwise.
   std::string unreadable_rate_limit;
+  // How long the server, which refuses the request for now, wants no further
+  // ones; zero if it does not say or it is unreadable.
+  Duration pause{};
+  // What the server says instead, if that is unreadable; empty otherwise.
+  std::string unreadable_pause;
 };
 
 // Reads and writes the header fields of one deployment's HTTP interface. The
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -416,16 +416,44 @@
   ++this->sent_attempts;
 }
 
+bool Exchange::IsOwnResponse(const ResponseInfo& info) const {
+  return info.request_id.empty() ||
+         info.request_id == this->request_info.request_id;
+}
+
+void Exchange::RecordAvailability(const ResponseHead& head,
+                                  const ResponseInfo& info, TimePoint now) {
+  if (info.is_misdirected) {
+    return;
+  }
+  const RegisteredServer& server = this->choice->server;
+  ServerAvailability& availability = this->context.placer.availability();
+  // A late response to another request says it as well.
+  if (info.is_leaving) {
+    availability.RecordLeaving(server, now);
+  }
+  if (!this->IsOwnResponse(info) ||
+      (!info.is_from_server && !info.not_executed)) {
+    return;
+  }
+  if (!info.unreadable_pause.empty()) {
+    this->context.observer.OnUnreadablePause(
+        {.request_id = this->request_info.request_id,
+         .server = server.id,
+         .text = info.unreadable_pause});
+  }
+  if (info.pause > Duration{}) {
+    availability.RecordPause(server, info.pause, now);
+  } else if (!info.not_executed && head.status != http_status::kUnavailable) {
+    availability.RecordAnswer(server, this->sent_at, now);
+  }
+}
+
 HeadDecision Exchange::OnHead(const ResponseHead& head) {
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
   const TimePoint now = std::chrono::steady_clock::now();
-  // A late response to another request says it as well.
-  if (response_info.is_leaving && !response_info.is_misdirected) {
-    this->context.placer.availability().RecordLeaving(this->choice->server,
-                                                      now);
-  }
-  if (!response_info.request_id.empty() &&
-      response_info.request_id != this->request_info.request_id) {
+  this->RecordAvailability(head, response_info, now);
+  if (!this->IsOwnResponse(response_info)) {
     return HeadDecision::kSkip;
   }
   this->last_bytes_at = now;
@@ -838,6 +866,9 @@
     case NoChoiceReason::kRateLimited:
       this->GiveUp(EndCause::kRateLimited);
       return;
+    case NoChoiceReason::kPaused:
+      this->GiveUp(EndCause::kServersPaused);
+      return;
     case NoChoiceReason::kFull:
     case NoChoiceReason::kHeldBack:
       this->GiveUp(EndCause::kQueueFull);
@@ -927,12 +958,24 @@
     this->OnFailed(FailureKind::kNotSent, "connection timed out");
     return;
   }
-  if (this->StopIfQuarantined(now)) {
+  if (this->StopIfPaused(now) || this->StopIfQuarantined(now)) {
     return;
   }
   this->CheckSilence(now);
 }
 
+bool Exchange::StopIfPaused(TimePoint now) {
+  if (this->send_started || !this->context.placer.availability().IsPaused(
+                                this->choice->server, now)) {
+    return false;
+  }
+  this->connection->Abort();
+  this->FailAttempt({.result = SendResult::kFull,
+                     .may_have_executed = false,
+                     .reason = "not sent, the server asked for a pause"});
+  return true;
+}
+
 bool Exchange::StopIfQuarantined(TimePoint now) {
   if (this->is_quarantine_trial || !this->query.route->MayRepeat() ||
       !this->send_started || !this->HasJustBegun(now) ||
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -153,6 +153,15 @@
   // breaks it off may still close the connection in order. Empty if it is
   // complete.
   [[nodiscard]] std::string_view IncompleteStreamReason() const;
+  // Returns whether the response belongs to this request.
+  [[nodiscard]] bool IsOwnResponse(const ResponseInfo& info) const;
+  // Records what the server says about the requests that it takes: now, in the
+  // next time, and at all.
+  void RecordAvailability(const ResponseHead& head, const ResponseInfo& info,
+                          TimePoint now);
+  // Gives the attempt up, and returns true, if its request waits for a new
+  // connection and the server has asked for a pause meanwhile.
+  bool StopIfPaused(TimePoint now);
   // Records the first event of the current attempt, which is the complete
   // response if it is not a stream.
   void RecordFirstEvent();
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -124,6 +124,14 @@
   std::string text;
 };
 
+// A response asked for a pause that can't be read; it changes nothing.
+struct UnreadablePauseRecord {
+  std::string request_id;
+  std::string server;
+  // What the response said.
+  std::string text;
+};
+
 // Receives the events on the event loop's thread; must not block.
 class ProxyObserver {
  public:
@@ -134,6 +142,7 @@
   virtual void OnEjected(const EjectedRecord& record) = 0;
   virtual void OnUnreadableRateLimit(
       const UnreadableRateLimitRecord& record) = 0;
+  virtual void OnUnreadablePause(const UnreadablePauseRecord& record) = 0;
 };
 
 }  // namespace rosemarycove
