--- a/tests/test_server_availability.cc
+++ b/tests/test_server_availability.cc
@@ -104,7 +104,7 @@
   }
   std::optional<ServerChoice> SendUnanswered(const PlacementQuery& query,
                                              TimePoint now) {
-    const auto choice = this->placer.Choose(query, now, this->why_not);
+    auto choice = this->placer.Choose(query, now, this->why_not);
     if (choice) {
       this->placer.RecordSend(query, *choice, now);
       this->placer.RecordEnd(*choice, milliseconds(20));
@@ -131,6 +131,7 @@
 std::vector<AvailabilityChangeKind> KindsOf(
     const std::vector<AvailabilityChange>& changes) {
   std::vector<AvailabilityChangeKind> kinds;
+  kinds.reserve(changes.size());
   for (const AvailabilityChange& change : changes) {
     kinds.push_back(change.kind);
   }
