--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -283,6 +283,7 @@
   if (now - this->software_updated_at >= kSoftwareInterval) {
     this->UpdateSoftware(now);
   }
+  this->UpdateAvailability(now);
   this->links.Tick(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
@@ -488,6 +489,23 @@
   this->stream_origins.Expire(this->software_history.resumption_window(), now);
 }
 
+void Gateway::UpdateAvailability(TimePoint now) {
+  ServerAvailability& availability = this->placer.availability();
+  availability.Tick(this->directory.servers(), now);
+  for (const AvailabilityChange& item : availability.TakeChanges()) {
+    const bool is_leaving = item.kind == AvailabilityChangeKind::kLeaving ||
+                            item.kind == AvailabilityChangeKind::kForgotten;
+    LogFields fields = {{"server", item.server},
+                        {"change", ToString(item.kind)}};
+    if (item.kind == AvailabilityChangeKind::kPaused) {
+      fields["asked_ms"] = ToLogMilliseconds(item.asked);
+      fields["remaining_ms"] = ToLogMilliseconds(item.remaining);
+    }
+    this->log.Write(
+        is_leaving ? LogEvent::kServerLeaving : LogEvent::kServerPause, fields);
+  }
+}
+
 std::string Gateway::FindServerId(std::uint64_t lifetime_hash) const {
   for (const auto& [id, server] : this->directory.servers()) {
     if (LifetimeHash(id, server.incarnation) == lifetime_hash) {
@@ -661,6 +679,11 @@
       static_cast<std::uint64_t>(this->quarantine.quarantined_count()));
   add("rosemarycove_limited_servers",
       static_cast<std::uint64_t>(this->placer.rate_limits().limited_count()));
+  add("rosemarycove_leaving_servers",
+      static_cast<std::uint64_t>(this->placer.availability().leaving_count()));
+  add("rosemarycove_paused_servers",
+      static_cast<std::uint64_t>(this->placer.availability().paused_count(
+          std::chrono::steady_clock::now())));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version",
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -29,6 +29,7 @@
   void OnEnded(const EndedRecord& record) override;
   void OnEjected(const EjectedRecord& record) override;
   void OnUnreadableRateLimit(const UnreadableRateLimitRecord& record) override;
+  void OnUnreadablePause(const UnreadablePauseRecord& record) override;
 
   [[nodiscard]] const RequestCounts& counts() const {
     return this->request_counts;
--- a/src/core/actions.cc
+++ b/src/core/actions.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Indexed by EndCause.
-constexpr std::array<std::string_view, 28> kCauseNames = {
+constexpr std::array<std::string_view, 29> kCauseNames = {
     "answered",          "unknown_model",  "unknown_service",
     "class_not_allowed", "customer_limit", "class_limit",
     "queue_full",        "evicted",        "late",
@@ -16,7 +16,7 @@
     "key_taken",         "key_reused",     "store_unavailable",
     "unknown_route",     "unknown_key",    "ambiguous",
     "quarantined",       "rate_limited",   "unknown_software",
-    "software_gone"};
+    "software_gone",     "servers_paused"};
 
 }  // namespace
 
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -74,6 +74,7 @@
   kUnknownSoftware,
   // No server has the software that began the stream that it resumes.
   kSoftwareGone,
+  kServersPaused,  // The servers asked for pauses; see ServerAvailability.
 };
 
 // Reports the outcome of a request to its caller and to the logs. Each request
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -182,6 +182,8 @@
       return "awaits_affinity";
     case NoChoiceReason::kRateLimited:
       return "rate_limited";
+    case NoChoiceReason::kPaused:
+      return "paused";
   }
   return "unknown";
 }
@@ -204,6 +206,8 @@
       return "rate";
     case CapacityLimit::kContended:
       return "contended";
+    case CapacityLimit::kPaused:
+      return "paused";
   }
   return "unknown";
 }
@@ -212,7 +216,8 @@
     : options(std::move(options)),
       directory(directory),
       instance_seed(IdHash(this->options.instance)),
-      limits(this->options.instance) {}
+      limits(this->options.instance),
+      server_availability(this->options.instance) {}
 
 const LatencyModel& Placer::LatencyModelOf(const std::string& service,
                                            bool is_reserved) const {
@@ -321,7 +326,7 @@
   return static_cast<int>(std::count_if(
       this->directory.servers().begin(), this->directory.servers().end(),
       [&](const auto& item) {
-        return AcceptsRequestsOf(item.second, query.service->name) &&
+        return this->IsStaying(item.second, query.service->name) &&
                this->IsReserved(query, item.first) == is_reserved;
       }));
 }
@@ -395,7 +400,7 @@
   }
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
-    if (AcceptsRequestsOf(server, service)) {
+    if (this->IsStaying(server, service)) {
       ranked.emplace_back(RendezvousScore(kPartitionSeed, id), &id);
     }
   }
@@ -488,6 +493,7 @@
   std::vector<std::pair<std::uint64_t, const RegisteredServer*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
     if (Accepts(server, query) &&
+        this->IsStaying(server, query.service->name) &&
         this->IsReserved(query, id) == query.tolerates_pauses) {
       ranked.emplace_back(RendezvousScore(part, id), &server);
     }
@@ -504,15 +510,23 @@
   return servers;
 }
 
+bool Placer::IsStaying(const RegisteredServer& server,
+                       const std::string& service) const {
+  return AcceptsRequestsOf(server, service) &&
+         !this->server_availability.IsLeaving(server);
+}
+
 std::vector<Placer::Candidate> Placer::Candidates(
     const PlacementQuery& query, TimePoint now, NoChoiceReason& why_not) const {
   why_not = query.required_software ? NoChoiceReason::kSoftwareGone
                                     : NoChoiceReason::kNoServer;
   std::vector<Candidate> candidates;
+  std::vector<Candidate> leaving;
   const std::vector<const RegisteredServer*> affinity_servers =
       this->AffinityServers(query);
   for (const auto& [id, server] : this->directory.servers()) {
-    if (!Accepts(server, query)) {
+    if (!Accepts(server, query) ||
+        this->server_availability.HasLeft(server, now)) {
       continue;
     }
     if (WasTried(query, id)) {
@@ -524,9 +538,11 @@
       why_not = NoChoiceReason::kUnreachable;
       continue;
     }
-    Candidate candidate{.server = &server,
-                        .load = this->EstimateLoad(id, now),
-                        .is_trial = health == ServerHealthStatus::kTrial};
+    Candidate candidate{
+        .server = &server,
+        .load = this->EstimateLoad(id, now),
+        .is_trial = health == ServerHealthStatus::kTrial,
+        .is_leaving = this->server_availability.IsLeaving(server)};
     const auto affinity =
         std::find(affinity_servers.begin(), affinity_servers.end(), &server);
     if (affinity != affinity_servers.end()) {
@@ -538,7 +554,17 @@
       why_not = NoChoiceReason::kFull;
       continue;
     }
-    candidates.push_back(candidate);
+    (candidate.is_leaving ? leaving : candidates).push_back(candidate);
+  }
+  if (leaving.empty()) {
+    return candidates;
+  }
+  const bool others_take_requests = std::any_of(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return this->TakesNow(*candidate.server, query.tier, now);
+      });
+  if (!others_take_requests) {
+    candidates.insert(candidates.end(), leaving.begin(), leaving.end());
   }
   return candidates;
 }
@@ -611,9 +637,18 @@
                               now);
 }
 
+bool Placer::TakesNow(const RegisteredServer& server, int tier,
+                      TimePoint now) const {
+  return this->server_availability.MaySend(server, tier, now) &&
+         this->HasRateFor(server, tier, now);
+}
+
 CapacityLimit Placer::FindCapacityLimit(const PlacementQuery& query,
                                         const Candidate& candidate,
                                         TimePoint now) const {
+  if (!this->server_availability.MaySend(*candidate.server, query.tier, now)) {
+    return CapacityLimit::kPaused;
+  }
   if (!this->HasRateFor(*candidate.server, query.tier, now)) {
     return CapacityLimit::kRate;
   }
@@ -690,7 +725,8 @@
                      [](const Candidate& candidate) {
                        return candidate.IsFirstAffinity() &&
                               candidate.limit != CapacityLimit::kNone &&
-                              candidate.limit != CapacityLimit::kRate;
+                              candidate.limit != CapacityLimit::kRate &&
+                              candidate.limit != CapacityLimit::kPaused;
                      });
 }
 
@@ -760,20 +796,27 @@
 NoChoiceReason Placer::RecordRefusal(const PlacementQuery& query,
                                      const std::vector<Candidate>& candidates,
                                      TimePoint now) {
-  NoChoiceReason reason = NoChoiceReason::kRateLimited;
-  const NoChoiceReason held_back = query.required_software
-                                       ? NoChoiceReason::kAwaitsSoftware
-                                       : NoChoiceReason::kHeldBack;
+  bool is_paused = false;
+  bool is_held_back = false;
   for (const Candidate& candidate : candidates) {
+    const RegisteredServer& server = *candidate.server;
     if (candidate.limit == CapacityLimit::kRate) {
-      this->limits.RecordRefusal(
-          LifetimeHash(candidate.server->id, candidate.server->incarnation),
-          query.tier, now);
+      this->limits.RecordRefusal(LifetimeHash(server.id, server.incarnation),
+                                 query.tier, now);
+    } else if (candidate.limit == CapacityLimit::kPaused) {
+      this->server_availability.RecordRefusal(server, query.tier, now);
+      // After the pause, the server gets more requests soon.
+      const bool is_over = !this->server_availability.IsPaused(server, now);
+      (is_over ? is_held_back : is_paused) = true;
     } else {
-      reason = held_back;
+      is_held_back = true;
     }
   }
-  return reason;
+  if (is_held_back) {
+    return query.required_software ? NoChoiceReason::kAwaitsSoftware
+                                   : NoChoiceReason::kHeldBack;
+  }
+  return is_paused ? NoChoiceReason::kPaused : NoChoiceReason::kRateLimited;
 }
 
 std::optional<ServerChoice> Placer::ChooseEjected(const PlacementQuery& query,
@@ -781,6 +824,8 @@
   const RegisteredServer* best = nullptr;
   for (const auto& [id, server] : this->directory.servers()) {
     if (!Accepts(server, query) || WasTried(query, id) ||
+        this->server_availability.HasLeft(server, now) ||
+        !this->server_availability.MaySend(server, query.tier, now) ||
         !this->HasRateFor(server, query.tier, now)) {
       continue;
     }
@@ -822,6 +867,7 @@
   this->load_ledger.Add(choice.server.id, choice.added_load);
   this->limits.RecordSend(
       LifetimeHash(choice.server.id, choice.server.incarnation), now);
+  this->server_availability.RecordSend(choice.server, now);
   RecentlySent& sent = this->recently_sent[choice.server.id];
   if (now - sent.interval_start > this->report_interval) {
     sent = {.interval_start = now};
@@ -869,13 +915,22 @@
                                     TimePoint now) const {
   constexpr Duration kMinDelay = std::chrono::milliseconds(200);
   constexpr Duration kMaxDelay = std::chrono::seconds(3);
+  // Until servers that replace the leaving ones are registered.
+  constexpr Duration kReplacementDelay = std::chrono::seconds(1);
   std::optional<Duration> shortest;
+  Duration none_left_delay = kMinDelay;
   for (const auto& [id, server] : this->directory.servers()) {
     if (!Accepts(server, query)) {
       continue;
     }
+    if (this->server_availability.IsLeaving(server)) {
+      none_left_delay = kReplacementDelay;
+      continue;
+    }
     Duration delay{};
-    if (this->HasRateFor(server, query.tier, now)) {
+    if (!this->server_availability.MaySend(server, query.tier, now)) {
+      delay = this->server_availability.TimeToReturn(server, now);
+    } else if (this->HasRateFor(server, query.tier, now)) {
       // The load per slot, times the target as the time that a request occupies
       // a slot.
       const double load_per_slot =
@@ -890,7 +945,7 @@
     }
     shortest = std::min(shortest.value_or(delay), delay);
   }
-  return std::max(shortest.value_or(kMinDelay), kMinDelay);
+  return std::max(shortest.value_or(none_left_delay), kMinDelay);
 }
 
 void Placer::Forget(const std::string& server) {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -16,6 +16,7 @@
 #include "core/placement_queues.h"
 #include "core/prompt_cache_map.h"
 #include "core/routing_configuration.h"
+#include "core/server_availability.h"
 #include "core/server_health.h"
 #include "core/server_rate_limits.h"
 #include "core/software_history.h"
@@ -78,13 +79,14 @@
   kRate,      // The rate limit that the server names is used up.
   // Other instances probably take the free slots that this one knows of.
   kContended,
+  kPaused,  // The server asked for a pause; see ServerAvailability.
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 8>;
+using CapacityLimitCounts = std::array<int, 9>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -118,6 +120,9 @@
   // rather than go to another server that has capacity.
   kAwaitsAffinity,
   kRateLimited,  // The rate limits of all candidates are used up.
+  // All candidates asked for pauses, or some did and the others are at their
+  // rate limits.
+  kPaused,
 };
 
 // Returns the word that logs use.
@@ -238,6 +243,13 @@
   [[nodiscard]] const ServerRateLimits& rate_limits() const {
     return this->limits;
   }
+  // Mutable, so that responses can be recorded.
+  [[nodiscard]] ServerAvailability& availability() {
+    return this->server_availability;
+  }
+  [[nodiscard]] const ServerAvailability& availability() const {
+    return this->server_availability;
+  }
   [[nodiscard]] const ServerHealth& health() const {
     return this->server_health;
   }
@@ -257,6 +269,8 @@
     // nullopt for other servers.
     std::optional<int> affinity_rank;
     bool is_trial = false;
+    // See ServerAvailability; others are preferred.
+    bool is_leaving = false;
     CapacityLimit limit = CapacityLimit::kNone;
 
     [[nodiscard]] bool IsFirstAffinity() const {
@@ -311,9 +325,12 @@
     TimePoint received_at;
   };
 
+  // Returns whether requests of the service should go to the server.
+  [[nodiscard]] bool IsStaying(const RegisteredServer& server,
+                               const std::string& service) const;
   // Returns the servers that are not tried, ejected or full, without evaluating
-  // them. If there are none, `why_not` is the reason why the last one was
-  // excluded.
+  // them; leaving ones only if there is no other that takes requests. If there
+  // are none, `why_not` is the reason why the last one was excluded.
   [[nodiscard]] std::vector<Candidate> Candidates(
       const PlacementQuery& query, TimePoint now,
       NoChoiceReason& why_not) const;
@@ -344,6 +361,10 @@
   [[nodiscard]] static bool ShouldWaitForAffinity(
       const PlacementQuery& query, const std::vector<Candidate>& candidates,
       const Candidate& best, TimePoint now);
+  // Returns whether the server takes a request of the tier now: it is in no
+  // pause, and its rate limit has room.
+  [[nodiscard]] bool TakesNow(const RegisteredServer& server, int tier,
+                              TimePoint now) const;
   // Returns whether the server's rate limit has room for a request of the tier.
   [[nodiscard]] bool HasRateFor(const RegisteredServer& server, int tier,
                                 TimePoint now) const;
@@ -399,6 +420,7 @@
   PromptCacheMap prompt_caches;
   ServerHealth server_health;
   ServerRateLimits limits;
+  ServerAvailability server_availability;
   // By service and whether the server is reserved, since a running request
   // slows others far more where prompts are long.
   std::map<std::pair<std::string, bool>, LatencyModel> latency_models;
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -63,6 +63,8 @@
   bool is_from_server = false;
   // A server other than the intended one listens on the address.
   bool is_misdirected = false;
+  // The server is leaving.
+  bool is_leaving = false;
   // The numbers of requests at the server.
   struct Load {
     int running = 0;
@@ -75,6 +77,11 @@
   std::optional<double> rate_limit;
   // What the server names as its limit, if that is unreadable; empty otherwise.
   std::string unreadable_rate_limit;
+  // How long the server, which refuses the request for now, wants no further
+  // ones; zero if it does not say or it is unreadable.
+  Duration pause{};
+  // What the server says instead, if that is unreadable; empty otherwise.
+  std::string unreadable_pause;
 };
 
 // Reads and writes the header fields of one deployment's HTTP interface. The
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -507,12 +507,41 @@
              : response_info.request_id == this->request_info.request_id;
 }
 
+void Exchange::RecordAvailability(const ResponseHead& head,
+                                  const ResponseInfo& info, TimePoint now) {
+  if (info.is_misdirected) {
+    return;
+  }
+  const RegisteredServer& server = this->choice->server;
+  ServerAvailability& availability = this->context.placer.availability();
+  // A late response to another request says it as well.
+  if (info.is_leaving) {
+    availability.RecordLeaving(server, now);
+  }
+  if (!this->IsOwnResponse(info) ||
+      (!info.is_from_server && !info.not_executed)) {
+    return;
+  }
+  if (!info.unreadable_pause.empty()) {
+    this->context.observer.OnUnreadablePause(
+        {.request_id = this->request_info.request_id,
+         .server = server.id,
+         .text = info.unreadable_pause});
+  }
+  if (info.pause > Duration{}) {
+    availability.RecordPause(server, info.pause, now);
+  } else if (!info.not_executed && head.status != http_status::kUnavailable) {
+    availability.RecordAnswer(server, this->sent_at, now);
+  }
+}
+
 HeadDecision Exchange::OnHead(const ResponseHead& head) {
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
+  const TimePoint now = std::chrono::steady_clock::now();
+  this->RecordAvailability(head, response_info, now);
   if (!this->IsOwnResponse(response_info)) {
     return HeadDecision::kSkip;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
   this->last_bytes_at = now;
   this->response = head;
   this->response_framing = head.framing;
@@ -937,6 +966,9 @@
     case NoChoiceReason::kSoftwareGone:
       this->GiveUp(EndCause::kSoftwareGone);
       return;
+    case NoChoiceReason::kPaused:
+      this->GiveUp(EndCause::kServersPaused);
+      return;
     case NoChoiceReason::kFull:
     case NoChoiceReason::kHeldBack:
     case NoChoiceReason::kAwaitsSoftware:
@@ -1027,12 +1059,24 @@
     this->OnFailed(FailureKind::kNotSent, "connection timed out");
     return;
   }
-  if (this->StopIfQuarantined(now)) {
+  if (this->StopIfPaused(now) || this->StopIfQuarantined(now)) {
     return;
   }
   this->CheckSilence(now);
 }
 
+bool Exchange::StopIfPaused(TimePoint now) {
+  if (this->send_started || !this->context.placer.availability().IsPaused(
+                                this->choice->server, now)) {
+    return false;
+  }
+  this->connection->Abort();
+  this->FailAttempt({.result = SendResult::kFull,
+                     .may_have_executed = false,
+                     .reason = "not sent, the server asked for a pause"});
+  return true;
+}
+
 bool Exchange::StopIfQuarantined(TimePoint now) {
   if (this->is_quarantine_trial || !this->query.route->MayRepeat() ||
       !this->send_started || !this->HasJustBegun(now) ||
