Order configurations by their versions, not by the store's revisions

What callers saw: after the store had come back from a copy, a revoked key was accepted, and new versions were ignored until the store's revisions had passed those of before.

Cause: an instance ignored each document whose revision was not above that of the configuration in force, and reports between instances compared revisions too. A restored store gives out the revisions that it lost again.

Evidence: ConfigurationWrittenAfterwardsIsInForce and, new, VersionsBelowTheLostOneDoNotComeIntoForce failed before: 200 with the revoked key, and 401 with the key that a later version brought back.

Ruled out: the watch. It gets 410 and is followed by a full read, whose result was ignored. A higher revision for the lost version, made up by the instances that hold it, could equal one that the store gives out later.

Change: a configuration comes into force if its version is higher than that of the one in force, whatever its source. Reports state the version, and a peer whose version is lower gets the document. A peer of a release that states no version is compared by the revision as before.

Result: both tests pass.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -315,8 +315,7 @@
 
 void Gateway::ApplyConfiguration(const SharedDocument& document,
                                  const std::string& from) {
-  if (document.is_removed ||
-      document.revision <= this->configuration_document.revision) {
+  if (document.is_removed) {
     return;
   }
   auto decoded = this->platform.configuration_decoder.Decode(document.value);
@@ -330,8 +329,7 @@
     }
     return;
   }
-  const std::uint64_t old_version =
-      this->context.configuration ? this->context.configuration->version : 0;
+  const std::uint64_t old_version = this->configuration_version();
   if (this->context.configuration && decoded->version <= old_version) {
     return;
   }
@@ -477,6 +475,13 @@
                             this->directory.revision(), now);
 }
 
+bool Gateway::LacksConfiguration(const FleetPeer& peer) const {
+  if (peer.configuration_version != 0) {
+    return peer.configuration_version < this->configuration_version();
+  }
+  return peer.configuration_revision < this->configuration_document.revision;
+}
+
 bool Gateway::IsTurnToSend(RelayThrottle& throttle, const FleetPeer& peer,
                            std::uint64_t FleetPeer::*peer_revision,
                            std::uint64_t revision, TimePoint now) const {
@@ -491,6 +496,7 @@
   const TimePoint now = std::chrono::steady_clock::now();
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
+          .configuration_version = this->configuration_version(),
           .directory_revision = this->directory.revision(),
           .directory_age = now - this->directory.read_at(),
           .directory_read_id = this->directory.last_read_id(),
@@ -504,7 +510,6 @@
 
 void Gateway::AddMissingDocuments(const FleetPeer& peer, FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
-  const SharedDocument& configuration = this->configuration_document;
   std::uint64_t& told = this->told_suspects[peer.identity.address];
   if (report.identity) {
     report.rate_limits = this->placer.rate_limits().Reports(true, now);
@@ -514,12 +519,12 @@
     report.suspected_parts = this->quarantine.RecordsSince(told, now);
   }
   this->suspect_records_sent += report.suspected_parts.size();
-  if (configuration.revision <= peer.configuration_revision) {
+  if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->IsTurnToSend(this->configuration_throttle, peer,
-                                &FleetPeer::configuration_revision,
-                                configuration.revision, now)) {
-    report.configuration = configuration;
+                                &FleetPeer::configuration_version,
+                                this->configuration_version(), now)) {
+    report.configuration = this->configuration_document;
   }
   if (this->directory.revision() <= peer.directory_revision) {
     this->server_throttle.MarkUpToDate(peer.identity.address);
@@ -575,6 +580,10 @@
        {"live", this->links.live_peer_count()}});
 }
 
+std::uint64_t Gateway::configuration_version() const {
+  return this->context.configuration ? this->context.configuration->version : 0;
+}
+
 std::string Gateway::MetricsText() const {
   std::string text = this->metrics.ToPrometheus(
       std::chrono::steady_clock::now(), this->context.waiting_requests.size(),
@@ -592,8 +601,7 @@
       static_cast<std::uint64_t>(this->placer.rate_limits().limited_count()));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
-  add("rosemarycove_configuration_version",
-      this->context.configuration ? this->context.configuration->version : 0);
+  add("rosemarycove_configuration_version", this->configuration_version());
   add("rosemarycove_store_readings_total",
       this->configuration_feed.call_count() +
           this->directory_feed.call_count());
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -101,6 +101,8 @@
   // doesn't have yet. Directory readers send them to all but new peers;
   // otherwise, instances take turns in sending them to new and lagging peers.
   [[nodiscard]] bool ShouldSendServers(const FleetPeer& peer, TimePoint now);
+  // Returns whether the peer's configuration is older than the one in force.
+  [[nodiscard]] bool LacksConfiguration(const FleetPeer& peer) const;
   // Decides whether it is this instance's turn to send the peer the documents
   // up to `revision`. `peer_revision` is the field with the revision up to
   // which a peer has them.
@@ -119,8 +121,9 @@
   void Tick(TimePoint now);
   // Advances a started drain; stops the event loop at its end.
   void ContinueDrain(TimePoint now);
-  // Puts the configuration in force if it is newer than the current one. `from`
-  // is the source for the log: the store or an instance.
+  // Puts the configuration in force if its version is higher than that of the
+  // current one: the store may come back from a copy that has an older one.
+  // `from` is the source for the log: the store or an instance.
   void ApplyConfiguration(const SharedDocument& document,
                           const std::string& from);
   // Logs the changes. Drops the state and connections of servers that
@@ -142,6 +145,8 @@
                         std::uint64_t revision);
   void LogPartitionChanges();
   void LogDroppedLines(TimePoint now);
+  // The version of the configuration in force; 0 if there is none.
+  [[nodiscard]] std::uint64_t configuration_version() const;
   [[nodiscard]] std::string MetricsText() const;
 
   boost::asio::io_context& io;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -46,6 +46,8 @@
   bool is_draining = false;
   // The store's revision of the configuration in force; 0 if there is none.
   std::uint64_t configuration_revision = 0;
+  // Its version, which orders configurations also after the store has lost one.
+  std::uint64_t configuration_version = 0;
   // The revision up to which the sender's directory is complete, the age of the
   // latest read of the store that it knows, and the id of that read.
   std::uint64_t directory_revision = 0;
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -389,6 +389,7 @@
   peer.last_report_at = std::chrono::steady_clock::now();
   peer.is_draining = report.is_draining;
   peer.configuration_revision = report.configuration_revision;
+  peer.configuration_version = report.configuration_version;
   peer.directory_revision = report.directory_revision;
   peer.directory_read_at = peer.last_report_at - report.directory_age;
   const bool is_known_address = this->senders.contains(sender.address);
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -32,6 +32,8 @@
   // The peer is shutting down: it completes its requests and exits.
   bool is_draining = false;
   std::uint64_t configuration_revision = 0;
+  // 0 if the peer has no configuration, or runs a release that doesn't send it.
+  std::uint64_t configuration_version = 0;
   std::uint64_t directory_revision = 0;
   // When the peer's copy of the directory was read from the store.
   TimePoint directory_read_at;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -122,6 +122,7 @@
   FleetReport report{
       .is_draining = frame.leaving(),
       .configuration_revision = frame.configuration_revision(),
+      .configuration_version = frame.configuration_version(),
       .directory_revision = frame.directory_revision(),
       .directory_age = std::chrono::milliseconds(frame.directory_age_ms()),
       .directory_read_id = {.reader = frame.directory_reader(),
@@ -249,7 +250,8 @@
       EncodeAge(report.directory_age), report.directory_read_id.reader,
       report.directory_read_id.sequence, report.directory_update.base_revision,
       report.directory_update.is_snapshot, share_vector, division_vector,
-      neighbours, configuration, server_vector, part_vector, limit_vector));
+      neighbours, configuration, server_vector, part_vector, limit_vector,
+      report.configuration_version));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -490,7 +490,8 @@
     VT_CONFIGURATION = 30,
     VT_SERVERS = 32,
     VT_SUSPECTED_PARTS = 34,
-    VT_LIMITS = 36
+    VT_LIMITS = 36,
+    VT_CONFIGURATION_VERSION = 38
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -543,6 +544,9 @@
   const flatbuffers::Vector<const rosemarycove::wire::ServerLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::ServerLimit *> *>(VT_LIMITS);
   }
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -573,6 +577,7 @@
            verifier.VerifyVectorOfTables(suspected_parts()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -632,6 +637,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits) {
     fbb_.AddOffset(FleetReport::VT_LIMITS, limits);
   }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -661,8 +669,10 @@
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::Document>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0,
+    uint64_t configuration_version = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
   builder_.add_directory_reading(directory_reading);
   builder_.add_directory_reader(directory_reader);
@@ -701,7 +711,8 @@
     flatbuffers::Offset<rosemarycove::wire::Document> configuration = 0,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::Document>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts = nullptr,
-    const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr) {
+    const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr,
+    uint64_t configuration_version = 0) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -726,7 +737,8 @@
       configuration,
       servers__,
       suspected_parts__,
-      limits__);
+      limits__,
+      configuration_version);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -76,6 +76,7 @@
       .identity = InstanceIdentity{"a", "127.0.0.1:1", "north"},
       .is_draining = true,
       .configuration_revision = 5,
+      .configuration_version = 6,
       .directory_revision = 9,
       .directory_age = std::chrono::milliseconds(120),
       .server_loads = {{.server_hash = 3,
@@ -105,6 +106,8 @@
   const FleetReport& decoded = **frame;
   CHECK(decoded.identity == report.identity);
   CHECK(decoded.is_draining);
+  CHECK_EQUAL(5U, decoded.configuration_revision);
+  CHECK_EQUAL(6U, decoded.configuration_version);
   CHECK_EQUAL(9U, decoded.directory_revision);
   CHECK(decoded.directory_age == report.directory_age);
   CHECK(decoded.server_loads.at(0).load == report.server_loads.at(0).load);
--- a/tests/test_store_restored.cc
+++ b/tests/test_store_restored.cc
@@ -124,3 +124,28 @@
   std::this_thread::sleep_for(kApplyTime);
   STRCMP_EQUAL("200", restored.StatusOf(gateway, "/again/x").c_str());
 }
+
+// Guards against a version that the store has lost being replaced, at any
+// instance, by one between it and that of the copy.
+TEST(StoreRestored, VersionsBelowTheLostOneDoNotComeIntoForce) {
+  RestoredPlatform restored;
+  const RunningGateway first("a", restored.platform.store.address());
+  first.AwaitReady();
+  restored.LoseFromHere();
+  restored.platform.PutConfiguration(5, true);
+  std::this_thread::sleep_for(kApplyTime);
+  restored.platform.store.RestoreCopy();
+  const RunningGateway second("b", restored.platform.store.address(),
+                              {first.peers_address()});
+  second.AwaitReady();
+  // The operator writes again what was lost.
+  restored.platform.PutConfiguration(4);
+  std::this_thread::sleep_for(kApplyTime);
+  STRCMP_EQUAL("401", restored.StatusOf(first, "/again/x").c_str());
+  STRCMP_EQUAL("401", restored.StatusOf(second, "/again/x").c_str());
+  restored.platform.PutConfiguration(5, true);
+  restored.platform.PutConfiguration(6);
+  std::this_thread::sleep_for(kApplyTime);
+  STRCMP_EQUAL("200", restored.StatusOf(first, "/again/x").c_str());
+  STRCMP_EQUAL("200", restored.StatusOf(second, "/again/x").c_str());
+}
