Order what the store says across its restorations

What callers saw: after the store had come back from a copy, new servers got no requests until the store's revisions had passed those of before, and a new process of a server that had drained or left got none.

Cause: the directory replaces an entry only by one of a higher revision, and a restored store gives out the revisions that it lost again.

Evidence: ServerThatWasSeenToLeaveGetsNoRequestsAgain failed before, and so did InstanceThatReadsTheLostStateFollowsTheOthers, new.

Ruled out: clearing the directory when the store has a new era. Servers that drain or are gone would get requests again, since the copy is from before that, and instances that see the restoration at different times would pass the old entries back. A pair of era and revision everywhere is the same with more code.

Change: where the store is read, its era becomes the upper 12 bits of each revision. A response of an earlier era than is known, an era that can't be read and a revision of more than 52 bits are failures; changes and pages of another era lead to a full read. The two feeds of an instance tell each other of an era, and waits of an earlier one end: without that, an instance whose directory was kept fresh by one that reads a part of the store with the old state did not read the new state within 2 s, as the new test found. In the directory, a process that drained still does, one that was restarted is not back, and one that was gone is used when its entry has stayed for longer than it could without being renewed; servers that the copy lacks have two seconds to register again. Events state the era beside the revision.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "core/store_revision.h"
 #include "http/http_status.h"
 
 namespace rosemarycove {
@@ -254,8 +255,12 @@
   this->configuration_feed.SetMaxWait(this->IsDirectoryReader(now)
                                           ? kReaderConfigurationWait
                                           : kConfigurationWait);
-  this->configuration_feed.Tick(now, {}, {});
   this->directory_feed.AdvanceTo(this->directory.revision());
+  // One of them may be the first to see that the store has come back from a
+  // copy, also if others read the directory for this instance.
+  this->configuration_feed.NoteEra(this->directory_feed.era());
+  this->directory_feed.NoteEra(this->configuration_feed.era());
+  this->configuration_feed.Tick(now, {}, {});
   this->directory_feed.Tick(
       now, now - this->directory.read_at(),
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
@@ -278,8 +283,10 @@
   this->LogDroppedLines(now);
   if (!this->ready_logged && this->ready()) {
     this->ready_logged = true;
+    const SharedDocument& configuration = this->configuration_document;
     this->log.Write(LogEvent::kReady,
-                    {{"revision", this->configuration_document.revision}});
+                    {{"revision", CountOf(configuration.revision)},
+                     {"era", EraOf(configuration.revision)}});
   }
   this->ContinueDrain(now);
 }
@@ -323,7 +330,8 @@
     if (document.revision > this->rejected_revision) {
       this->rejected_revision = document.revision;
       this->log.Write(LogEvent::kConfigurationRefused,
-                      {{"version", document.revision},
+                      {{"version", CountOf(document.revision)},
+                       {"era", EraOf(document.revision)},
                        {"fault", decoded.error()},
                        {"from", from}});
     }
@@ -338,7 +346,8 @@
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
   this->links.ScheduleReport();
   this->log.Write(LogEvent::kConfigurationInForce,
-                  {{"revision", document.revision},
+                  {{"revision", CountOf(document.revision)},
+                   {"era", EraOf(document.revision)},
                    {"version", this->context.configuration->version},
                    {"version_before", old_version},
                    {"routes", this->context.configuration->routes.size()},
@@ -347,8 +356,10 @@
 
 void Gateway::LogStoreLost(const char* feed, const std::string& why,
                            std::uint64_t revision) {
-  this->log.Write(LogEvent::kStoreUnavailable,
-                  {{"reader", feed}, {"why", why}, {"revision", revision}});
+  this->log.Write(LogEvent::kStoreUnavailable, {{"reader", feed},
+                                                {"why", why},
+                                                {"revision", CountOf(revision)},
+                                                {"era", EraOf(revision)}});
 }
 
 void Gateway::LogStoreRegained(const char* feed, Duration outage,
@@ -356,7 +367,8 @@
   this->log.Write(LogEvent::kStoreAvailable,
                   {{"reader", feed},
                    {"away_ms", ToLogMilliseconds(outage)},
-                   {"revision", revision}});
+                   {"revision", CountOf(revision)},
+                   {"era", EraOf(revision)}});
 }
 
 void Gateway::HandleDirectoryChanges(const std::vector<ServerChange>& changes,
@@ -373,7 +385,8 @@
                      {"service", item.server.service},
                      {"address", item.server.address},
                      {"data_centre", item.server.data_centre},
-                     {"revision", item.revision},
+                     {"revision", CountOf(item.revision)},
+                     {"era", EraOf(item.revision)},
                      {"from", from}});
   }
 }
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -4,6 +4,8 @@
 
 #include <cmath>
 
+#include "core/store_revision.h"
+
 namespace rosemarycove {
 
 double ToLogMilliseconds(Duration duration) {
@@ -62,7 +64,8 @@
                                             : std::string_view("no_home")},
        {"ledger_age_ms", ToLogMilliseconds(record.ledger_age)},
        {"directory_age_ms", ToLogMilliseconds(record.directory_age)},
-       {"directory_revision", record.directory_revision},
+       {"directory_revision", CountOf(record.directory_revision)},
+       {"directory_era", EraOf(record.directory_revision)},
        {"configuration", record.configuration_version},
        {"reused", record.reused_connection}});
 }
--- a/src/core/backend_directory.cc
+++ b/src/core/backend_directory.cc
@@ -3,6 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "core/store_revision.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -17,6 +19,9 @@
 constexpr std::size_t kMaxReaders = 256;
 // Tombstones are kept this long for instances that lag behind.
 constexpr Duration kTombstoneRetention = std::chrono::seconds(120);
+// An entry that a restored store still has after this time, which is longer
+// than an entry lasts without being renewed, belongs to a running server.
+constexpr Duration kMaxEntryLifetime = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -45,9 +50,15 @@
     return;
   }
   const bool is_first_read = this->complete_to == 0;
-  if (is_first_read) {
+  const bool was_restored =
+      !is_first_read && EraOf(revision) > EraOf(this->complete_to);
+  if (is_first_read || was_restored) {
     this->tombstones_since = revision;
   }
+  if (was_restored) {
+    // Servers that registered after the copy was made do so again.
+    this->expiry_grace_until = now + kExpiryGrace;
+  }
   this->complete_to = std::max(this->complete_to, revision);
   if (this->last_sequence_by_reader.size() > kMaxReaders) {
     this->last_sequence_by_reader.clear();
@@ -62,6 +73,12 @@
   }
   if (!is_first_read && read_at - this->last_read_at > kOutage) {
     this->expiry_grace_until = now + kExpiryGrace;
+    // During the outage, no entry had to be renewed.
+    for (auto& [key, entry] : this->entries) {
+      if (entry.held_since) {
+        entry.held_since = now;
+      }
+    }
   }
   this->last_read_at = read_at;
   this->last_read = read_id;
@@ -96,6 +113,9 @@
 std::vector<ServerChange> BackendDirectory::Apply(
     const std::vector<SharedDocument>& documents, std::uint64_t revision,
     TimePoint read_at, TimePoint now) {
+  if (EraOf(revision) < EraOf(this->complete_to)) {
+    return {};
+  }
   this->RecordRead(revision,
                    {.reader = this->reader, .sequence = ++this->own_read_count},
                    read_at, now);
@@ -109,17 +129,52 @@
                      read_at, now);
 }
 
-void BackendDirectory::ApplyOne(const SharedDocument& document, TimePoint now,
+std::optional<RegisteredServer> BackendDirectory::KeepLeft(
+    Entry& entry, SharedDocument& document, TimePoint now,
+    std::optional<RegisteredServer> server) const {
+  const bool may_be_outdated =
+      entry.document.revision != 0 &&
+      EraOf(document.revision) > EraOf(entry.document.revision);
+  const std::optional<RegisteredServer>& known = entry.server;
+  const bool has_restarted = server && known && may_be_outdated &&
+                             server->incarnation < known->incarnation;
+  const bool still_drains = server && known &&
+                            server->incarnation == known->incarnation &&
+                            !server->is_draining && known->is_draining &&
+                            (may_be_outdated || entry.keeps_draining);
+  entry.keeps_draining = still_drains;
+  if (has_restarted || still_drains) {
+    document.value = entry.document.value;
+    return known;
+  }
+  const bool returns_from_copy =
+      may_be_outdated && entry.document.is_removed && !known;
+  const bool is_held = server && entry.gone_incarnation &&
+                       server->incarnation <= *entry.gone_incarnation &&
+                       (returns_from_copy || entry.held_since);
+  if (!is_held) {
+    entry.held_since.reset();
+    return server;
+  }
+  if (returns_from_copy) {
+    entry.held_since = now;
+  }
+  return std::nullopt;
+}
+
+void BackendDirectory::ApplyOne(const SharedDocument& received, TimePoint now,
                                 std::vector<ServerChange>& changes) {
-  Entry& entry = this->entries[document.key];
-  if (document.revision <= entry.document.revision) {
+  Entry& entry = this->entries[received.key];
+  if (received.revision <= entry.document.revision) {
     return;
   }
-  if (document.is_removed) {
-    this->Remove(entry, document, now, changes);
+  if (received.is_removed) {
+    this->Remove(entry, received, now, changes);
     return;
   }
-  std::optional<RegisteredServer> server = this->decoder.Decode(document);
+  SharedDocument document = received;
+  const std::optional<RegisteredServer> server =
+      this->KeepLeft(entry, document, now, this->decoder.Decode(document));
   const std::optional<RegisteredServer> before = std::move(entry.server);
   const bool is_unchanged = server.has_value() && server == before &&
                             !entry.document.is_removed && !entry.grace_end;
@@ -130,6 +185,9 @@
     return;
   }
   entry.changed_revision = document.revision;
+  if (entry.held_since) {
+    return;
+  }
   if (!server) {
     this->usable_servers.erase(document.key);
     changes.push_back({.kind = ServerChangeKind::kUnreadable,
@@ -159,6 +217,8 @@
   entry.document = document;
   entry.changed_revision = document.revision;
   entry.removed_at = now;
+  entry.held_since.reset();
+  entry.keeps_draining = false;
   if (!entry.server) {
     return;
   }
@@ -169,6 +229,7 @@
   changes.push_back({.kind = ServerChangeKind::kGone,
                      .server = *entry.server,
                      .revision = document.revision});
+  entry.gone_incarnation = entry.server->incarnation;
   entry.server.reset();
   this->usable_servers.erase(document.key);
 }
@@ -182,9 +243,14 @@
                          .server = *entry.server,
                          .revision = entry.document.revision});
       this->usable_servers.erase(item->first);
+      entry.gone_incarnation = entry.server->incarnation;
       entry.server.reset();
       entry.grace_end.reset();
     }
+    if (entry.held_since &&
+        this->last_read_at - *entry.held_since > kMaxEntryLifetime) {
+      this->ReleaseHeld(entry, changes);
+    }
     const bool drop = entry.document.is_removed && !entry.grace_end &&
                       now - entry.removed_at > kTombstoneRetention;
     if (drop) {
@@ -196,6 +262,19 @@
   return changes;
 }
 
+void BackendDirectory::ReleaseHeld(Entry& entry,
+                                   std::vector<ServerChange>& changes) {
+  entry.held_since.reset();
+  entry.server = this->decoder.Decode(entry.document);
+  if (!entry.server) {
+    return;
+  }
+  this->usable_servers[entry.document.key] = *entry.server;
+  changes.push_back({.kind = ServerChangeKind::kAppeared,
+                     .server = *entry.server,
+                     .revision = entry.document.revision});
+}
+
 const RegisteredServer* BackendDirectory::Find(const std::string& id) const {
   const auto found = this->usable_servers.find(id);
   return found == this->usable_servers.end() ? nullptr : &found->second;
--- a/src/core/backend_directory.h
+++ b/src/core/backend_directory.h
@@ -92,6 +92,12 @@
 // time, so each read (StoreReadId) counts only once; otherwise relaying would
 // make an old read look recent.
 //
+// A store that came back from a copy (core/store_revision.h) has lost its last
+// changes. What it says then is newer than all before, except that a process
+// that was seen to leave doesn't return with it: one that drained still does,
+// one that was restarted is not back, and one whose entry was removed isn't
+// used until the entry must have been renewed.
+//
 // Each gateway instance owns one directory and uses it on its event loop.
 class BackendDirectory {
  public:
@@ -159,9 +165,25 @@
     std::optional<TimePoint> grace_end;
     // When this instance applied the removal.
     TimePoint removed_at;
+    // The incarnation of the last server that was gone.
+    std::optional<std::uint64_t> gone_incarnation;
+    // A restored store says that the server doesn't drain, though it was seen
+    // to.
+    bool keeps_draining = false;
+    // Since when a restored store has the entry of a server that was gone;
+    // nullopt for other entries.
+    std::optional<TimePoint> held_since;
   };
 
-  void ApplyOne(const SharedDocument& document, TimePoint now,
+  // Returns what holds for the server, given that its process may have been
+  // seen to leave before the store was restored; nullopt if it must not be
+  // used. If the known state holds, replaces the document's value by it.
+  std::optional<RegisteredServer> KeepLeft(
+      Entry& entry, SharedDocument& document, TimePoint now,
+      std::optional<RegisteredServer> server) const;
+  // Takes back into use a server whose entry was renewed.
+  void ReleaseHeld(Entry& entry, std::vector<ServerChange>& changes);
+  void ApplyOne(const SharedDocument& received, TimePoint now,
                 std::vector<ServerChange>& changes);
   void Remove(Entry& entry, const SharedDocument& document, TimePoint now,
               std::vector<ServerChange>& changes);
--- a/src/proxy/http_client.cc
+++ b/src/proxy/http_client.cc
@@ -40,6 +40,7 @@
 
 HeadDecision HttpClient::OnHead(const ResponseHead& head) {
   this->status = head.status;
+  this->fields = head.fields;
   return HeadDecision::kAccept;
 }
 
@@ -54,8 +55,9 @@
 }
 
 void HttpClient::OnComplete() {
-  this->End(
-      HttpResponse{.status = this->status, .body = std::move(this->body)});
+  this->End(HttpResponse{.status = this->status,
+                         .fields = std::move(this->fields),
+                         .body = std::move(this->body)});
 }
 
 void HttpClient::OnFailed(FailureKind kind, const std::string& reason) {
--- a/src/proxy/http_client.h
+++ b/src/proxy/http_client.h
@@ -16,6 +16,7 @@
 // A complete response.
 struct HttpResponse {
   int status = 0;
+  HeaderFields fields;
   std::string body;
 };
 
@@ -64,6 +65,7 @@
   Done done;
   TimePoint deadline;
   int status = 0;
+  HeaderFields fields;
   std::string body;
 };
 
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/store_revision.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -18,11 +20,23 @@
     : options(options), store(store), listener(listener) {}
 
 void DocumentFeed::AdvanceTo(std::uint64_t revision) {
+  this->known_era = std::max(this->known_era, EraOf(revision));
   if (!this->needs_all) {
     this->complete_to = std::max(this->complete_to, revision);
   }
 }
 
+void DocumentFeed::NoteEra(std::uint64_t era) {
+  if (era <= this->known_era) {
+    return;
+  }
+  this->known_era = era;
+  this->needs_all = true;
+  if (this->store.is_busy()) {
+    this->store.Cancel();
+  }
+}
+
 void DocumentFeed::Tick(TimePoint now, Duration age, Duration delay) {
   this->store.Tick(now);
   const bool is_due = this->needs_all ||
@@ -72,6 +86,12 @@
     this->HandleFailure(result.error().message, now);
     return;
   }
+  if (EraOf(result->as_of_revision) < this->known_era) {
+    this->HandleFailure("the response is from before the store's restoration",
+                        now);
+    return;
+  }
+  this->known_era = EraOf(result->as_of_revision);
   if (!is_complete) {
     this->history_gone_count = 0;
   }
--- a/src/store/document_feed.h
+++ b/src/store/document_feed.h
@@ -53,6 +53,13 @@
   void RestartStalledRead(Duration max_duration, TimePoint now);
   // Notes that another source has completed the copy up to this revision.
   void AdvanceTo(std::uint64_t revision);
+  // Notes that the store has come back from a copy, since another source has
+  // seen this era of it (EraOf). In a new era, a read that waits for changes
+  // may wait for revisions that are given out much later: it is cancelled, and
+  // all documents are read.
+  void NoteEra(std::uint64_t era);
+  // The latest known era of the store.
+  [[nodiscard]] std::uint64_t era() const { return this->known_era; }
   [[nodiscard]] bool is_store_available() const {
     return this->store_available;
   }
@@ -72,6 +79,7 @@
   FeedListener& listener;
   // The copy contains every change up to this revision.
   std::uint64_t complete_to = 0;
+  std::uint64_t known_era = 0;
   // Nothing has been read yet, or the store has dropped the history.
   bool needs_all = true;
   bool store_available = true;
--- a/tests/test_store_restored.cc
+++ b/tests/test_store_restored.cc
@@ -149,3 +149,29 @@
   STRCMP_EQUAL("200", restored.StatusOf(first, "/again/x").c_str());
   STRCMP_EQUAL("200", restored.StatusOf(second, "/again/x").c_str());
 }
+
+// Guards against an instance that reaches only a part of the store which still
+// has the state of before keeping that state, or passing it on.
+TEST(StoreRestored, InstanceThatReadsTheLostStateFollowsTheOthers) {
+  RestoredPlatform restored;
+  PlatformFixture before(AnsweringEngine());
+  const RunningGateway first("a", restored.platform.store.address());
+  first.AwaitReady();
+  restored.platform.store.SaveCopy();
+  restored.platform.store.RestoreCopy();
+  restored.platform.PutConfiguration(3);
+  restored.platform.AddServer("stock-1", "stock",
+                              restored.platform.engine.address(), "draining");
+  for (int i = 0; i < kLostWrites; ++i) {
+    before.store.Put("servers/other", std::to_string(i));
+  }
+  before.PutConfiguration(2, true);
+  const RunningGateway second("b", before.store.address(),
+                              {first.peers_address()});
+  second.AwaitReady();
+  std::this_thread::sleep_for(kApplyTime);
+  for (const RunningGateway* gateway : {&first, &second}) {
+    STRCMP_EQUAL("503", restored.StatusOf(*gateway, "/again/x").c_str());
+    STRCMP_EQUAL("200", restored.StatusOf(*gateway, "/once/x").c_str());
+  }
+}
