Add a soak of gateway processes under a seeded series of faults

tests/soak starts real processes on loopback against the stand-ins and checks, from what callers and servers see: each complete request gets a response unless it was not read or the process was killed; "not run" is true; requests of routes that must not repeat run at most once; responses are those of the request; nothing reaches a server that left; versions are in force and revoked keys rejected within 3 s; a process ends within its grace and with status 0. Callers use each connection until the gateway closes it. The faults overlap: SIGTERM, SIGKILL, SIGSTOP, configurations, servers that drain or vanish, refuse or break off, and a store that is away, forgets its history or comes back from a copy. What depends on the store need not hold until 3 s after a disturbance of it or of a process.

--- /dev/null
+++ b/tests/soak/gateway_process.cc
@@ -0,0 +1,139 @@
+#include "tests/soak/gateway_process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include "platform/standins/raw_server.h"
+
+namespace rosemarycove::soak {
+
+std::vector<int> FindFreePorts(int count) {
+  std::vector<int> descriptors;
+  std::vector<int> ports;
+  for (int i = 0; i < count; ++i) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (::bind(descriptor, generic, size) == 0 &&
+        ::getsockname(descriptor, generic, &size) == 0) {
+      ports.push_back(ntohs(address.sin_port));
+    }
+    descriptors.push_back(descriptor);
+  }
+  for (const int descriptor : descriptors) {
+    ::close(descriptor);
+  }
+  return ports;
+}
+
+GatewayProcess::GatewayProcess(std::filesystem::path program_path,
+                               std::filesystem::path work_folder,
+                               std::string name, GatewayPorts listen_ports)
+    : program(std::move(program_path)),
+      folder(std::move(work_folder)),
+      instance(std::move(name)),
+      ports(listen_ports) {}
+
+GatewayProcess::~GatewayProcess() {
+  if (this->process != 0) {
+    this->Signal(SIGKILL);
+    this->Wait(std::chrono::seconds(5));
+  }
+}
+
+std::string GatewayProcess::LogFile() const {
+  return this->folder / (this->instance + ".log");
+}
+
+std::string GatewayProcess::SettingsFile() const {
+  return this->folder / (this->instance + ".toml");
+}
+
+void GatewayProcess::WriteSettings(const std::string& store_address,
+                                   const std::vector<int>& seed_ports) const {
+  std::vector<std::string> seeds;
+  seeds.reserve(seed_ports.size());
+  for (const int port : seed_ports) {
+    seeds.push_back(fmt::format("\"127.0.0.1:{}\"", port));
+  }
+  std::ofstream(this->SettingsFile()) << fmt::format(
+      "node_name = \"{}\"\nzone = \"here\"\nseeds = [{}]\n"
+      "[listen]\nfront = \"127.0.0.1:{}\"\nready_addr = \"127.0.0.1:{}\"\n"
+      "control_addr = \"127.0.0.1:{}\"\n[bounds]\ngrace_s = 8\n"
+      "[platform]\naddress = \"{}\"\n",
+      this->instance, fmt::join(seeds, ", "), this->ports.callers,
+      this->ports.status, this->ports.peers, store_address);
+}
+
+bool GatewayProcess::Start() {
+  // The new process may not allocate memory: other threads may hold locks.
+  const std::string log_file = this->LogFile();
+  const std::string settings_file = this->SettingsFile();
+  const char* const path = this->program.c_str();
+  this->process = ::fork();
+  if (this->process == 0) {
+    const int log =
+        ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    // Connections of this process would otherwise stay open in the new one.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execl(path, path, "gateway", "--config", settings_file.c_str(), nullptr);
+    ::_exit(127);
+  }
+  return this->process > 0;
+}
+
+void GatewayProcess::Signal(int number) const {
+  if (this->process > 0) {
+    ::kill(this->process, number);
+  }
+}
+
+std::optional<int> GatewayProcess::Wait(std::chrono::milliseconds timeout) {
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  do {
+    int status = 0;
+    if (::waitpid(this->process, &status, WNOHANG) == this->process) {
+      this->process = 0;
+      return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  } while (std::chrono::steady_clock::now() < deadline);
+  return std::nullopt;
+}
+
+bool GatewayProcess::IsReady() const {
+  const auto connection = platform::RawConnection::Connect(this->ports.status);
+  return connection &&
+         connection->Send("GET /readyz HTTP/1.1\r\nHost: s\r\n\r\n") &&
+         connection->ReadMessage().value_or("").starts_with("HTTP/1.1 200");
+}
+
+std::vector<std::string> GatewayProcess::LogLinesWith(
+    const std::string& text) const {
+  std::vector<std::string> lines;
+  std::ifstream file(this->LogFile());
+  for (std::string line; std::getline(file, line);) {
+    if (line.find(text) != std::string::npos) {
+      lines.push_back(line);
+    }
+  }
+  return lines;
+}
+
+}  // namespace rosemarycove::soak
