--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "core/store_revision.h"
 #include "http/http_status.h"
 
 namespace rosemarycove {
@@ -273,8 +274,12 @@
   this->configuration_feed.SetMaxWait(this->IsDirectoryReader(now)
                                           ? kReaderConfigurationWait
                                           : kConfigurationWait);
-  this->configuration_feed.Tick(now, {}, {});
   this->directory_feed.AdvanceTo(this->directory.revision());
+  // One of them may be the first to see that the store has come back from a
+  // copy, also if others read the directory for this instance.
+  this->configuration_feed.NoteEra(this->directory_feed.era());
+  this->directory_feed.NoteEra(this->configuration_feed.era());
+  this->configuration_feed.Tick(now, {}, {});
   this->directory_feed.Tick(
       now, now - this->directory.read_at(),
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
@@ -301,8 +306,10 @@
   this->LogDroppedLines(now);
   if (!this->ready_logged && this->ready()) {
     this->ready_logged = true;
+    const SharedDocument& configuration = this->configuration_document;
     this->log.Write(LogEvent::kReady,
-                    {{"revision", this->configuration_document.revision}});
+                    {{"revision", CountOf(configuration.revision)},
+                     {"era", EraOf(configuration.revision)}});
   }
   this->ContinueDrain(now);
 }
@@ -343,8 +350,7 @@
 
 void Gateway::ApplyConfiguration(const SharedDocument& document,
                                  const std::string& from) {
-  if (document.is_removed ||
-      document.revision <= this->configuration_document.revision) {
+  if (document.is_removed) {
     return;
   }
   auto decoded = this->platform.configuration_decoder.Decode(document.value);
@@ -352,14 +358,14 @@
     if (document.revision > this->rejected_revision) {
       this->rejected_revision = document.revision;
       this->log.Write(LogEvent::kConfigurationRefused,
-                      {{"version", document.revision},
+                      {{"version", CountOf(document.revision)},
+                       {"era", EraOf(document.revision)},
                        {"fault", decoded.error()},
                        {"from", from}});
     }
     return;
   }
-  const std::uint64_t old_version =
-      this->context.configuration ? this->context.configuration->version : 0;
+  const std::uint64_t old_version = this->configuration_version();
   if (this->context.configuration && decoded->version <= old_version) {
     return;
   }
@@ -368,7 +374,8 @@
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
   this->links.ScheduleReport();
   this->log.Write(LogEvent::kConfigurationInForce,
-                  {{"revision", document.revision},
+                  {{"revision", CountOf(document.revision)},
+                   {"era", EraOf(document.revision)},
                    {"version", this->context.configuration->version},
                    {"version_before", old_version},
                    {"routes", this->context.configuration->routes.size()},
@@ -377,8 +384,10 @@
 
 void Gateway::LogStoreLost(const char* feed, const std::string& why,
                            std::uint64_t revision) {
-  this->log.Write(LogEvent::kStoreUnavailable,
-                  {{"reader", feed}, {"why", why}, {"revision", revision}});
+  this->log.Write(LogEvent::kStoreUnavailable, {{"reader", feed},
+                                                {"why", why},
+                                                {"revision", CountOf(revision)},
+                                                {"era", EraOf(revision)}});
 }
 
 void Gateway::LogStoreRegained(const char* feed, Duration outage,
@@ -386,7 +395,8 @@
   this->log.Write(LogEvent::kStoreAvailable,
                   {{"reader", feed},
                    {"away_ms", ToLogMilliseconds(outage)},
-                   {"revision", revision}});
+                   {"revision", CountOf(revision)},
+                   {"era", EraOf(revision)}});
 }
 
 void Gateway::HandleDirectoryChanges(const std::vector<ServerChange>& changes,
@@ -403,7 +413,8 @@
                         {"address", item.server.address},
                         {"data_centre", item.server.data_centre},
                         {"software", item.server.software_version},
-                        {"revision", item.revision},
+                        {"revision", CountOf(item.revision)},
+                        {"era", EraOf(item.revision)},
                         {"from", from}};
     if (item.kind == ServerChangeKind::kUnreadable) {
       fields["fault"] = item.fault;
@@ -547,6 +558,13 @@
                             this->directory.revision(), now);
 }
 
+bool Gateway::LacksConfiguration(const FleetPeer& peer) const {
+  if (peer.configuration_version != 0) {
+    return peer.configuration_version < this->configuration_version();
+  }
+  return peer.configuration_revision < this->configuration_document.revision;
+}
+
 bool Gateway::IsTurnToSend(RelayThrottle& throttle, const FleetPeer& peer,
                            std::uint64_t FleetPeer::*peer_revision,
                            std::uint64_t revision, TimePoint now) const {
@@ -561,6 +579,7 @@
   const TimePoint now = std::chrono::steady_clock::now();
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
+          .configuration_version = this->configuration_version(),
           .directory_revision = this->directory.revision(),
           .directory_age = now - this->directory.read_at(),
           .directory_read_id = this->directory.last_read_id(),
@@ -574,7 +593,6 @@
 
 void Gateway::AddMissingDocuments(const FleetPeer& peer, FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
-  const SharedDocument& configuration = this->configuration_document;
   std::uint64_t& told = this->told_suspects[peer.identity.address];
   if (report.identity) {
     report.rate_limits = this->placer.rate_limits().Reports(true, now);
@@ -594,12 +612,12 @@
     told_streams = this->stream_origins.added_count();
     this->stream_origins_sent += report.stream_origins.size();
   }
-  if (configuration.revision <= peer.configuration_revision) {
+  if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->IsTurnToSend(this->configuration_throttle, peer,
-                                &FleetPeer::configuration_revision,
-                                configuration.revision, now)) {
-    report.configuration = configuration;
+                                &FleetPeer::configuration_version,
+                                this->configuration_version(), now)) {
+    report.configuration = this->configuration_document;
   }
   if (this->directory.revision() <= peer.directory_revision) {
     this->server_throttle.MarkUpToDate(peer.identity.address);
@@ -660,6 +678,10 @@
        {"live", this->links.live_peer_count()}});
 }
 
+std::uint64_t Gateway::configuration_version() const {
+  return this->context.configuration ? this->context.configuration->version : 0;
+}
+
 std::string Gateway::MetricsText() const {
   std::string text = this->metrics.ToPrometheus(
       std::chrono::steady_clock::now(), this->context.waiting_requests.size(),
@@ -686,8 +708,7 @@
           std::chrono::steady_clock::now())));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
-  add("rosemarycove_configuration_version",
-      this->context.configuration ? this->context.configuration->version : 0);
+  add("rosemarycove_configuration_version", this->configuration_version());
   add("rosemarycove_store_readings_total",
       this->configuration_feed.call_count() +
           this->directory_feed.call_count());
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -660,7 +660,8 @@
     VT_SUSPECTED_PARTS = 34,
     VT_LIMITS = 36,
     VT_SOFTWARE = 38,
-    VT_BEGUN_STREAMS = 40
+    VT_BEGUN_STREAMS = 40,
+    VT_CONFIGURATION_VERSION = 42
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -719,6 +720,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *>(VT_BEGUN_STREAMS);
   }
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -754,6 +758,7 @@
            VerifyOffset(verifier, VT_BEGUN_STREAMS) &&
            verifier.VerifyVector(begun_streams()) &&
            verifier.VerifyVectorOfTables(begun_streams()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -819,6 +824,9 @@
   void add_begun_streams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams) {
     fbb_.AddOffset(FleetReport::VT_BEGUN_STREAMS, begun_streams);
   }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -850,8 +858,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>> suspected_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0,
     flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams = 0,
+    uint64_t configuration_version = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
   builder_.add_directory_reading(directory_reading);
   builder_.add_directory_reader(directory_reader);
@@ -894,7 +904,8 @@
     const std::vector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>> *suspected_parts = nullptr,
     const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr,
     flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software = 0,
-    const std::vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams = nullptr) {
+    const std::vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams = nullptr,
+    uint64_t configuration_version = 0) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -922,7 +933,8 @@
       suspected_parts__,
       limits__,
       software,
-      begun_streams__);
+      begun_streams__,
+      configuration_version);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
