--- a/tests/test_server_availability.cc
+++ b/tests/test_server_availability.cc
@@ -33,7 +33,7 @@
 // Decodes values of the form SERVICE:INCARNATION.
 class LifetimeDecoder : public ServerDecoder {
  public:
-  [[nodiscard]] std::optional<RegisteredServer> Decode(
+  [[nodiscard]] tl::expected<RegisteredServer, std::string> Decode(
       const SharedDocument& document) const override {
     const std::size_t colon = document.value.find(':');
     return RegisteredServer{
--- a/tests/test_store_eras.cc
+++ b/tests/test_store_eras.cc
@@ -26,11 +26,11 @@
 // Decodes values of the form STATE:INCARNATION.
 class StateDecoder : public ServerDecoder {
  public:
-  [[nodiscard]] std::optional<RegisteredServer> Decode(
+  [[nodiscard]] tl::expected<RegisteredServer, std::string> Decode(
       const SharedDocument& document) const override {
     const std::size_t colon = document.value.find(':');
     if (colon == std::string::npos) {
-      return std::nullopt;
+      return tl::unexpected(std::string("no state"));
     }
     return RegisteredServer{
         .id = document.key,
