Check idle connections for unread bytes by peeking

Like the check of backend connections; a socket's count of available bytes isn't reported everywhere, and an error counted as none. test_drain passes.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -1,5 +1,7 @@
 #include "proxy/caller_connection.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -260,12 +262,16 @@
   }
 }
 
-bool CallerConnection::IsIdle() const {
-  // Bytes that have arrived may be a request.
-  error_code ignored;
+bool CallerConnection::IsIdle() {
   return !this->exchange && !this->reader && !this->closing && !this->closed &&
          this->received.empty() && this->unsent_bytes() == 0 &&
-         this->socket.available(ignored) == 0;
+         !this->HasUnreadBytes();
+}
+
+bool CallerConnection::HasUnreadBytes() {
+  char byte = 0;
+  return ::recv(this->socket.native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void CallerConnection::CloseIfIdle(bool unused_too) {
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -58,7 +58,10 @@
   void Flush();
   // Returns whether no request is being read or handled and no response is
   // being sent.
-  [[nodiscard]] bool IsIdle() const;
+  [[nodiscard]] bool IsIdle();
+  // Returns whether bytes have arrived that were not read yet; they may be a
+  // request.
+  [[nodiscard]] bool HasUnreadBytes();
   // Closes the connection in order: ends it towards the caller once all is
   // sent, and still reads until the caller closes it, since unread bytes would
   // reset it.
