Failing test: a request that crosses the close of an idle connection is read

An idle connection that is closed at a shutdown, or after the idle timeout, is still read for up to a second, and what arrives is dropped. Before the change of the drain the connection was closed at once: the system reset it when the request arrived, which told the caller that its request had not been read and could be sent again. Now the request is acknowledged and gets nothing.

--- a/tests/test_drain_review.cc
+++ b/tests/test_drain_review.cc
@@ -1,4 +1,5 @@
-// Tests of answers that end early beside a silence or a configuration.
+// Tests of requests that end early beside a silence, a configuration or a
+// shutdown.
 #include <fmt/format.h>
 
 #include <atomic>
@@ -130,3 +131,26 @@
   std::this_thread::sleep_for(kPause);
   LONGS_EQUAL(kBodyBytes, caller->ReadToEnd().size());
 }
+
+// Guards against a request that crosses the close of an idle connection and is
+// read and dropped: its caller can't know that it has not been read.
+TEST(EndedEarly, RequestThatCrossesTheCloseOfAnIdleConnectionIsNotRead) {
+  PlatformFixture platform([](RawConnection& connection) {
+    while (const auto request = connection.ReadMessage()) {
+      connection.Send(EngineResponse(*request, "finished"));
+    }
+  });
+  RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  const auto kept = gateway.Connect();
+  kept->Send(PlatformFixture::Request("/once/x", "r1"));
+  CHECK(kept->ReadMessage().has_value());
+  gateway.RunOnEventLoop(
+      [](Gateway& running_gateway) { running_gateway.StartDrain(); });
+  // The end of the connection.
+  STRCMP_EQUAL("", kept->ReadToEnd().c_str());
+  kept->Send(PlatformFixture::Request("/once/x", "r2"));
+  // Time for the system to reset the connection.
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(!kept->Send("x"));
+}
