Reset a request that crosses the close of an idle connection

The close in order that the drain uses read on after an idle connection was ended towards its caller. A request that crossed this end was read and dropped, and its connection ended without an answer up to a second later: callers repeat a request that must not run twice only if it was not read.

Idle connections are closed at once again, now only if no bytes have arrived; what crosses the close is reset.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -287,7 +287,7 @@
     if (this->reader) {
       this->Reject(http_status::kRequestTimeout);
     } else if (this->IsIdle()) {
-      this->StartClosing(CloseCause::kIdleTimeout);
+      this->Close(CloseCause::kIdleTimeout);
     }
   }
 }
@@ -306,7 +306,7 @@
 
 void CallerConnection::CloseIfIdle(bool unused_too) {
   if (this->IsIdle() && (this->had_request || unused_too)) {
-    this->StartClosing(CloseCause::kIdleAtShutdown);
+    this->Close(CloseCause::kIdleAtShutdown);
   }
 }
 
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -26,9 +26,10 @@
   void Start();
   // Checks timeouts; called periodically.
   void Tick(TimePoint now);
-  // Starts to close the connection if no request is being read or handled and
-  // no response is being sent. A connection that never had a request is about
-  // to have one; it is closed only if `unused_too`.
+  // Closes the connection if no request is being read or handled and no response
+  // is being sent. It is not read any more: a request that crosses the close is
+  // reset, which tells its caller that it was not read. A connection that never
+  // had a request is about to have one; it is closed only if `unused_too`.
   void CloseIfIdle(bool unused_too);
   // Ends the request with a true outcome and starts to close the connection,
   // since the process is about to exit.
