--- a/src/core/software_history.h
+++ b/src/core/software_history.h
@@ -29,7 +29,7 @@
 
 // What an instance knows of the software that was in use.
 struct SoftwareReport {
-  // Software that was in use since then is listed.
+  // `uses` has all software that was in use within this time.
   Duration known_for{};
   std::vector<SoftwareUse> uses;
 };
