Join no versions at an instance that is out of step

Reported by operators of similar systems: an instance that was cut off or stood still while servers of a new version joined took up streams that had begun there through other instances, and went on with them at the old version.

Cause, found by reading: a stream of unknown origin goes on at the only version that the instance knows. It trusted its directory for 2.5 s after the last read, and for as long as it counted all peers as heard (up to five report intervals), while the others sent streams to the new version at once. A process that stood still trusted the directory of before until its next update.

Now a version begins no resumable streams in the first three seconds after an instance saw it, while another version is registered, and a directory counts for 2.5 s only, checked at each resumption. While all lack the store, reports from all peers with the same revision renew it. The delay holds once per version, not per server.

Ruled out: telling each stream to all peers at all times, 9 KB a second an instance at 295. Open: an instance that starts while two versions are registered doesn't know which one is new and uses both.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -54,8 +54,6 @@
 constexpr Duration kFlushTime = std::chrono::milliseconds(250);
 // Time between two updates of the software in use without a change of servers.
 constexpr Duration kSoftwareInterval = std::chrono::milliseconds(500);
-// A directory that is older may lack servers that other instances use.
-constexpr Duration kMaxDirectoryLag = std::chrono::milliseconds(2500);
 // Callers resume a stream at most for this long after its beginning, or for the
 // longest timeout of the routes for streams.
 constexpr Duration kMinResumptionWindow = std::chrono::seconds(30);
@@ -285,6 +283,7 @@
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
   this->HandleDirectoryChanges(this->directory.Tick(now), "grace");
   this->UpdateRateLimits(now);
+  this->UpdateDirectoryAge(now);
   if (now - this->software_updated_at >= kSoftwareInterval) {
     this->UpdateSoftware(now);
   }
@@ -482,15 +481,22 @@
   }
 }
 
+void Gateway::UpdateDirectoryAge(TimePoint now) {
+  // While all instances lack the store, the directory ages, but nobody else has
+  // a later one either.
+  this->context.directory_current_at =
+      std::max(this->directory.read_at(),
+               this->links.EarliestLastReport(this->directory.revision(), now)
+                   .value_or(TimePoint{}));
+}
+
 void Gateway::UpdateSoftware(TimePoint now) {
   if (this->directory.revision() == 0) {
     return;
   }
   this->software_updated_at = now;
-  // Servers register in the store, so while all instances lack it, none can
-  // appear.
-  const bool is_current = now - this->directory.read_at() <= kMaxDirectoryLag ||
-                          this->links.HearsAllPeers();
+  const bool is_current =
+      now - this->context.directory_current_at <= kMaxDirectoryAge;
   if (this->context.configuration) {
     this->software_history.SetWindow(
         std::max(kMinResumptionWindow,
@@ -607,7 +613,8 @@
     report.software = this->software_history.Report(now);
     told_streams = 0;
   }
-  if (!this->software_history.IsSettled(now)) {
+  if (!this->software_history.IsSettled(
+          now - this->context.directory_current_at, now)) {
     report.stream_origins = this->stream_origins.AddedSince(told_streams);
     told_streams = this->stream_origins.added_count();
     this->stream_origins_sent += report.stream_origins.size();
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -140,6 +140,8 @@
   // Advances the quarantine, logs its changes and reports them at once.
   void UpdateQuarantine(TimePoint now);
   // Records the software in use and drops the origins of old streams.
+  // Updates the time up to which the directory is known to lack nothing.
+  void UpdateDirectoryAge(TimePoint now);
   void UpdateSoftware(TimePoint now);
   // Advances the servers' rate limits, and logs and reports their changes.
   void UpdateRateLimits(TimePoint now);
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -133,10 +133,21 @@
   return server.service == service && !server.is_draining;
 }
 
+bool RunsAllowedSoftware(const RegisteredServer& server,
+                         const PlacementQuery& query) {
+  if (!query.required_software && query.excluded_software.empty()) {
+    return true;
+  }
+  const std::uint64_t software = SoftwareHash(server);
+  return software == query.required_software.value_or(software) &&
+         std::find(query.excluded_software.begin(),
+                   query.excluded_software.end(),
+                   software) == query.excluded_software.end();
+}
+
 bool Accepts(const RegisteredServer& server, const PlacementQuery& query) {
   return AcceptsRequestsOf(server, query.service->name) &&
-         (!query.required_software ||
-          SoftwareHash(server) == *query.required_software);
+         RunsAllowedSoftware(server, query);
 }
 
 bool WasTried(const PlacementQuery& query, const std::string& server) {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -40,6 +40,8 @@
   // The only software that may serve the request, since it goes on with a
   // stream; nullopt if any may. See SoftwareHash.
   std::optional<std::uint64_t> required_software;
+  // Software that must not serve the request; see SoftwareHistory::NewSoftware.
+  std::vector<std::uint64_t> excluded_software;
   // Ids of the servers where an attempt of this request failed.
   std::vector<std::string> tried_servers;
   // The shortest target of the service's streams; nullopt if it has no streams.
--- a/src/core/software_history.cc
+++ b/src/core/software_history.cc
@@ -7,6 +7,14 @@
 #include "core/server_rate_limits.h"
 
 namespace rosemarycove {
+namespace {
+
+// For this long, a version that an instance sees for the first time begins no
+// streams that may be resumed. Longer than kMaxDirectoryAge, since the age of a
+// directory that another instance relayed lacks the time on the way.
+constexpr Duration kNewSoftwareTime = std::chrono::milliseconds(3000);
+
+}  // namespace
 
 std::uint64_t SoftwareHash(const RegisteredServer& server) {
   if (server.software_version.empty()) {
@@ -18,12 +26,20 @@
 void SoftwareHistory::Update(
     const std::map<std::string, RegisteredServer>& servers, bool is_current,
     TimePoint now) {
-  if (!this->known_since || !is_current) {
+  // A version may have come and gone while the process stood still.
+  const bool stood_still =
+      this->updated_at && now - *this->updated_at > kMaxDirectoryAge;
+  if (!this->known_since || !is_current || stood_still) {
     this->known_since = now;
   }
+  this->updated_at = now;
   for (const auto& [id, server] : servers) {
-    this->uses[SoftwareHash(server)] = {.service_hash = IdHash(server.service),
-                                        .last_used_at = now};
+    Use& use = this->uses
+                   .try_emplace(SoftwareHash(server),
+                                Use{.service_hash = IdHash(server.service),
+                                    .first_seen_at = now})
+                   .first->second;
+    use.last_used_at = now;
   }
   std::erase_if(this->uses, [&](const auto& item) {
     return now - item.second.last_used_at > this->window;
@@ -32,8 +48,11 @@
 
 void SoftwareHistory::Merge(const SoftwareReport& report, TimePoint now) {
   for (const SoftwareUse& use : report.uses) {
-    Use& own = this->uses[use.software];
-    own.service_hash = use.service_hash;
+    Use& own =
+        this->uses
+            .try_emplace(use.software, Use{.service_hash = use.service_hash,
+                                           .first_seen_at = now})
+            .first->second;
     own.last_used_at = std::max(own.last_used_at, now - use.age);
   }
   this->known_since =
@@ -52,8 +71,9 @@
 }
 
 std::optional<std::uint64_t> SoftwareHistory::OnlySoftware(
-    const std::vector<std::string>& services, TimePoint now) const {
-  if (!this->IsKnown(now)) {
+    const std::vector<std::string>& services, Duration directory_age,
+    TimePoint now) const {
+  if (!this->IsKnown(now) || directory_age > kMaxDirectoryAge) {
     return std::nullopt;
   }
   std::optional<std::uint64_t> only;
@@ -74,13 +94,31 @@
   return only;
 }
 
-bool SoftwareHistory::IsSettled(TimePoint now) const {
+bool SoftwareHistory::IsSettled(Duration directory_age, TimePoint now) const {
   std::set<std::uint64_t> services;
-  return this->IsKnown(now) &&
+  return this->IsKnown(now) && directory_age <= kMaxDirectoryAge &&
          std::all_of(this->uses.begin(), this->uses.end(),
                      [&](const auto& item) {
                        return services.insert(item.second.service_hash).second;
                      });
 }
 
+std::vector<std::uint64_t> SoftwareHistory::NewSoftware(
+    const std::string& service, TimePoint now) const {
+  const std::uint64_t service_hash = IdHash(service);
+  std::vector<std::uint64_t> new_software;
+  bool has_other = false;
+  for (const auto& [software, use] : this->uses) {
+    if (use.service_hash != service_hash) {
+      continue;
+    }
+    if (now - use.first_seen_at < kNewSoftwareTime) {
+      new_software.push_back(software);
+    } else if (use.last_used_at == this->updated_at) {
+      has_other = true;
+    }
+  }
+  return has_other ? new_software : std::vector<std::uint64_t>{};
+}
+
 }  // namespace rosemarycove
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -32,7 +32,10 @@
 // A peer is removed after this time without a report, and an address after this
 // time without a connection, unless it is a seed.
 constexpr Duration kPeerExpiry = std::chrono::seconds(30);
-// One round in this many includes the addresses of the other peers.
+// A peer that was silent when it was removed may still run for this long.
+constexpr Duration kMaxPartition = std::chrono::hours(2);
+// One round in this many includes the addresses of the other peers, from this
+// many instances to each.
 constexpr std::uint64_t kRoundsPerAddressList = 10;
 constexpr Duration kMinReconnectDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxReconnectDelay = std::chrono::seconds(2);
@@ -425,6 +428,9 @@
   std::erase_if(this->peers_by_name, [&](const auto& item) {
     const bool is_expired = now - item.second.last_report_at > kPeerExpiry;
     if (is_expired) {
+      if (this->MaySendRequests(item.first, item.second)) {
+        this->silent_removed_at = now;
+      }
       this->down_peers.erase(item.first);
     }
     return is_expired;
@@ -506,6 +512,26 @@
                       });
 }
 
+std::optional<TimePoint> FleetLinks::EarliestLastReport(
+    std::uint64_t directory_revision, TimePoint now) const {
+  if (this->silent_removed_at &&
+      now - *this->silent_removed_at <= kMaxPartition) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> earliest;
+  for (const auto& [name, peer] : this->peers_by_name) {
+    if (!this->MaySendRequests(name, peer)) {
+      continue;
+    }
+    if (peer.directory_revision > directory_revision) {
+      return std::nullopt;
+    }
+    earliest =
+        std::min(earliest.value_or(peer.last_report_at), peer.last_report_at);
+  }
+  return earliest;
+}
+
 std::set<std::string> FleetLinks::SilentDataCentres() const {
   std::set<std::string> silent;
   std::set<std::string> live;
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -114,6 +115,11 @@
   [[nodiscard]] std::vector<std::string> SendingPeers() const;
   // Returns whether all of these report.
   [[nodiscard]] bool HearsAllPeers() const;
+  // Returns the earliest of the last reports of these; nullopt if there are
+  // none, if one has a later directory than `directory_revision`, or if some
+  // may be unknown, since silent peers were removed.
+  [[nodiscard]] std::optional<TimePoint> EarliestLastReport(
+      std::uint64_t directory_revision, TimePoint now) const;
   // Returns the other data centres that have a silent instance and no live one.
   // Instances that were draining or whose processes have ended don't count as
   // silent.
@@ -161,6 +167,8 @@
   std::map<std::string, FleetPeer> peers_by_name;
   // Names of the peers whose last reported status is kGone or kSilent.
   std::set<std::string> down_peers;
+  // When a peer was last removed that was silent.
+  std::optional<TimePoint> silent_removed_at;
   // Connections that other instances opened. Their pending operations own them;
   // the destructor stops those that still exist.
   std::list<std::weak_ptr<Receiver>> receivers;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -171,8 +171,10 @@
     software = this->context.stream_origins.Find(this->stream_hash);
   }
   if (!software) {
+    const TimePoint now = std::chrono::steady_clock::now();
     software = this->context.software_history.OnlySoftware(
-        this->query.route->ServiceNames(), std::chrono::steady_clock::now());
+        this->query.route->ServiceNames(),
+        now - this->context.directory_current_at, now);
   }
   if (!software) {
     this->GiveUp(EndCause::kUnknownSoftware, kUnknownSoftwareRetryAfter);
@@ -267,6 +269,10 @@
     this->service_name =
         this->ServiceOf(*this->query.required_software, this->service_name);
   }
+  if (this->query.route->is_resumable && !this->query.required_software) {
+    this->query.excluded_software = this->context.software_history.NewSoftware(
+        this->service_name, this->arrival);
+  }
   this->query.service = this->configuration->FindService(this->service_name);
   this->query.parts = this->request_info.prompt_parts;
   this->query.prompt_tokens = this->request_info.prompt_tokens;
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -38,6 +38,8 @@
   FleetRetryBudget& retry_budget;
   ConnectionPool& pool;
   ProxyObserver& observer;
+  // The directory lacks no server that other instances used at this time.
+  TimePoint directory_current_at = {};
   // Null before the first one is read. A request uses the same configuration
   // from start to end.
   std::shared_ptr<const RoutingConfiguration> configuration;
--- a/tests/test_stream_origins.cc
+++ b/tests/test_stream_origins.cc
@@ -29,6 +29,7 @@
 constexpr char kRapidCheckParameters[] = "seed=20261205 max_success=100";
 
 constexpr Duration kWindow = seconds(30);
+constexpr Duration kUpToDate{};
 const std::vector<std::string> kServices = {"model"};
 const TimePoint kStart = TimePoint{} + std::chrono::hours(1);
 
@@ -46,11 +47,19 @@
   return SoftwareHash(Server("any", version));
 }
 
+// Updates the history as a process does that never stands still.
+void Observe(SoftwareHistory& history, const Servers& servers, TimePoint from,
+             TimePoint to) {
+  for (TimePoint at = from; at < to; at += seconds(1)) {
+    history.Update(servers, true, at);
+  }
+  history.Update(servers, true, to);
+}
+
 SoftwareHistory KnownHistory(const Servers& servers) {
   SoftwareHistory history;
   history.SetWindow(kWindow);
-  history.Update(servers, true, kStart);
-  history.Update(servers, true, kStart + kWindow);
+  Observe(history, servers, kStart, kStart + kWindow);
   return history;
 }
 
@@ -61,11 +70,20 @@
   TimePoint begun_at;
 };
 
+// What happens to the instances of a fleet.
+enum class FleetFault {
+  kKills,  // One or all are killed and start again.
+  // One is out of step with the others for seconds: it sees no change of the
+  // servers, and no report reaches or leaves it.
+  kOutOfStep,
+};
+
 // Instances that see the same servers, report to each other at each step, and
-// are killed and started again.
+// suffer a kind of fault.
 class ResumingFleet {
  public:
-  explicit ResumingFleet(std::uint64_t seed) : random(seed) {
+  ResumingFleet(std::uint64_t seed, FleetFault fault)
+      : random(seed), fault(fault) {
     for (int i = 0; i < kInstances; ++i) {
       this->Restart(i);
     }
@@ -75,9 +93,13 @@
     for (int step = 0; step < kSteps; ++step) {
       this->now += kStep;
       this->ChangeServers();
-      this->KillInstances();
+      if (this->fault == FleetFault::kKills) {
+        this->KillInstances();
+      } else {
+        this->PutOutOfStep();
+      }
       for (Instance& instance : this->instances) {
-        instance.history.Update(this->servers, true, this->now);
+        this->UpdateServers(instance);
         instance.origins.Expire(kWindow, this->now);
       }
       // A kill and the resumption that follows it may precede the reports.
@@ -99,6 +121,10 @@
     SoftwareHistory history;
     StreamOrigins origins;
     std::map<int, std::uint64_t> told;
+    // Its copy of the directory.
+    Servers servers;
+    TimePoint servers_read_at;
+    TimePoint out_of_step_until;
   };
 
   bool Happens(int one_in) { return this->random() % one_in == 0; }
@@ -136,10 +162,38 @@
     }
   }
 
+  void PutOutOfStep() {
+    const bool is_started = this->now > kStart + kStep;
+    if (is_started && Happens(50)) {
+      this->instances[this->Pick(kInstances)].out_of_step_until =
+          this->now + milliseconds(this->Pick(8000));
+    }
+  }
+
+  [[nodiscard]] bool IsInStep(const Instance& instance) const {
+    return this->now >= instance.out_of_step_until;
+  }
+
+  void UpdateServers(Instance& instance) {
+    if (this->IsInStep(instance)) {
+      instance.servers = this->servers;
+      instance.servers_read_at = this->now;
+    }
+    const bool is_current =
+        this->now - instance.servers_read_at <= kMaxDirectoryAge;
+    instance.history.Update(instance.servers, is_current, this->now);
+  }
+
   void BeginStreams() {
     for (Instance& instance : this->instances) {
-      const auto server =
-          std::next(this->servers.begin(), this->Pick(this->servers.size()));
+      const std::vector<std::uint64_t> excluded =
+          instance.history.NewSoftware(kServices.front(), this->now);
+      const auto server = std::next(instance.servers.begin(),
+                                    this->Pick(instance.servers.size()));
+      if (std::find(excluded.begin(), excluded.end(),
+                    SoftwareHash(server->second)) != excluded.end()) {
+        continue;
+      }
       const StreamOrigin origin{.stream = this->random(),
                                 .software = SoftwareHash(server->second)};
       instance.origins.Add(origin, this->now);
@@ -158,7 +212,8 @@
       std::optional<std::uint64_t> software =
           instance.origins.Find(stream.hash);
       if (!software) {
-        software = instance.history.OnlySoftware(kServices, this->now);
+        software = instance.history.OnlySoftware(
+            kServices, this->now - instance.servers_read_at, this->now);
       }
       if (software) {
         ++this->resumed_count;
@@ -171,14 +226,16 @@
     for (Instance& from : this->instances) {
       for (int to = 0; to < kInstances; ++to) {
         Instance& receiver = this->instances[to];
-        if (&receiver == &from) {
+        if (&receiver == &from || !this->IsInStep(receiver) ||
+            !this->IsInStep(from)) {
           continue;
         }
         if (!from.told.contains(to)) {
           receiver.history.Merge(from.history.Report(this->now), this->now);
         }
         std::uint64_t& told = from.told[to];
-        if (!from.history.IsSettled(this->now)) {
+        if (!from.history.IsSettled(this->now - from.servers_read_at,
+                                    this->now)) {
           receiver.origins.Merge(from.origins.AddedSince(told), this->now);
           told = from.origins.added_count();
         }
@@ -187,6 +244,7 @@
   }
 
   std::mt19937_64 random;
+  FleetFault fault;
   TimePoint now = kStart;
   Servers servers;
   int last_server = 0;
@@ -209,28 +267,29 @@
   Servers servers = {{"a", Server("a", "v1")}, {"b", Server("b", "v1")}};
   SoftwareHistory history;
   history.SetWindow(kWindow);
-  history.Update(servers, true, kStart);
-  CHECK(!history.OnlySoftware(kServices, kStart + kWindow - milliseconds(1)));
-  CHECK(!history.IsSettled(kStart + kWindow - milliseconds(1)));
-  TimePoint now = kStart + kWindow;
+  TimePoint now = kStart + kWindow - milliseconds(1);
+  Observe(history, servers, kStart, now);
+  CHECK(!history.OnlySoftware(kServices, kUpToDate, now));
+  CHECK(!history.IsSettled(kUpToDate, now));
+  now += milliseconds(1);
   history.Update(servers, true, now);
-  CHECK(history.OnlySoftware(kServices, now) == SoftwareOf("v1"));
-  CHECK(history.IsSettled(now));
-  CHECK(!history.OnlySoftware({"other"}, now));
+  CHECK(history.OnlySoftware(kServices, kUpToDate, now) == SoftwareOf("v1"));
+  CHECK(history.IsSettled(kUpToDate, now));
+  CHECK(!history.OnlySoftware({"other"}, kUpToDate, now));
 
   servers["c"] = Server("c", "v2");
   history.Update(servers, true, now);
-  CHECK(!history.OnlySoftware(kServices, now));
-  CHECK(!history.IsSettled(now));
+  CHECK(!history.OnlySoftware(kServices, kUpToDate, now));
+  CHECK(!history.IsSettled(kUpToDate, now));
   // The old version has left.
   servers.erase("a");
   servers.erase("b");
+  Observe(history, servers, now + milliseconds(1), now + kWindow);
   now += kWindow;
-  history.Update(servers, true, now);
-  CHECK(!history.OnlySoftware(kServices, now));
+  CHECK(!history.OnlySoftware(kServices, kUpToDate, now));
   now += milliseconds(1);
   history.Update(servers, true, now);
-  CHECK(history.OnlySoftware(kServices, now) == SoftwareOf("v2"));
+  CHECK(history.OnlySoftware(kServices, kUpToDate, now) == SoftwareOf("v2"));
 }
 
 // Guards against a restarted instance that refuses resumed streams although the
@@ -244,15 +303,16 @@
     if (update_first) {
       restarted.Update(servers, true, now);
     }
-    CHECK(!restarted.OnlySoftware(kServices, now));
+    CHECK(!restarted.OnlySoftware(kServices, kUpToDate, now));
     restarted.Merge(KnownHistory(servers).Report(now), now);
     restarted.Update(servers, true, now);
-    CHECK(restarted.OnlySoftware(kServices, now) == SoftwareOf("v2"));
+    CHECK(restarted.OnlySoftware(kServices, kUpToDate, now) ==
+          SoftwareOf("v2"));
     // Another one saw a version that has left.
     SoftwareHistory other = KnownHistory({{"b", Server("b", "v1")}});
     other.Update(servers, true, now);
     restarted.Merge(other.Report(now), now);
-    CHECK(!restarted.OnlySoftware(kServices, now));
+    CHECK(!restarted.OnlySoftware(kServices, kUpToDate, now));
   }
 }
 
@@ -261,12 +321,17 @@
 TEST(StreamOrigins, OutdatedDirectoryKnowsNoOnlySoftware) {
   const Servers servers = {{"a", Server("a", "v1")}};
   SoftwareHistory history = KnownHistory(servers);
-  TimePoint now = kStart + kWindow + seconds(3);
+  TimePoint now = kStart + kWindow + seconds(1);
+  CHECK(history.OnlySoftware(kServices, kMaxDirectoryAge, now) ==
+        SoftwareOf("v1"));
+  CHECK(!history.OnlySoftware(kServices, kMaxDirectoryAge + milliseconds(1),
+                              now));
+  CHECK(!history.IsSettled(kMaxDirectoryAge + milliseconds(1), now));
   history.Update(servers, false, now);
-  CHECK(!history.OnlySoftware(kServices, now));
+  CHECK(!history.OnlySoftware(kServices, kUpToDate, now));
+  Observe(history, servers, now + seconds(1), now + kWindow);
   now += kWindow;
-  history.Update(servers, true, now);
-  CHECK(history.OnlySoftware(kServices, now) == SoftwareOf("v1"));
+  CHECK(history.OnlySoftware(kServices, kUpToDate, now) == SoftwareOf("v1"));
 }
 
 // Guards against servers of unknown version that count as one version.
@@ -280,7 +345,7 @@
   CHECK(SoftwareHash(Server("a", "v1")) != SoftwareHash(other));
   const SoftwareHistory history =
       KnownHistory({{"a", Server("a", "")}, {"b", Server("b", "")}});
-  CHECK(!history.OnlySoftware(kServices, kStart + kWindow));
+  CHECK(!history.OnlySoftware(kServices, kUpToDate, kStart + kWindow));
 }
 
 TEST(StreamOrigins, OwnStreamsAreToldOnceAndCompleteOnesNot) {
@@ -320,9 +385,55 @@
 TEST(StreamOrigins, NoStreamGoesOnAtAnotherVersion) {
   int resumed = 0;
   CHECK(rc::check("streams go on at the version that began them", [&] {
-    ResumingFleet fleet(*rc::gen::arbitrary<std::uint64_t>());
+    ResumingFleet fleet(*rc::gen::arbitrary<std::uint64_t>(),
+                        FleetFault::kKills);
+    fleet.Run();
+    resumed += fleet.resumed();
+  }));
+  CHECK(resumed > 0);
+}
+
+// Guards against an instance that is cut off or stands still for seconds while
+// servers of a new version join, and then resumes streams that began there
+// through other instances.
+TEST(StreamOrigins, InstanceOutOfStepJoinsNoVersions) {
+  int resumed = 0;
+  CHECK(rc::check("an instance out of step joins no versions", [&] {
+    ResumingFleet fleet(*rc::gen::arbitrary<std::uint64_t>(),
+                        FleetFault::kOutOfStep);
     fleet.Run();
     resumed += fleet.resumed();
   }));
   CHECK(resumed > 0);
 }
+
+// Guards against a process that stood still and believes that it saw all
+// versions of the time before.
+TEST(StreamOrigins, ProcessThatStoodStillKnowsNoOnlySoftware) {
+  const Servers servers = {{"a", Server("a", "v1")}};
+  SoftwareHistory history = KnownHistory(servers);
+  TimePoint now = kStart + kWindow + seconds(1);
+  history.Update(servers, true, now);
+  CHECK(history.OnlySoftware(kServices, kUpToDate, now) == SoftwareOf("v1"));
+  now += seconds(4);
+  history.Update(servers, true, now);
+  CHECK(!history.OnlySoftware(kServices, kUpToDate, now));
+}
+
+// Guards against a new version that waits although no other one is registered,
+// or after all instances know of it.
+TEST(StreamOrigins, NewSoftwareWaitsOnlyBesideAnother) {
+  SoftwareHistory history = KnownHistory({{"a", Server("a", "v1")}});
+  TimePoint now = kStart + kWindow + seconds(1);
+  const Servers both = {{"a", Server("a", "v1")}, {"b", Server("b", "v2")}};
+  history.Update(both, true, now);
+  const std::vector<std::uint64_t> expected = {SoftwareOf("v2")};
+  CHECK(history.NewSoftware("model", now) == expected);
+  CHECK(history.NewSoftware("other", now).empty());
+  now += seconds(3);
+  history.Update(both, true, now);
+  CHECK(history.NewSoftware("model", now).empty());
+  now += seconds(1);
+  history.Update({{"c", Server("c", "v3")}}, true, now);
+  CHECK(history.NewSoftware("model", now).empty());
+}
