Tell each other which shared parts of prompts servers cache

Cause, from the log lines of the first 12 s: an instance knows only the parts that it sent itself, a 71st of all, so it expected 8,500 of 9,200 tokens to be read at the affinity server, took it for too slow and sent every second request elsewhere, where the parts were read again.

Instances now tell each other a shared part that they send to a lifetime of a server where nobody was known to have sent it: 8 bytes each, at most 256 a report, once. A server that starts again has another hash, so nothing has to be dropped.

Ruled out: a limit on the free slots that instances contend for (divided by all free slots of the side, test_placement_fleet fails: all choose the cheapest server); tokens that the engines themselves list (kv-list delays their work).

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -592,6 +592,7 @@
           .server_loads = this->placer.ledger().OwnLoads(),
           .partitions = this->placer.Partitions(now),
           .rate_limits = this->placer.rate_limits().Reports(false, now),
+          .cached_parts = this->placer.caches().untold(),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -641,13 +642,17 @@
   this->links.ScheduleReport();
 }
 
-void Gateway::OnRoundSent() { this->placer.rate_limits().RecordReportSent(); }
+void Gateway::OnRoundSent() {
+  this->placer.rate_limits().RecordReportSent();
+  this->placer.caches().MarkTold();
+}
 
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
   const TimePoint now = std::chrono::steady_clock::now();
   this->placer.ledger().SetPeerLoads(peer.identity.instance,
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
+  this->placer.caches().Merge(report.cached_parts, now);
   this->quarantine.Merge(report.suspected_parts, now);
   if (report.software) {
     this->software_history.Merge(*report.software, now);
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -8,6 +8,7 @@
 
 #include "core/backend_directory.h"
 #include "core/load_ledger.h"
+#include "core/prompt_cache_map.h"
 #include "core/request_quarantine.h"
 #include "core/server_rate_limits.h"
 #include "core/shared_document.h"
@@ -64,6 +65,12 @@
   std::optional<SoftwareReport> software;
   // Streams that the sender began and has not yet told the receiver.
   std::vector<StreamOrigin> stream_origins;
+  // Parts of prompts that the sender was the first to send to a server, as far
+  // as it knew.
+  std::vector<CachedPart> cached_parts;
+  // The number of other instances that the sender knows; 0 if it knows none, or
+  // runs a release that doesn't send it.
+  std::uint32_t known_peer_count = 0;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -587,7 +587,9 @@
       query.service->name, this->IsReserved(query, server.id));
   const int shared = SharedTokens(query);
   candidate.cached_tokens = std::min(
-      shared, this->prompt_caches.CachedTokens(server.id, query.parts, now));
+      shared,
+      this->prompt_caches.CachedTokens(
+          LifetimeHash(server.id, server.incarnation), query.parts, now));
   const int prefill_tokens =
       std::max(0, query.prompt_tokens - candidate.cached_tokens);
   candidate.inputs = {.prefill_tokens = static_cast<double>(prefill_tokens),
@@ -884,7 +886,9 @@
     sent = {.interval_start = now};
   }
   sent.load += choice.added_load;
-  this->prompt_caches.RecordPrompt(choice.server.id, query.parts, now);
+  this->prompt_caches.RecordPrompt(
+      LifetimeHash(choice.server.id, choice.server.incarnation), query.parts,
+      now);
 }
 
 void Placer::RecordFirstEvent(const PlacementQuery& query, ServerChoice& choice,
@@ -960,7 +964,6 @@
 }
 
 void Placer::Forget(const std::string& server) {
-  this->prompt_caches.Forget(server);
   this->server_health.Forget(server);
   this->reported_loads.erase(server);
   this->recently_sent.erase(server);
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -240,6 +240,8 @@
   // Mutable, so that the gateway can store the loads that its peers report.
   [[nodiscard]] LoadLedger& ledger() { return this->load_ledger; }
   [[nodiscard]] const LoadLedger& ledger() const { return this->load_ledger; }
+  // Mutable, so that the gateway can exchange what is cached with its peers.
+  [[nodiscard]] PromptCacheMap& caches() { return this->prompt_caches; }
   // Mutable, so that the gateway can exchange the limits with its peers.
   [[nodiscard]] ServerRateLimits& rate_limits() { return this->limits; }
   [[nodiscard]] const ServerRateLimits& rate_limits() const {
--- a/src/core/prompt_cache_map.cc
+++ b/src/core/prompt_cache_map.cc
@@ -3,8 +3,6 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#include "core/load_ledger.h"
-
 namespace rosemarycove {
 namespace {
 
@@ -12,6 +10,13 @@
 constexpr std::size_t kMaxEntries = 20000;
 // A part that was not sent again within this time has probably been evicted.
 constexpr Duration kCacheLifetime = std::chrono::seconds(60);
+// Parts that wait to be told to the other instances, at most. This bounds the
+// size of a report.
+constexpr std::size_t kMaxUntold = 256;
+
+CachedPart CachedPartOf(std::uint64_t part, std::uint64_t server) {
+  return XXH3_64bits_withSeed(&part, sizeof(part), server);
+}
 
 }  // namespace
 
@@ -19,18 +24,33 @@
   return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1);
 }
 
-void PromptCacheMap::RecordPrompt(const std::string& server,
+void PromptCacheMap::RecordPrompt(std::uint64_t server,
                                   const std::vector<PromptPart>& parts,
                                   TimePoint now) {
-  const std::uint64_t server_hash = IdHash(server);
-  for (const PromptPart& part : parts) {
-    const PartAtServer key{.part = part.id, .server_hash = server_hash};
-    this->last_sent[key] = now;
-    this->send_history.emplace_back(now, key);
+  const std::size_t shared_count = SharedParts(parts).size();
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const CachedPart part = CachedPartOf(parts[i].id, server);
+    if (i < shared_count && this->new_parts.size() < kMaxUntold &&
+        !this->IsCached(part, now)) {
+      this->new_parts.push_back(part);
+    }
+    this->Insert(part, now);
+  }
+}
+
+void PromptCacheMap::Merge(const std::vector<CachedPart>& parts,
+                           TimePoint now) {
+  for (const CachedPart part : parts) {
+    this->Insert(part, now);
   }
+}
+
+void PromptCacheMap::Insert(CachedPart part, TimePoint now) {
+  this->last_sent[part] = now;
+  this->send_history.emplace_back(now, part);
   while (this->send_history.size() > kMaxEntries) {
-    const auto& [at, key] = this->send_history.front();
-    const auto found = this->last_sent.find(key);
+    const auto [at, oldest] = this->send_history.front();
+    const auto found = this->last_sent.find(oldest);
     if (found != this->last_sent.end() && found->second == at) {
       this->last_sent.erase(found);
     }
@@ -38,16 +58,18 @@
   }
 }
 
-int PromptCacheMap::CachedTokens(const std::string& server,
+bool PromptCacheMap::IsCached(CachedPart part, TimePoint now) const {
+  const auto found = this->last_sent.find(part);
+  return found != this->last_sent.end() &&
+         now - found->second <= kCacheLifetime;
+}
+
+int PromptCacheMap::CachedTokens(std::uint64_t server,
                                  const std::vector<PromptPart>& parts,
                                  TimePoint now) const {
-  const std::uint64_t server_hash = IdHash(server);
   int tokens = 0;
   for (const PromptPart& part : parts) {
-    const auto found =
-        this->last_sent.find({.part = part.id, .server_hash = server_hash});
-    if (found == this->last_sent.end() ||
-        now - found->second > kCacheLifetime) {
+    if (!this->IsCached(CachedPartOf(part.id, server), now)) {
       break;
     }
     tokens += part.tokens;
@@ -55,13 +77,6 @@
   return tokens;
 }
 
-void PromptCacheMap::Forget(const std::string& server) {
-  const std::uint64_t server_hash = IdHash(server);
-  std::erase_if(this->last_sent, [server_hash](const auto& item) {
-    return item.first.server_hash == server_hash;
-  });
-}
-
 std::uint64_t RendezvousScore(std::uint64_t key, const std::string& candidate) {
   return XXH3_64bits_withSeed(candidate.data(), candidate.size(), key);
 }
--- a/src/core/prompt_cache_map.h
+++ b/src/core/prompt_cache_map.h
@@ -25,37 +25,46 @@
 // belongs to the request itself or to its session.
 std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& parts);
 
-// Records to which servers parts were sent. This is only an estimate of what is
-// cached, since servers evict parts without notice. Owned by a Placer.
+// Identifies a part of prompts at one lifetime of a backend server; the same at
+// every instance.
+using CachedPart = std::uint64_t;
+
+// Records to which servers parts were sent, by this instance or by others. This
+// is only an estimate of what is cached, since servers evict parts without
+// notice. Servers are identified by LifetimeHash, so a server that starts again
+// has nothing cached. Owned by a Placer.
+//
+// In a large fleet each instance sends few of the requests that share a part.
+// So instances tell each other the shared parts that they send to a server for
+// the first time.
 class PromptCacheMap {
  public:
   // Records that a request with these parts is sent to the server.
-  void RecordPrompt(const std::string& server,
-                    const std::vector<PromptPart>& parts, TimePoint now);
+  void RecordPrompt(std::uint64_t server, const std::vector<PromptPart>& parts,
+                    TimePoint now);
+  // Records what another instance told.
+  void Merge(const std::vector<CachedPart>& parts, TimePoint now);
   // Returns the number of tokens of the leading parts that the server probably
   // caches.
-  [[nodiscard]] int CachedTokens(const std::string& server,
+  [[nodiscard]] int CachedTokens(std::uint64_t server,
                                  const std::vector<PromptPart>& parts,
                                  TimePoint now) const;
-  // Drops the record of a server that restarted or is gone.
-  void Forget(const std::string& server);
+  // Returns the shared parts that were sent to a server of which nobody was
+  // known to have sent them there, since the last call of MarkTold.
+  [[nodiscard]] const std::vector<CachedPart>& untold() const {
+    return this->new_parts;
+  }
+  // The other instances were told.
+  void MarkTold() { this->new_parts.clear(); }
 
  private:
-  struct PartAtServer {
-    std::uint64_t part = 0;
-    // IdHash of the server's id.
-    std::uint64_t server_hash = 0;
-    bool operator==(const PartAtServer&) const = default;
-  };
-  struct Hash {
-    std::size_t operator()(const PartAtServer& key) const {
-      return key.part * 0x9E3779B97F4A7C15U ^ key.server_hash;
-    }
-  };
+  [[nodiscard]] bool IsCached(CachedPart part, TimePoint now) const;
+  void Insert(CachedPart part, TimePoint now);
 
-  std::unordered_map<PartAtServer, TimePoint, Hash> last_sent;
+  std::unordered_map<CachedPart, TimePoint> last_sent;
   // Every time that a part was sent, oldest first, for eviction.
-  std::deque<std::pair<TimePoint, PartAtServer>> send_history;
+  std::deque<std::pair<TimePoint, CachedPart>> send_history;
+  std::vector<CachedPart> new_parts;
 };
 
 // Returns the score of a candidate for a key, such as a server for a prompt
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -242,7 +242,12 @@
   if (frame.software() != nullptr) {
     report.software = DecodeSoftware(*frame.software());
   }
+  report.known_peer_count = frame.known_peers();
   report.stream_origins = DecodeOrigins(frame.begun_streams());
+  if (frame.cached_parts() != nullptr) {
+    report.cached_parts.assign(frame.cached_parts()->begin(),
+                               frame.cached_parts()->end());
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -327,6 +332,10 @@
     software = EncodeSoftware(builder, *report.software);
   }
   const auto origin_vector = EncodeOrigins(builder, report.stream_origins);
+  Offset<flatbuffers::Vector<std::uint64_t>> cached_parts;
+  if (!report.cached_parts.empty()) {
+    cached_parts = builder.CreateVector(report.cached_parts);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -334,7 +343,8 @@
       report.directory_read_id.sequence, report.directory_update.base_revision,
       report.directory_update.is_snapshot, share_vector, division_vector,
       neighbours, configuration, server_vector, part_vector, limit_vector,
-      software, origin_vector, report.configuration_version));
+      software, origin_vector, report.configuration_version, cached_parts,
+      report.known_peer_count));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -661,7 +661,9 @@
     VT_LIMITS = 36,
     VT_SOFTWARE = 38,
     VT_BEGUN_STREAMS = 40,
-    VT_CONFIGURATION_VERSION = 42
+    VT_CONFIGURATION_VERSION = 42,
+    VT_CACHED_PARTS = 44,
+    VT_KNOWN_PEERS = 46
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -723,6 +725,12 @@
   uint64_t configuration_version() const {
     return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
   }
+  const flatbuffers::Vector<uint64_t> *cached_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CACHED_PARTS);
+  }
+  uint32_t known_peers() const {
+    return GetField<uint32_t>(VT_KNOWN_PEERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -759,6 +767,9 @@
            verifier.VerifyVector(begun_streams()) &&
            verifier.VerifyVectorOfTables(begun_streams()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyOffset(verifier, VT_CACHED_PARTS) &&
+           verifier.VerifyVector(cached_parts()) &&
+           VerifyField<uint32_t>(verifier, VT_KNOWN_PEERS, 4) &&
            verifier.EndTable();
   }
 };
@@ -827,6 +838,12 @@
   void add_configuration_version(uint64_t configuration_version) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_CONFIGURATION_VERSION, configuration_version, 0);
   }
+  void add_cached_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_parts) {
+    fbb_.AddOffset(FleetReport::VT_CACHED_PARTS, cached_parts);
+  }
+  void add_known_peers(uint32_t known_peers) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_KNOWN_PEERS, known_peers, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -859,7 +876,9 @@
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::ServerLimit *>> limits = 0,
     flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams = 0,
-    uint64_t configuration_version = 0) {
+    uint64_t configuration_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_parts = 0,
+    uint32_t known_peers = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -867,6 +886,8 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_known_peers(known_peers);
+  builder_.add_cached_parts(cached_parts);
   builder_.add_begun_streams(begun_streams);
   builder_.add_software(software);
   builder_.add_limits(limits);
@@ -905,7 +926,9 @@
     const std::vector<rosemarycove::wire::ServerLimit> *limits = nullptr,
     flatbuffers::Offset<rosemarycove::wire::SoftwareHistory> software = 0,
     const std::vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams = nullptr,
-    uint64_t configuration_version = 0) {
+    uint64_t configuration_version = 0,
+    const std::vector<uint64_t> *cached_parts = nullptr,
+    uint32_t known_peers = 0) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -913,6 +936,7 @@
   auto suspected_parts__ = suspected_parts ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::PartCrashes>>(*suspected_parts) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerLimit>(*limits) : 0;
   auto begun_streams__ = begun_streams ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>(*begun_streams) : 0;
+  auto cached_parts__ = cached_parts ? _fbb.CreateVector<uint64_t>(*cached_parts) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -934,7 +958,9 @@
       limits__,
       software,
       begun_streams__,
-      configuration_version);
+      configuration_version,
+      cached_parts__,
+      known_peers);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -93,6 +93,8 @@
                        .sent = 7,
                        .refused_tier = 0},
                       {.server_hash = 7, .observation = 1}},
+      .cached_parts = {21, 22},
+      .known_peer_count = 23,
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -121,6 +123,8 @@
   CHECK_EQUAL(0, *limit.refused_tier);
   CHECK(!decoded.rate_limits.at(1).per_second);
   CHECK(!decoded.rate_limits.at(1).refused_tier);
+  CHECK(decoded.cached_parts == report.cached_parts);
+  CHECK_EQUAL(report.known_peer_count, decoded.known_peer_count);
   CHECK(decoded.peer_addresses == report.peer_addresses);
   CHECK(decoded.configuration->value == report.configuration->value);
   CHECK_EQUAL(8U, decoded.directory_update.base_revision);
