Keep routes of long prompts apart from shorter gap targets

Cause, from the logs: its gap target of 300 ms against 500 ms of the long route is under the ratio of two from which engines are partitioned, so all engines read prompts of 9,200 tokens; 169 of 402 of its streams that began within 100 ms were late by a pause, and the predicted time to the first event of a typical short prompt was over the target at every engine (too_slow), so it was refused everywhere.

A route now also belongs to the reserved engines if its gap target is 1.25 times the shortest one and its prompts have 6,000 tokens on average.

--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -102,12 +102,22 @@
 }
 
 bool RoutingConfiguration::ToleratesPauses(const Route& route,
-                                           const std::string& service) const {
-  // Minimum ratio of a pause-tolerant route's gap target to the shortest one.
-  constexpr int kMinGapRatio = 2;
+                                           const std::string& service,
+                                           int typical_prompt_tokens) const {
+  // Minimum ratio of a pause-tolerant route's gap target to the shortest one,
+  // for any prompts and for long ones.
+  constexpr double kMinGapRatio = 2;
+  constexpr double kMinGapRatioOfLongPrompts = 1.25;
+  // The prefill of a prompt of this many tokens takes a large part of a short
+  // gap target.
+  constexpr int kLongPromptTokens = 6000;
   const auto found = this->shortest_gap_targets.find(service);
-  return route.gap_target && found != this->shortest_gap_targets.end() &&
-         *route.gap_target >= kMinGapRatio * found->second;
+  if (!route.gap_target || found == this->shortest_gap_targets.end()) {
+    return false;
+  }
+  const double ratio = ToSeconds(*route.gap_target) / ToSeconds(found->second);
+  return ratio >= kMinGapRatio || (ratio >= kMinGapRatioOfLongPrompts &&
+                                   typical_prompt_tokens >= kLongPromptTokens);
 }
 
 std::optional<Duration> RoutingConfiguration::ShortestTarget(
--- a/src/core/routing_configuration.h
+++ b/src/core/routing_configuration.h
@@ -140,9 +140,11 @@
       const std::string& service) const;
   // Returns whether the route's streams tolerate pauses that would make other
   // streams of the service late: its gap target is at least twice the shortest
-  // one of the service.
+  // one of the service, or it is longer than that one and the route's prompts
+  // are so long that their prefill would pause the other streams of an engine.
   [[nodiscard]] bool ToleratesPauses(const Route& route,
-                                     const std::string& service) const;
+                                     const std::string& service,
+                                     int typical_prompt_tokens) const;
 
  private:
   // Indices of routes by host in lower case, the longest prefix first.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -282,7 +282,9 @@
       this->arrival +
       FromSeconds(kAffinityWaitFraction * ToSeconds(this->query.route->target));
   this->query.tolerates_pauses = this->configuration->ToleratesPauses(
-      *this->query.route, this->service_name);
+      *this->query.route, this->service_name,
+      this->context.prompt_sizes.Record(this->query.route->name,
+                                        this->query.prompt_tokens));
   this->query.shortest_target =
       this->configuration->ShortestTarget(this->service_name);
   this->context.retry_budget.RecordRequest(this->service_name, this->arrival);
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -13,6 +13,7 @@
 #include "core/fleet_retry_budget.h"
 #include "core/placement_queues.h"
 #include "core/placer.h"
+#include "core/prompt_sizes.h"
 #include "core/request_quarantine.h"
 #include "core/routing_configuration.h"
 #include "core/software_history.h"
@@ -43,6 +44,7 @@
   // Null before the first one is read. A request uses the same configuration
   // from start to end.
   std::shared_ptr<const RoutingConfiguration> configuration;
+  PromptSizes prompt_sizes = {};
   // Requests that wait for capacity, and their exchanges by id.
   PlacementQueues placement_queues = {};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -13,6 +13,7 @@
 #include "core/fleet_retry_budget.h"
 #include "core/placement_queues.h"
 #include "core/placer.h"
+#include "core/prompt_sizes.h"
 #include "core/relay_throttle.h"
 
 // The test library's macros come last.
@@ -769,3 +770,45 @@
   CHECK(!queue.HasMoreUrgent({.tier = 2}));
   LONGS_EQUAL(0, queue.CountAhead({.tier = 2}));
 }
+
+// Guards against long prompts whose prefill pauses the streams of a route with
+// a slightly shorter gap target, on every engine.
+TEST(Routing, RoutesOfLongPromptsAreKeptApart) {
+  RoutingConfiguration configuration;
+  for (const int gap_ms : {300, 500, 600}) {
+    Route route{.name = std::to_string(gap_ms), .kind = RouteKind::kStream};
+    route.services = {{.service = "model", .weight = 1}};
+    route.gap_target = milliseconds(gap_ms);
+    configuration.routes.push_back(route);
+  }
+  configuration.BuildIndexes();
+  constexpr int kShortPrompt = 2400;
+  constexpr int kLongPrompt = 9200;
+  const auto tolerates = [&](std::size_t route, int prompt_tokens) {
+    return configuration.ToleratesPauses(configuration.routes[route], "model",
+                                         prompt_tokens);
+  };
+  CHECK(!tolerates(0, kLongPrompt));
+  CHECK(!tolerates(1, kShortPrompt));
+  CHECK(tolerates(1, kLongPrompt));
+  CHECK(tolerates(2, kShortPrompt));
+}
+
+// Guards against a route whose requests go to both sides of the partition,
+// since their sizes differ.
+TEST(Routing, PromptSizeIsAveragedOverARoutesRequests) {
+  PromptSizes sizes;
+  CHECK_EQUAL(8000, sizes.Record("long", 8000));
+  CHECK_EQUAL(1000, sizes.Record("short", 1000));
+  CHECK_EQUAL(9000, sizes.Record("long", 10000));
+  for (int i = 0; i < 100; ++i) {
+    sizes.Record("long", 9000);
+  }
+  CHECK(sizes.Record("long", 100) > 8000);
+  // The route's prompts have become short.
+  int average = 0;
+  for (int i = 0; i < 300; ++i) {
+    average = sizes.Record("long", 500);
+  }
+  CHECK(average < 600);
+}
