Few instances tell a peer the addresses of the others

Cause: each tenth round, and with the first report of each connection, every instance sent all addresses to every other: 294 x 7 KB, two megabytes through a link of 20 Mbit/s, the cube of the fleet's size in all.

Now seeds send the list with the first report of a connection. Otherwise two instances for each receiver do each tenth round, and, since reports say how many others their sender knows, few and then more do to one that knows fewer (RelayThrottle).

Test: FewTellAddressesToEachInstance, 24 instances on loopback; with the rule of before it fails.

--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -37,6 +37,7 @@
 // One round in this many includes the addresses of the other peers, from this
 // many instances to each.
 constexpr std::uint64_t kRoundsPerAddressList = 10;
+constexpr int kAddressTellers = 2;
 constexpr Duration kMinReconnectDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxReconnectDelay = std::chrono::seconds(2);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
@@ -332,18 +333,21 @@
 }
 
 FleetReport FleetLinks::CompleteReport(const std::string& address,
-                                       FleetReport report) {
+                                       FleetReport report, TimePoint now) {
   FleetPeer receiver{.identity = {.address = address}};
   for (const auto& [name, peer] : this->peers_by_name) {
     if (peer.identity.address == address) {
       receiver = peer;
     }
   }
-  if (this->senders.at(address)->is_first_report()) {
+  const bool is_first_report = this->senders.at(address)->is_first_report();
+  if (is_first_report) {
     report.identity = this->options.self;
   }
+  report.known_peer_count =
+      static_cast<std::uint32_t>(this->peers_by_name.size());
   this->handler.AddMissingDocuments(receiver, report);
-  if (report.identity || this->rounds % kRoundsPerAddressList == 0) {
+  if (this->ShouldTellAddresses(receiver, is_first_report, now)) {
     for (const auto& [name, peer] : this->peers_by_name) {
       if (!this->down_peers.contains(name) &&
           peer.identity.address != address) {
@@ -354,6 +358,29 @@
   return report;
 }
 
+bool FleetLinks::ShouldTellAddresses(const FleetPeer& receiver,
+                                     bool is_first_report, TimePoint now) {
+  const auto& seeds = this->options.seeds;
+  const bool is_seed = std::find(seeds.begin(), seeds.end(),
+                                 this->options.self.address) != seeds.end();
+  if (is_first_report && is_seed) {
+    return true;
+  }
+  const auto rank = [&] {
+    return this->SenderRank(receiver, [](const FleetPeer&) { return true; });
+  };
+  if (this->rounds % kRoundsPerAddressList == 0 && rank() < kAddressTellers) {
+    return true;
+  }
+  if (receiver.known_peer_count == 0 ||
+      receiver.known_peer_count >= this->peers_by_name.size()) {
+    this->address_throttle.MarkUpToDate(receiver.identity.address);
+    return false;
+  }
+  return this->address_throttle.MaySend(receiver.identity.address,
+                                        receiver.known_peer_count, rank(), now);
+}
+
 void FleetLinks::Tick(TimePoint now) {
   for (const auto& [address, sender] : this->senders) {
     sender->Tick(now);
@@ -367,7 +394,7 @@
         report = this->handler.MakeReport();
       }
       std::string frame =
-          EncodeFleetFrame(this->CompleteReport(address, *report));
+          EncodeFleetFrame(this->CompleteReport(address, *report, now));
       this->sent_bytes += frame.size();
       sender->Send(std::move(frame));
     }
@@ -394,6 +421,7 @@
   peer.configuration_revision = report.configuration_revision;
   peer.configuration_version = report.configuration_version;
   peer.directory_revision = report.directory_revision;
+  peer.known_peer_count = report.known_peer_count;
   peer.directory_read_at = peer.last_report_at - report.directory_age;
   const bool is_known_address = this->senders.contains(sender.address);
   this->AddAddress(sender.address);
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/fleet_report.h"
+#include "core/relay_throttle.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -36,6 +37,8 @@
   // 0 if the peer has no configuration, or runs a release that doesn't send it.
   std::uint64_t configuration_version = 0;
   std::uint64_t directory_revision = 0;
+  // See FleetReport.
+  std::uint32_t known_peer_count = 0;
   // When the peer's copy of the directory was read from the store.
   TimePoint directory_read_at;
 };
@@ -144,7 +147,12 @@
   void DetectSilentPeers(TimePoint now);
   // Completes the common report of this round for one receiver.
   [[nodiscard]] FleetReport CompleteReport(const std::string& address,
-                                           FleetReport report);
+                                           FleetReport report, TimePoint now);
+  // Returns whether this instance tells the receiver the addresses of the other
+  // instances now. Only few tell each receiver: if all did, the lists would
+  // have as many addresses as the cube of the fleet's size.
+  [[nodiscard]] bool ShouldTellAddresses(const FleetPeer& receiver,
+                                         bool is_first_report, TimePoint now);
   // Returns the number of live peers that satisfy `predicate`.
   [[nodiscard]] int CountLive(
       const std::function<bool(const FleetPeer&)>& predicate) const;
@@ -172,6 +180,8 @@
   // Connections that other instances opened. Their pending operations own them;
   // the destructor stops those that still exist.
   std::list<std::weak_ptr<Receiver>> receivers;
+  // Limits who tells addresses to a peer that knows fewer than this instance.
+  RelayThrottle address_throttle;
   // The next tick sends a report to all peers.
   bool report_scheduled = false;
   TimePoint last_round_at;
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -20,14 +20,16 @@
   FleetReport MakeReport() override { return {.configuration_revision = 7}; }
   void AddMissingDocuments(const FleetPeer&, FleetReport&) override {}
   void OnRoundSent() override {}
-  void OnReport(const FleetPeer& peer, const FleetReport&) override {
+  void OnReport(const FleetPeer& peer, const FleetReport& report) override {
     this->reported_by.insert(peer.identity.instance);
+    this->addresses_told += report.peer_addresses.size();
   }
   void OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) override {
     this->changes.emplace_back(peer.identity.instance, status);
   }
 
   std::set<std::string> reported_by;
+  std::size_t addresses_told = 0;
   std::vector<std::pair<std::string, PeerStatus>> changes;
 };
 
@@ -175,3 +177,41 @@
     CHECK_EQUAL(3, splitter.event_count());
   }
 }
+
+// Guards against lists of addresses that all instances send to all others: in a
+// large fleet they fill the links.
+TEST(FleetLinks, FewTellAddressesToEachInstance) {
+  constexpr std::size_t kInstances = 24;
+  boost::asio::io_context io;
+  std::vector<std::unique_ptr<Instance>> fleet;
+  fleet.push_back(
+      std::make_unique<Instance>(io, "i0", std::vector<std::string>{}));
+  CHECK(!fleet[0]->links.Start().has_value());
+  const std::string seed =
+      "127.0.0.1:" + std::to_string(fleet[0]->links.port());
+  std::vector<Instance*> instances = {fleet[0].get()};
+  for (std::size_t i = 1; i < kInstances; ++i) {
+    fleet.push_back(std::make_unique<Instance>(io, "i" + std::to_string(i),
+                                               std::vector<std::string>{seed}));
+    instances.push_back(fleet[i].get());
+    CHECK(!fleet[i]->links.Start().has_value());
+  }
+  CHECK(RunUntil(io, instances, [&] {
+    return std::all_of(fleet.begin(), fleet.end(), [](const auto& instance) {
+      return instance->links.live_peer_count() == kInstances - 1;
+    });
+  }));
+  // A little longer than ten rounds of reports.
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  std::size_t told = 0;
+  for (Instance* instance : instances) {
+    instance->handler.addresses_told = 0;
+  }
+  CHECK(RunUntil(io, instances,
+                 [&] { return std::chrono::steady_clock::now() >= end; }));
+  for (const Instance* instance : instances) {
+    told += instance->handler.addresses_told;
+  }
+  CHECK(told > 0);
+  CHECK(told <= 4 * kInstances * kInstances);
+}
