Few instances wait for configurations at the store

Now two instances of each data centre wait; the others get a configuration from them, as those did that lacked the store, and read it themselves after a minute without. 300 ms after a new version the watchers send a further report, since in a large fleet the next one would come after 2.4 s. A configuration over 32 KB is read by all: few could not send it to all others in time.

Test: FewInstancesOfADataCentreWaitForConfigurations.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -42,6 +42,20 @@
 // force; a response that is overdue by the margin counts as lost.
 constexpr Duration kReaderConfigurationWait = std::chrono::milliseconds(1000);
 constexpr Duration kLostResponseMargin = std::chrono::milliseconds(400);
+// The instances of each data centre that wait for changes of the configuration;
+// the others get them from these. Two, since one of them may have lost the
+// store.
+constexpr int kWatchersPerDataCentre = 2;
+// Time from a new configuration to the report that brings it to the others:
+// longer than RelayThrottle's first delay, within which the instances learn who
+// has it.
+constexpr Duration kConfigurationRelayDelay = std::chrono::milliseconds(300);
+// The other instances read the configuration this long after the last time, in
+// case that no watcher reaches them.
+constexpr Duration kUnwatchedReadInterval = std::chrono::seconds(60);
+// A larger configuration is read from the store by all instances, since few
+// could not send it to all others in time.
+constexpr std::size_t kMaxRelayedConfigurationBytes = std::size_t{32} << 10U;
 // How long callers may still be routed to an instance that is no longer ready.
 constexpr Duration kUnreadyDelay = std::chrono::milliseconds(2600);
 // End of the shutdown grace that is reserved for an orderly exit.
@@ -68,6 +82,7 @@
 
   void OnRead(const ReadResult& reading, bool /*whole*/,
               TimePoint /*read_at*/) override {
+    this->gateway.configuration_read_at = std::chrono::steady_clock::now();
     for (const SharedDocument& document : reading.documents) {
       this->gateway.ApplyConfiguration(document, "store");
     }
@@ -277,7 +292,9 @@
   // copy, also if others read the directory for this instance.
   this->configuration_feed.NoteEra(this->directory_feed.era());
   this->directory_feed.NoteEra(this->configuration_feed.era());
-  this->configuration_feed.Tick(now, {}, {});
+  this->configuration_feed.Tick(
+      now, now - this->configuration_read_at,
+      this->WatchesConfiguration() ? Duration{} : kUnwatchedReadInterval);
   this->directory_feed.Tick(
       now, now - this->directory.read_at(),
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
@@ -288,6 +305,10 @@
     this->UpdateSoftware(now);
   }
   this->UpdateAvailability(now);
+  if (this->configuration_relay_at && now >= *this->configuration_relay_at) {
+    this->configuration_relay_at.reset();
+    this->links.ScheduleReport();
+  }
   this->links.Tick(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
@@ -372,6 +393,10 @@
   this->context.configuration =
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
   this->links.ScheduleReport();
+  if (this->WatchesConfiguration()) {
+    this->configuration_relay_at =
+        std::chrono::steady_clock::now() + kConfigurationRelayDelay;
+  }
   this->log.Write(LogEvent::kConfigurationInForce,
                   {{"revision", CountOf(document.revision)},
                    {"era", EraOf(document.revision)},
@@ -549,6 +574,12 @@
   return now - this->own_directory_read_at <= kReaderTerm;
 }
 
+bool Gateway::WatchesConfiguration() const {
+  return this->links.RankInDataCentre() < kWatchersPerDataCentre ||
+         this->configuration_document.value.size() >
+             kMaxRelayedConfigurationBytes;
+}
+
 bool Gateway::ShouldSendServers(const FleetPeer& peer, TimePoint now) {
   // A peer without a directory has just started, perhaps together with all
   // others, and is about to read the store itself.
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -100,6 +100,9 @@
   // True while this instance is one of those that read the directory from the
   // store for the fleet.
   [[nodiscard]] bool IsDirectoryReader(TimePoint now) const;
+  // Returns whether this instance waits for changes of the configuration at the
+  // store; otherwise it gets them from other instances.
+  [[nodiscard]] bool WatchesConfiguration() const;
   // Decides whether the report to this peer includes the servers that the peer
   // doesn't have yet. Directory readers send them to all but new peers;
   // otherwise, instances take turns in sending them to new and lagging peers.
@@ -181,6 +184,11 @@
   std::unique_ptr<ConfigurationListener> configuration_listener;
   std::unique_ptr<DirectoryListener> directory_listener;
   DocumentFeed configuration_feed;
+  // When the next report is due that brings a new configuration to the
+  // instances that don't wait for it.
+  std::optional<TimePoint> configuration_relay_at;
+  // When this instance last read the configuration from the store.
+  TimePoint configuration_read_at;
   DocumentFeed directory_feed;
   boost::asio::steady_timer timer;
   boost::asio::signal_set signals;
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -510,6 +510,15 @@
   return this->CountRankedBelow(RankHash(this->options.self.instance));
 }
 
+int FleetLinks::RankInDataCentre() const {
+  const std::uint64_t own = RankHash(this->options.self.instance);
+  return this->CountLive([this, own](const FleetPeer& peer) {
+    return !peer.is_draining &&
+           peer.identity.data_centre == this->options.self.data_centre &&
+           RankHash(peer.identity.instance) < own;
+  });
+}
+
 bool FleetLinks::RanksFirst(const std::string& instance) const {
   const std::uint64_t rank_hash = RankHash(instance);
   return RankHash(this->options.self.instance) >= rank_hash &&
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -111,6 +111,8 @@
   // Returns this instance's rank among the live instances, in the order of the
   // hashes of their names; 0 is the first. Draining peers are not ranked.
   [[nodiscard]] int Rank() const;
+  // The same among the instances of this one's data centre.
+  [[nodiscard]] int RankInDataCentre() const;
   // Returns whether this peer precedes all other ranked instances.
   [[nodiscard]] bool RanksFirst(const std::string& instance) const;
   // Returns the names of the peers that may send requests to backend servers:
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -39,9 +39,8 @@
 
 void DocumentFeed::Tick(TimePoint now, Duration age, Duration delay) {
   this->store.Tick(now);
-  const bool is_due = this->needs_all ||
-                      this->options.refresh_age == Duration{} ||
-                      age >= this->options.refresh_age + delay;
+  const bool is_due =
+      this->needs_all || age >= this->options.refresh_age + delay;
   if (!this->store.is_busy() && is_due && now >= this->next_read_at) {
     this->StartRead(now);
   }
--- a/src/store/document_feed.h
+++ b/src/store/document_feed.h
@@ -14,8 +14,7 @@
 struct DocumentFeedOptions {
   // How long a read waits for a change.
   Duration max_wait = std::chrono::seconds(30);
-  // A read starts when the copy has reached this age. With zero, each read
-  // starts as soon as the previous one has ended.
+  // A read starts when the copy has reached this age.
   Duration refresh_age{};
   // Read all documents each time, not only the changes. A list of changes may
   // lack some that the store has not sent to its watchers yet, and either read
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -484,6 +484,37 @@
             .starts_with("HTTP/1.1 200"));
 }
 
+// Guards against calls to the store that grow with the fleet: each instance
+// would wait there for changes of the configuration.
+TEST(Gateway, FewInstancesOfADataCentreWaitForConfigurations) {
+  RequestLog requests;
+  PlatformFixture platform(RespondWith(requests, "x"));
+  const RunningGateway first("a", platform.store.address());
+  std::vector<std::unique_ptr<RunningGateway>> others;
+  for (const std::string name : {"b", "c", "d", "e", "f"}) {
+    others.push_back(std::make_unique<RunningGateway>(
+        name, platform.store.address(),
+        std::vector<std::string>{first.peers_address()}));
+  }
+  first.AwaitReady();
+  for (const auto& other : others) {
+    other->AwaitReady();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  // Ends the waits that began before the instances knew each other.
+  platform.PutConfiguration(2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const int calls = platform.store.call_count("/kv-watch", "op/");
+  platform.PutConfiguration(3, true);
+  // All know it within a second.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  CHECK(platform.store.call_count("/kv-watch", "op/") - calls <= 3);
+  for (const auto& other : others) {
+    CHECK(other->SendRequest(PlatformFixture::Request("/once/x", "r1"))
+              .starts_with("HTTP/1.1 401"));
+  }
+}
+
 TEST(Gateway, LimitsFullReadsWhenTheStoreHasNoHistory) {
   RequestLog requests;
   PlatformFixture platform(RespondWith(requests, "x"));
