Count the time in which the machine is suspended

Reported by operators of similar systems: a process that had been paused acted on a permission that had run out meanwhile. The steady clock stands still while a machine is suspended, so all that an instance had been told kept its age: the directory of servers, the only version of a service, parts of servers' limits, pauses, leases and claims of serve.

All times of an instance are now read from CLOCK_BOOTTIME, in one function (MonotonicNow). Timers of the event loop stay on the steady clock, since they only wait. Test: the clock itself; a suspension can't be made in a test without privileges.

--- a/src/app/configuration_manager.cc
+++ b/src/app/configuration_manager.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "net/clock.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -17,7 +19,7 @@
 constexpr int kMaxResolveReads = 3;
 
 std::int64_t SteadyNanoseconds() {
-  return std::chrono::steady_clock::now().time_since_epoch().count();
+  return MonotonicNow().time_since_epoch().count();
 }
 
 ChangeError ToChangeError(const StoreError& error) {
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "core/store_revision.h"
 #include "http/http_status.h"
+#include "net/clock.h"
 
 namespace rosemarycove {
 namespace {
@@ -82,7 +83,7 @@
 
   void OnRead(const ReadResult& reading, bool /*whole*/,
               TimePoint /*read_at*/) override {
-    this->gateway.configuration_read_at = std::chrono::steady_clock::now();
+    this->gateway.configuration_read_at = MonotonicNow();
     for (const SharedDocument& document : reading.documents) {
       this->gateway.ApplyConfiguration(document, "store");
     }
@@ -106,7 +107,7 @@
 
   void OnRead(const ReadResult& reading, bool whole,
               TimePoint read_at) override {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = MonotonicNow();
     BackendDirectory& directory = this->gateway.directory;
     this->gateway.HandleDirectoryChanges(
         whole ? directory.Replace(reading.documents, reading.as_of_revision,
@@ -200,7 +201,7 @@
                    {"operators_at", this->status_server.port()},
                    {"peers_at", this->links.port()}});
   this->WaitForSignal();
-  this->Tick(std::chrono::steady_clock::now());
+  this->Tick(MonotonicNow());
   this->ScheduleTick();
   return std::nullopt;
 }
@@ -263,7 +264,7 @@
   if (this->drain_started_at) {
     return;
   }
-  this->drain_started_at = std::chrono::steady_clock::now();
+  this->drain_started_at = MonotonicNow();
   this->context.is_draining = true;
   this->links.ScheduleReport();
   this->log.Write(LogEvent::kDrainStarted,
@@ -276,7 +277,7 @@
     if (failure || this->stopped) {
       return;
     }
-    this->Tick(std::chrono::steady_clock::now());
+    this->Tick(MonotonicNow());
     if (!this->stopped) {
       this->ScheduleTick();
     }
@@ -394,8 +395,7 @@
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
   this->links.ScheduleReport();
   if (this->WatchesConfiguration()) {
-    this->configuration_relay_at =
-        std::chrono::steady_clock::now() + kConfigurationRelayDelay;
+    this->configuration_relay_at = MonotonicNow() + kConfigurationRelayDelay;
   }
   this->log.Write(LogEvent::kConfigurationInForce,
                   {{"revision", CountOf(document.revision)},
@@ -446,7 +446,7 @@
     this->log.Write(LogEvent::kServerChanged, fields);
   }
   if (!changes.empty()) {
-    this->UpdateSoftware(std::chrono::steady_clock::now());
+    this->UpdateSoftware(MonotonicNow());
   }
 }
 
@@ -613,7 +613,7 @@
 }
 
 FleetReport Gateway::MakeReport() {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
           .configuration_version = this->configuration_version(),
@@ -630,7 +630,7 @@
 }
 
 void Gateway::AddMissingDocuments(const FleetPeer& peer, FleetReport& report) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   std::uint64_t& told = this->told_suspects[peer.identity.address];
   if (report.identity) {
     report.rate_limits = this->placer.rate_limits().Reports(true, now);
@@ -679,7 +679,7 @@
 }
 
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   this->placer.ledger().SetPeerLoads(peer.identity.instance,
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
@@ -727,7 +727,7 @@
 
 std::string Gateway::MetricsText() const {
   std::string text = this->metrics.ToPrometheus(
-      std::chrono::steady_clock::now(), this->context.waiting_requests.size(),
+      MonotonicNow(), this->context.waiting_requests.size(),
       this->proxy_server.active_request_count());
   const auto add = [&text](const char* name, std::uint64_t value) {
     text += std::string("# TYPE ") + name + " gauge\n" + name + " " +
@@ -747,8 +747,8 @@
   add("rosemarycove_leaving_servers",
       static_cast<std::uint64_t>(this->placer.availability().leaving_count()));
   add("rosemarycove_paused_servers",
-      static_cast<std::uint64_t>(this->placer.availability().paused_count(
-          std::chrono::steady_clock::now())));
+      static_cast<std::uint64_t>(
+          this->placer.availability().paused_count(MonotonicNow())));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version", this->configuration_version());
@@ -760,8 +760,8 @@
   add("rosemarycove_known_streams", this->stream_origins.size());
   add("rosemarycove_stream_origins_sent_total", this->stream_origins_sent);
   add("rosemarycove_oldest_peer_report_ms",
-      static_cast<std::uint64_t>(ToLogMilliseconds(
-          this->placer.ledger().MaxPeerAge(std::chrono::steady_clock::now()))));
+      static_cast<std::uint64_t>(
+          ToLogMilliseconds(this->placer.ledger().MaxPeerAge(MonotonicNow()))));
   add("rosemarycove_log_lines_dropped_total", this->log.dropped());
   return text;
 }
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "core/store_revision.h"
+#include "net/clock.h"
 
 namespace rosemarycove {
 
@@ -138,7 +139,7 @@
                          .total_time = record.total_time,
                          .tokens = record.event_count,
                          .attempts = record.attempts},
-                        std::chrono::steady_clock::now());
+                        MonotonicNow());
 }
 
 void GatewayObserver::OnUnanswered(const UnansweredRecord& record) {
--- a/src/app/instance.cc
+++ b/src/app/instance.cc
@@ -15,6 +15,7 @@
 #include "app/peer_service.h"
 #include "http/caller_api.h"
 #include "http/http_server.h"
+#include "net/clock.h"
 #include "store/http_instance_list.h"
 #include "store/http_key_value_store.h"
 
@@ -193,9 +194,8 @@
 void Instance::CutOffRequests() {
   this->caller_server->StartDraining();
   this->host->Post(DrainTimedOut{});
-  const auto deadline = std::chrono::steady_clock::now() + kCutOffTime;
-  while (this->caller_server->active_count() > 0 &&
-         std::chrono::steady_clock::now() < deadline) {
+  const auto deadline = MonotonicNow() + kCutOffTime;
+  while (this->caller_server->active_count() > 0 && MonotonicNow() < deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
 }
@@ -207,10 +207,9 @@
     this->peers->AnnounceDraining();
   }
   this->host->Post(DrainStarted{});
-  const auto deadline =
-      std::chrono::steady_clock::now() + this->settings.drain_timeout;
+  const auto deadline = MonotonicNow() + this->settings.drain_timeout;
   while (this->host->open_requests() > 0 && !should_abort() &&
-         std::chrono::steady_clock::now() < deadline) {
+         MonotonicNow() < deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   const std::size_t lost = this->host->open_requests();
--- a/src/app/load_poller.cc
+++ b/src/app/load_poller.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <vector>
 
+#include "net/clock.h"
 #include "wire/json_decoder.h"
 
 namespace rosemarycove {
@@ -57,7 +58,7 @@
   client.set_connection_timeout(kTimeout);
   client.set_read_timeout(kTimeout);
   const httplib::Result result = client.Get("/load");
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   bool is_valid = false;
   if (result && result->status == kOk) {
     const auto load =
--- a/src/app/node_host.cc
+++ b/src/app/node_host.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "app/event_fields.h"
+#include "net/clock.h"
 
 namespace rosemarycove {
 namespace {
@@ -63,7 +64,7 @@
       this->customer_by_key_hash[customer.key_hash] = customer.name;
     }
   }
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   for (const Action& action : this->node.Handle(now, event)) {
     std::visit([this](const auto& item) { this->Execute(item); }, action);
   }
@@ -125,7 +126,7 @@
 }
 
 void NodeHost::Execute(const FinishRequest& action) {
-  this->metrics.Observe(action, std::chrono::steady_clock::now());
+  this->metrics.Observe(action, MonotonicNow());
   this->log.Write(LogEvent::kRequestEnded, ToLogFields(action));
   const auto found = this->pending_requests.find(action.id);
   if (found != this->pending_requests.end()) {
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -10,6 +10,7 @@
 
 #include "app/toml_json.h"
 #include "http/http_status.h"
+#include "net/clock.h"
 #include "wire/json_decoder.h"
 
 namespace rosemarycove {
@@ -109,7 +110,7 @@
 
 // The attainment of a class over the last minutes.
 json DescribeClass(const Metrics& metrics, const std::string& name) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   json state = json::object();
   for (const int minutes : {1, 10, 60}) {
     const AttainmentCount count =
@@ -456,9 +457,9 @@
     waiting = node.waiting_count();
     running = node.running_count();
   });
-  response.set_content(this->metrics.ToPrometheus(
-                           std::chrono::steady_clock::now(), waiting, running),
-                       "text/plain; version=0.0.4");
+  response.set_content(
+      this->metrics.ToPrometheus(MonotonicNow(), waiting, running),
+      "text/plain; version=0.0.4");
 }
 
 }  // namespace rosemarycove
--- a/src/http/attempt_runner.cc
+++ b/src/http/attempt_runner.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "http/sse_parser.h"
+#include "net/clock.h"
 #include "wire/json_decoder.h"
 
 namespace rosemarycove {
@@ -141,7 +142,7 @@
   }
 
   void ReportProgress() {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonotonicNow();
     if (this->token_count > 1 && now - this->last_report < kProgressInterval) {
       return;
     }
@@ -229,7 +230,7 @@
   bool done_received = false;
   bool has_forwarded = false;
   int token_count = 0;
-  std::chrono::steady_clock::time_point last_report;
+  TimePoint last_report;
 };
 
 }  // namespace
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "http/dynamic_thread_pool.h"
+#include "net/clock.h"
 
 namespace rosemarycove {
 namespace {
@@ -62,8 +63,7 @@
   bool AwaitRequest() {
     const bool ready = this->position < this->filled || this->AwaitBytes();
     this->request_bytes = 0;
-    this->deadline =
-        std::chrono::steady_clock::now() + this->options.read_timeout;
+    this->deadline = MonotonicNow() + this->options.read_timeout;
     return ready;
   }
 
@@ -135,8 +135,7 @@
   }
 
   bool Fill() {
-    const Duration remaining =
-        this->deadline - std::chrono::steady_clock::now();
+    const Duration remaining = this->deadline - MonotonicNow();
     if (remaining <= Duration{} || !WaitFor(this->fd, POLLIN, remaining)) {
       return false;
     }
@@ -171,7 +170,7 @@
   std::size_t position = 0;
   std::size_t filled = 0;
   std::size_t request_bytes = 0;
-  std::chrono::steady_clock::time_point deadline;
+  TimePoint deadline;
 };
 
 // Adapts DynamicThreadPool to the task queue interface of httplib.
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/prompt_cache_map.h"
+#include "net/clock.h"
 #include "proxy/endpoint.h"
 #include "proxy/listener.h"
 #include "proxy/socket_options.h"
@@ -105,7 +106,7 @@
           if (self->is_stopped) {
             return;
           }
-          const TimePoint now = std::chrono::steady_clock::now();
+          const TimePoint now = MonotonicNow();
           if (failure) {
             self->peer_ended =
                 failure == boost::asio::error::connection_reset ||
@@ -145,7 +146,7 @@
       if (self->is_stopped || attempt != self->attempt_count) {
         return;
       }
-      const TimePoint at = std::chrono::steady_clock::now();
+      const TimePoint at = MonotonicNow();
       if (failure) {
         self->peer_ended = failure == boost::asio::error::connection_refused;
         self->Disconnect(at);
@@ -175,7 +176,7 @@
             // The connection of a process that ended is closed or reset; a
             // network partition makes it time out.
             self->peer_ended = failure != boost::asio::error::timed_out;
-            self->Disconnect(std::chrono::steady_clock::now());
+            self->Disconnect(MonotonicNow());
           } else {
             self->WatchForEnd();
           }
@@ -209,7 +210,7 @@
   TimePoint connect_started_at;
   TimePoint next_attempt_at;
   // When the connection was last known to work.
-  TimePoint connected_at = std::chrono::steady_clock::now();
+  TimePoint connected_at = MonotonicNow();
 };
 
 // A connection that another instance opened. Ownership is shared with the
@@ -416,7 +417,7 @@
   }
   FleetPeer& peer = this->peers_by_name[sender.instance];
   peer.identity = sender;
-  peer.last_report_at = std::chrono::steady_clock::now();
+  peer.last_report_at = MonotonicNow();
   peer.is_draining = report.is_draining;
   peer.configuration_revision = report.configuration_revision;
   peer.configuration_version = report.configuration_version;
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -14,6 +14,7 @@
 #include <tuple>
 #include <utility>
 
+#include "net/clock.h"
 #include "net/peer_connection.h"
 
 namespace rosemarycove {
@@ -32,7 +33,7 @@
 // they are accepted.
 constexpr std::size_t kMaxUnauthenticated = 64;
 
-TimePoint Now() { return std::chrono::steady_clock::now(); }
+TimePoint Now() { return MonotonicNow(); }
 
 sockaddr_in ToAddress(const std::string& host, int port) {
   sockaddr_in address{};
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <utility>
 
+#include "net/clock.h"
 #include "proxy/socket_options.h"
 
 namespace rosemarycove {
@@ -75,7 +76,7 @@
 
 void BackendConnection::Connect() {
   this->connecting = true;
-  this->connect_started_at = std::chrono::steady_clock::now();
+  this->connect_started_at = MonotonicNow();
   error_code error;
   this->socket.open(boost::asio::ip::tcp::v4(), error);
   if (!error) {
@@ -92,8 +93,7 @@
           return;
         }
         self->connected = true;
-        self->connect_duration =
-            std::chrono::steady_clock::now() - self->connect_started_at;
+        self->connect_duration = MonotonicNow() - self->connect_started_at;
         self->Write();
         self->Read();
       });
@@ -263,7 +263,7 @@
       this->written == this->request.size() && this->received.empty() &&
       this->request_id_hashes.size() < kMaxRequests;
   this->idle_limit = IdleTimeoutOf(this->reader->head());
-  this->idle_start = std::chrono::steady_clock::now();
+  this->idle_start = MonotonicNow();
   if (!keep_open) {
     this->Close();
   }
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "http/http_status.h"
+#include "net/clock.h"
 #include "proxy/socket_options.h"
 
 namespace rosemarycove {
@@ -51,7 +52,7 @@
                                    ProxyContext& context)
     : socket(std::move(socket)),
       context(context),
-      waiting_since(std::chrono::steady_clock::now()),
+      waiting_since(MonotonicNow()),
       last_read(this->waiting_since),
       last_write(this->waiting_since) {
   SetLivenessOptions(this->socket, kUnacknowledgedTimeout);
@@ -87,7 +88,7 @@
 }
 
 void CallerConnection::OnBytesRead(std::size_t count) {
-  this->last_read = std::chrono::steady_clock::now();
+  this->last_read = MonotonicNow();
   this->received.append(this->read_buffer.data(), count);
   if (this->closing) {
     // A response that announced the close allows no further request.
@@ -116,7 +117,7 @@
     this->reader.emplace(
         RequestLimits{.max_header_bytes = limits.max_header_bytes,
                       .max_body_bytes = limits.max_body_bytes});
-    this->waiting_since = std::chrono::steady_clock::now();
+    this->waiting_since = MonotonicNow();
   }
   // The rest of a body that is longer than stated would become part of the next
   // request, and an answer to it would be taken for that request's.
@@ -153,9 +154,8 @@
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
-  this->exchange = std::make_unique<Exchange>(this->context, std::move(head),
-                                              std::move(body), *this,
-                                              std::chrono::steady_clock::now());
+  this->exchange = std::make_unique<Exchange>(
+      this->context, std::move(head), std::move(body), *this, MonotonicNow());
   this->exchange->Start();
 }
 
@@ -192,7 +192,7 @@
     return;
   }
   this->sending.swap(this->outgoing);
-  this->last_write = std::chrono::steady_clock::now();
+  this->last_write = MonotonicNow();
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->sending),
       [self = this->shared_from_this()](error_code failure, std::size_t) {
@@ -227,7 +227,7 @@
                       if (self->closed) {
                         return;
                       }
-                      self->waiting_since = std::chrono::steady_clock::now();
+                      self->waiting_since = MonotonicNow();
                       self->last_read = self->waiting_since;
                       if (!keep_open) {
                         self->StartClosing(CloseCause::kResponseSent);
@@ -242,7 +242,7 @@
   this->ReportUnanswered(cause);
   this->closing = cause;
   this->received.clear();
-  this->close_at = std::chrono::steady_clock::now() + kLingerTime;
+  this->close_at = MonotonicNow() + kLingerTime;
   if (this->unsent_bytes() == 0) {
     this->EndSending();
   }
@@ -343,7 +343,7 @@
       cause == CloseCause::kCallerNotReading || this->unanswered_reported) {
     return;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   if (this->exchange && !this->exchange->has_ended()) {
     this->unanswered_reported = true;
     this->context.observer.OnUnanswered(
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -6,6 +6,7 @@
 #include "core/request_hash.h"
 #include "http/http_status.h"
 #include "http/sse_parser.h"
+#include "net/clock.h"
 
 namespace rosemarycove {
 namespace {
@@ -171,7 +172,7 @@
     software = this->context.stream_origins.Find(this->stream_hash);
   }
   if (!software) {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = MonotonicNow();
     software = this->context.software_history.OnlySoftware(
         this->query.route->ServiceNames(),
         now - this->context.directory_current_at, now);
@@ -192,8 +193,7 @@
   const std::uint64_t software = SoftwareHash(this->choice->server);
   this->query.required_software = software;
   this->context.stream_origins.Add(
-      {.stream = this->stream_hash, .software = software},
-      std::chrono::steady_clock::now());
+      {.stream = this->stream_hash, .software = software}, MonotonicNow());
 }
 
 bool Exchange::ResolveRoute() {
@@ -321,7 +321,7 @@
 }
 
 void Exchange::Place() {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   if (this->GiveUpIfQuarantined(now)) {
     return;
   }
@@ -364,7 +364,7 @@
 }
 
 void Exchange::StartWaiting(WaitReason reason) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   const Duration max_wait =
       FromSeconds(kMaxWaitFraction * ToSeconds(this->query.route->target));
   this->waiting_ahead = this->Queue().CountAhead(this->RequestUrgency());
@@ -388,8 +388,7 @@
 
 void Exchange::StopWaiting(bool admitted) {
   if (this->waiting_id) {
-    this->Queue().Remove(*this->waiting_id, admitted,
-                         std::chrono::steady_clock::now());
+    this->Queue().Remove(*this->waiting_id, admitted, MonotonicNow());
     this->context.waiting_requests.erase(*this->waiting_id);
     this->waiting_id.reset();
   }
@@ -436,7 +435,7 @@
 }  // namespace
 
 void AdmitWaiting(ProxyContext& context) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   for (const auto& [service, queues] : context.placement_queues.all()) {
     AdmitWaitingOf(queues.unreserved, context, now);
     AdmitWaitingOf(queues.reserved, context, now);
@@ -444,7 +443,7 @@
 }
 
 void Exchange::Send(const ServerChoice& chosen) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   std::optional<PooledConnection> acquired = this->context.pool.Acquire(
       chosen.server, this->request_info.request_id, now);
   if (!acquired) {
@@ -545,7 +544,7 @@
 
 HeadDecision Exchange::OnHead(const ResponseHead& head) {
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   this->RecordAvailability(head, response_info, now);
   if (!this->IsOwnResponse(response_info)) {
     return HeadDecision::kSkip;
@@ -634,7 +633,7 @@
   if (this->first_event_received) {
     return;
   }
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   this->first_event_received = true;
   this->attempt_first_event_at = now;
   this->last_software_version = this->choice->server.software_version;
@@ -663,7 +662,7 @@
 }
 
 void Exchange::RecordConnectionEnd() {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   // A server that had closed an idle connection resets it at once when bytes
   // arrive.
   const bool was_stale = this->connection_reused &&
@@ -676,7 +675,7 @@
 }
 
 void Exchange::OnBody(std::string bytes) {
-  this->last_bytes_at = std::chrono::steady_clock::now();
+  this->last_bytes_at = MonotonicNow();
   switch (this->response_mode) {
     case ResponseMode::kNone:
       return;
@@ -744,7 +743,7 @@
     return;
   }
   this->RecordFirstEvent();
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   if (now - this->attempt_first_event_at >= kSurvivalTime) {
     this->RecordSurvival(now);
   }
@@ -781,7 +780,7 @@
   }
   this->RecordFirstEvent();
   if (this->response.IsSuccess()) {
-    this->RecordSurvival(std::chrono::steady_clock::now());
+    this->RecordSurvival(MonotonicNow());
   }
   switch (this->response_mode) {
     case ResponseMode::kNone:
@@ -867,14 +866,14 @@
     this->connection.reset();
   }
   if (this->choice) {
-    this->context.placer.RecordEnd(
-        *this->choice, std::chrono::steady_clock::now() - this->sent_at);
+    this->context.placer.RecordEnd(*this->choice,
+                                   MonotonicNow() - this->sent_at);
     this->choice.reset();
   }
 }
 
 void Exchange::FailAttempt(const Failure& failure) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   const ServerChoice failed = *this->choice;
   const bool is_stale_connection =
       failure.result == SendResult::kUnreachable && !failure.avoid_server;
@@ -936,7 +935,7 @@
 
 bool Exchange::MayRetry(std::string& no_retry_reason) {
   const Route& route = *this->query.route;
-  if (this->Remaining(std::chrono::steady_clock::now()) < kMinRetryTime) {
+  if (this->Remaining(MonotonicNow()) < kMinRetryTime) {
     no_retry_reason = "no time left";
     return false;
   }
@@ -957,9 +956,8 @@
     no_retry_reason = "part of the response was forwarded";
     return false;
   }
-  if (this->sent_attempts > 0 &&
-      !this->context.retry_budget.TrySpend(this->service_name,
-                                           std::chrono::steady_clock::now())) {
+  if (this->sent_attempts > 0 && !this->context.retry_budget.TrySpend(
+                                     this->service_name, MonotonicNow())) {
     no_retry_reason = "retry budget spent";
     return false;
   }
@@ -1004,7 +1002,7 @@
     return;
   }
   if (!min_delay) {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = MonotonicNow();
     min_delay = this->query.service == nullptr
                     ? kNotReadyRetryAfter
                     : this->context.placer.EstimateRetryDelay(this->query, now);
@@ -1191,7 +1189,7 @@
   }
   this->ended = true;
   this->StopWaiting(false);
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   const std::string server = this->choice ? this->choice->server.id : "";
   const Route* route = this->query.route;
   const bool has_first_event = this->first_event_at != TimePoint{};
--- a/src/proxy/http_client.cc
+++ b/src/proxy/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "net/clock.h"
+
 namespace rosemarycove {
 namespace {
 
@@ -18,7 +20,7 @@
 
 void HttpClient::Send(std::string request, Duration timeout, Done call_done) {
   this->done = std::move(call_done);
-  this->deadline = std::chrono::steady_clock::now() + timeout;
+  this->deadline = MonotonicNow() + timeout;
   this->body.clear();
   if (!this->connection || !this->connection->IsReusable()) {
     if (this->connection) {
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/store_revision.h"
+#include "net/clock.h"
 
 namespace rosemarycove {
 namespace {
@@ -71,7 +72,7 @@
 void DocumentFeed::HandleResult(
     const tl::expected<ReadResult, ReadError>& result, bool is_complete,
     TimePoint read_at) {
-  const TimePoint now = std::chrono::steady_clock::now();
+  const TimePoint now = MonotonicNow();
   if (!result) {
     if (result.error().kind == ReadErrorKind::kHistoryGone) {
       this->needs_all = true;
--- a/tests/test_document_feed.cc
+++ b/tests/test_document_feed.cc
@@ -1,6 +1,7 @@
 // Tests of the feed that keeps a copy of a part of the store.
 #include <vector>
 
+#include "net/clock.h"
 #include "store/document_feed.h"
 
 // The test library's macros come last.
@@ -107,9 +108,9 @@
   this->CompleteFirstRead();
   this->store.Fail();
   CHECK_EQUAL(1, this->listener.unavailable_count);
-  this->feed.Tick(std::chrono::steady_clock::now(), {}, {});
+  this->feed.Tick(MonotonicNow(), {}, {});
   CHECK(!this->store.is_busy());
-  const TimePoint later = std::chrono::steady_clock::now() + seconds(2);
+  const TimePoint later = MonotonicNow() + seconds(2);
   this->feed.Tick(later, {}, {});
   this->store.Fail();
   this->feed.Tick(later + seconds(2), {}, {});
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -1,8 +1,10 @@
 // Tests of the frames of fleet reports and of fleet links on the loopback
 // address.
 #include <boost/asio/steady_timer.hpp>
+#include <ctime>
 
 #include "core/backend_directory.h"
+#include "net/clock.h"
 #include "net/fleet_links.h"
 #include "proxy/event_splitter.h"
 #include "wire/fleet_codec.h"
@@ -53,13 +55,13 @@
 template <typename Condition>
 bool RunUntil(boost::asio::io_context& io, std::vector<Instance*> instances,
               Condition condition) {
-  const auto start = std::chrono::steady_clock::now();
-  while (std::chrono::steady_clock::now() - start < std::chrono::seconds(10)) {
+  const auto start = MonotonicNow();
+  while (MonotonicNow() - start < std::chrono::seconds(10)) {
     if (condition()) {
       return true;
     }
     for (Instance* instance : instances) {
-      instance->links.Tick(std::chrono::steady_clock::now());
+      instance->links.Tick(MonotonicNow());
     }
     boost::asio::steady_timer timer(io, std::chrono::milliseconds(20));
     timer.async_wait([&io](boost::system::error_code) { io.stop(); });
@@ -202,16 +204,30 @@
     });
   }));
   // A little longer than ten rounds of reports.
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  const auto end = MonotonicNow() + std::chrono::seconds(3);
   std::size_t told = 0;
   for (Instance* instance : instances) {
     instance->handler.addresses_told = 0;
   }
-  CHECK(RunUntil(io, instances,
-                 [&] { return std::chrono::steady_clock::now() >= end; }));
+  CHECK(RunUntil(io, instances, [&] { return MonotonicNow() >= end; }));
   for (const Instance* instance : instances) {
     told += instance->handler.addresses_told;
   }
   CHECK(told > 0);
   CHECK(told <= 4 * kInstances * kInstances);
 }
+
+// Guards against a clock that stands still while the machine is suspended: what
+// was permitted before would still be permitted.
+TEST(FleetLinks, ClockCountsTheTimeInWhichTheMachineIsSuspended) {
+  const auto boot_time = [] {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) +
+                     std::chrono::nanoseconds(time.tv_nsec));
+  };
+  const TimePoint before = boot_time();
+  const TimePoint now = MonotonicNow();
+  CHECK(before <= now);
+  CHECK(now <= boot_time());
+}
--- a/tests/test_store_responses.cc
+++ b/tests/test_store_responses.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/store_revision.h"
+#include "net/clock.h"
 #include "platform/standins/raw_server.h"
 #include "platform/store_client.h"
 #include "proxy/endpoint.h"
@@ -174,7 +175,7 @@
   store.Respond(100);
   CHECK_EQUAL(0U, listener.revision);
   CHECK_EQUAL(1, listener.unavailable_count);
-  const TimePoint later = std::chrono::steady_clock::now() + seconds(2);
+  const TimePoint later = MonotonicNow() + seconds(2);
   feed.Tick(later, {}, {});
   CHECK_EQUAL(2, store.read_all_calls);
   store.Respond(Revision(1, 51));
