An answer without a type is not the rest of a stream that has one

Reported by operators of similar systems: the next server answered with an error, whose text got into a caller's stream. What goes on with a stream now needs a type if the head that the caller got had one; otherwise the stream is broken off.

Open: streams whose own head has no type.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -591,7 +591,10 @@
     this->response_mode = ResponseMode::kBuffered;
     return HeadDecision::kAccept;
   }
-  const bool is_stream = head.IsSuccess() &&
+  // What goes on with a stream has a type if the stream has one.
+  const bool lacks_type = this->head_forwarded && this->stream_has_type &&
+                          head.MediaType().empty();
+  const bool is_stream = head.IsSuccess() && !lacks_type &&
                          IsEventStream(*this->query.route, head) &&
                          !HasNoBody(this->request, head);
   if (this->head_forwarded && !is_stream) {
@@ -606,6 +609,7 @@
   if (is_stream) {
     this->response_mode = ResponseMode::kStream;
     if (!this->head_forwarded) {
+      this->stream_has_type = !head.MediaType().empty();
       this->ForwardHead(head, this->request.is_http_1_0
                                   ? BodyFraming::kUntilClose
                                   : BodyFraming::kChunked);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -289,6 +289,8 @@
   // Attempts that may have been executed.
   int possible_executions = 0;
   bool head_forwarded = false;
+  // The head of the stream that was forwarded names a content type.
+  bool stream_has_type = false;
   // The response announced that the connection is closed after it.
   bool announced_close = false;
   // How the end of the response is marked for the caller.
