Failing test: SIGHUP in a drain lengthens the grace

Suspected by an earlier review, now shown: a request that is open at the end of the grace is not cut off at it, but when its server answers, since the reloaded settings have another grace. The platform ends the process meanwhile.

--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <boost/asio/post.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <future>
 #include <iostream>
@@ -44,17 +45,20 @@
       server_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
                         .prefix = "servers/",
                         .max_value_bytes = platform::kMaxEntryBytes}),
-      gateway(
-          io, MakeOptions(instance, std::move(seeds), shutdown_grace),
-          {.dialect = dialect,
-           .server_decoder = server_decoder,
-           .configuration_decoder = configuration_decoder,
-           .configuration_store = configuration_store,
-           .server_store = server_store,
-           .reload_options = []() -> tl::expected<GatewayOptions, std::string> {
-             return tl::unexpected(std::string("no file"));
-           }},
-          *log) {
+      gateway(io, MakeOptions(instance, std::move(seeds), shutdown_grace),
+              {.dialect = dialect,
+               .server_decoder = server_decoder,
+               .configuration_decoder = configuration_decoder,
+               .configuration_store = configuration_store,
+               .server_store = server_store,
+               .reload_options =
+                   [this]() -> tl::expected<GatewayOptions, std::string> {
+                 if (!this->grace_in_file) {
+                   return tl::unexpected(std::string("no file"));
+                 }
+                 return MakeOptions("", {}, *this->grace_in_file);
+               }},
+              *log) {
   if (const auto error = this->gateway.Start()) {
     std::cerr << "the gateway failed to start: " << *error << "\n";
     std::abort();
@@ -72,6 +76,12 @@
   }
 }
 
+void RunningGateway::ReloadGrace(Duration grace) {
+  this->RunOnEventLoop(
+      [this, grace](Gateway&) { this->grace_in_file = grace; });
+  std::raise(SIGHUP);
+}
+
 std::unique_ptr<RawConnection> RunningGateway::Connect() const {
   return RawConnection::Connect(this->caller_port);
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -41,6 +42,8 @@
                                       const std::string& status_line) const;
   // Runs the action on the event loop's thread and waits for it.
   void RunOnEventLoop(const std::function<void(Gateway&)>& action);
+  // Changes the shutdown grace in the settings and reloads them as SIGHUP does.
+  void ReloadGrace(Duration grace);
   // Shuts the gateway down as SIGTERM does and returns the result of Run.
   bool DrainAndWait();
   // Waits for the end of a started shutdown and returns the result of Run.
@@ -59,6 +62,9 @@
   platform::PlatformConfigurationDecoder configuration_decoder;
   platform::StoreClient configuration_store;
   platform::StoreClient server_store;
+  // The grace that the settings have on a reload; without it, they can't be
+  // read.
+  std::optional<Duration> grace_in_file;
   Gateway gateway;
   int caller_port = 0;
   int status_port = 0;
--- a/tests/test_drain.cc
+++ b/tests/test_drain.cc
@@ -275,6 +275,20 @@
   LONGS_EQUAL(0, counts.unanswered);
 }
 
+// Guards against a drain that goes on after the grace that the platform allows,
+// since SIGHUP came meanwhile.
+TEST(Drain, ReloadedSettingsDoNotLengthenADrain) {
+  DrainingGateway draining(milliseconds(1500));
+  const auto caller = draining.gateway->Connect();
+  caller->Send(PlatformFixture::Request("/once/hold", "r1"));
+  // Time for the request to be read.
+  std::this_thread::sleep_for(milliseconds(100));
+  draining.StartDrain();
+  draining.gateway->ReloadGrace(std::chrono::seconds(30));
+  CHECK(!draining.gateway->AwaitEnd());
+  CHECK(steady_clock::now() - draining.drain_started_at < milliseconds(1500));
+}
+
 // Guards against refusals at the end of the grace that are not true: requests
 // that wait for capacity have not been executed.
 TEST(Drain, RequestsThatWaitAtTheEndOfTheGraceAreRefusedAsNotRun) {
