Keep the grace that was in force when a drain started

SIGHUP during a drain replaced the grace, so requests that were open at its end were cut off by the platform instead of getting their outcome.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -265,6 +265,7 @@
     return;
   }
   this->drain_started_at = MonotonicNow();
+  this->drain_grace = this->options.shutdown_grace;
   this->context.is_draining = true;
   this->links.ScheduleReport();
   this->log.Write(LogEvent::kDrainStarted,
@@ -341,7 +342,7 @@
   }
   const Duration elapsed = now - *this->drain_started_at;
   const Duration cut_off_delay = std::max(
-      Duration{}, Duration(this->options.shutdown_grace - kShutdownMargin));
+      Duration{}, Duration(this->drain_grace - kShutdownMargin));
   const bool is_over = elapsed >= cut_off_delay;
   if (elapsed < kUnreadyDelay && !is_over) {
     return;
