--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -294,9 +294,10 @@
   // copy, also if others read the directory for this instance.
   this->configuration_feed.NoteEra(this->directory_feed.era());
   this->directory_feed.NoteEra(this->configuration_feed.era());
-  this->configuration_feed.Tick(
-      now, now - this->configuration_read_at,
-      this->WatchesConfiguration() ? Duration{} : kUnwatchedReadInterval);
+  this->configuration_feed.Tick(now, now - this->configuration_read_at,
+                                this->WatchesConfiguration(this->links.self())
+                                    ? Duration{}
+                                    : kUnwatchedReadInterval);
   this->directory_feed.Tick(
       now, now - this->directory.read_at(),
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
@@ -341,8 +342,8 @@
     return;
   }
   const Duration elapsed = now - *this->drain_started_at;
-  const Duration cut_off_delay = std::max(
-      Duration{}, Duration(this->drain_grace - kShutdownMargin));
+  const Duration cut_off_delay =
+      std::max(Duration{}, Duration(this->drain_grace - kShutdownMargin));
   const bool is_over = elapsed >= cut_off_delay;
   if (elapsed < kUnreadyDelay && !is_over) {
     return;
@@ -395,7 +396,7 @@
   this->context.configuration =
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
   this->links.ScheduleReport();
-  if (this->WatchesConfiguration()) {
+  if (this->WatchesConfiguration(this->links.self())) {
     this->configuration_relay_at = MonotonicNow() + kConfigurationRelayDelay;
   }
   this->log.Write(LogEvent::kConfigurationInForce,
@@ -575,12 +576,23 @@
   return now - this->own_directory_read_at <= kReaderTerm;
 }
 
-bool Gateway::WatchesConfiguration() const {
-  return this->links.RankInDataCentre() < kWatchersPerDataCentre ||
+bool Gateway::WatchesConfiguration(const InstanceIdentity& instance) const {
+  return this->links.RankInDataCentre(instance) < kWatchersPerDataCentre ||
          this->configuration_document.value.size() >
              kMaxRelayedConfigurationBytes;
 }
 
+bool Gateway::ShouldSendConfiguration(const FleetPeer& peer, TimePoint now) {
+  const bool relies_on_this =
+      peer.identity.data_centre == this->options.data_centre &&
+      this->WatchesConfiguration(this->links.self()) &&
+      !this->WatchesConfiguration(peer.identity);
+  const bool is_turn = this->IsTurnToSend(this->configuration_throttle, peer,
+                                          &FleetPeer::configuration_version,
+                                          this->configuration_version(), now);
+  return relies_on_this || is_turn;
+}
+
 bool Gateway::ShouldSendServers(const FleetPeer& peer, TimePoint now) {
   // A peer without a directory has just started, perhaps together with all
   // others, and is about to read the store itself.
@@ -654,9 +666,7 @@
   }
   if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
-  } else if (this->IsTurnToSend(this->configuration_throttle, peer,
-                                &FleetPeer::configuration_version,
-                                this->configuration_version(), now)) {
+  } else if (this->ShouldSendConfiguration(peer, now)) {
     report.configuration = this->configuration_document;
   }
   if (this->directory.revision() <= peer.directory_revision) {
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -100,9 +100,14 @@
   // True while this instance is one of those that read the directory from the
   // store for the fleet.
   [[nodiscard]] bool IsDirectoryReader(TimePoint now) const;
-  // Returns whether this instance waits for changes of the configuration at the
-  // store; otherwise it gets them from other instances.
-  [[nodiscard]] bool WatchesConfiguration() const;
+  // Returns whether the instance waits for changes of the configuration at the
+  // store; otherwise it gets them from those of its data centre that do.
+  [[nodiscard]] bool WatchesConfiguration(
+      const InstanceIdentity& instance) const;
+  // Decides whether the report to this peer, which lacks the configuration,
+  // includes it.
+  [[nodiscard]] bool ShouldSendConfiguration(const FleetPeer& peer,
+                                             TimePoint now);
   // Decides whether the report to this peer includes the servers that the peer
   // doesn't have yet. Directory readers send them to all but new peers;
   // otherwise, instances take turns in sending them to new and lagging peers.
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -511,12 +511,15 @@
   return this->CountRankedBelow(RankHash(this->options.self.instance));
 }
 
-int FleetLinks::RankInDataCentre() const {
-  const std::uint64_t own = RankHash(this->options.self.instance);
-  return this->CountLive([this, own](const FleetPeer& peer) {
+int FleetLinks::RankInDataCentre(const InstanceIdentity& instance) const {
+  const std::uint64_t rank_hash = RankHash(instance.instance);
+  const InstanceIdentity& self = this->options.self;
+  const bool self_precedes = self.data_centre == instance.data_centre &&
+                             RankHash(self.instance) < rank_hash;
+  return (self_precedes ? 1 : 0) + this->CountLive([&](const FleetPeer& peer) {
     return !peer.is_draining &&
-           peer.identity.data_centre == this->options.self.data_centre &&
-           RankHash(peer.identity.instance) < own;
+           peer.identity.data_centre == instance.data_centre &&
+           RankHash(peer.identity.instance) < rank_hash;
   });
 }
 
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -111,8 +111,12 @@
   // Returns this instance's rank among the live instances, in the order of the
   // hashes of their names; 0 is the first. Draining peers are not ranked.
   [[nodiscard]] int Rank() const;
-  // The same among the instances of this one's data centre.
-  [[nodiscard]] int RankInDataCentre() const;
+  // Returns an instance's rank among the live instances of its data centre, in
+  // the same order.
+  [[nodiscard]] int RankInDataCentre(const InstanceIdentity& instance) const;
+  [[nodiscard]] const InstanceIdentity& self() const {
+    return this->options.self;
+  }
   // Returns whether this peer precedes all other ranked instances.
   [[nodiscard]] bool RanksFirst(const std::string& instance) const;
   // Returns the names of the peers that may send requests to backend servers:
