--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -592,8 +592,8 @@
     return HeadDecision::kAccept;
   }
   // What goes on with a stream has a type if the stream has one.
-  const bool lacks_type = this->head_forwarded && this->stream_has_type &&
-                          head.MediaType().empty();
+  const bool lacks_type =
+      this->head_forwarded && this->stream_has_type && head.MediaType().empty();
   const bool is_stream = head.IsSuccess() && !lacks_type &&
                          IsEventStream(*this->query.route, head) &&
                          !HasNoBody(this->request, head);
