--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -96,10 +96,10 @@
 constexpr double kTypicalPromptTokens = 600;
 // A prefill of at least this many tokens pauses other streams of the engine.
 constexpr int kLongPromptTokens = 12000;
-// A server that has to read shared tokens again takes a request only if it is
-// expected to leave this multiple of their share of the request's work as a
-// share of the target. In an overload, reading them again takes the capacity of
-// several requests.
+// A server that has to read shared tokens again takes a request only if the
+// predicted time leaves slack: this multiple of the tokens' share of the
+// request's work, as a share of the target. In an overload, reading them again
+// takes the capacity of several requests.
 constexpr double kSlackToReadAgain = 1.2;
 // Minimum share of a request's work that its affinity server must save for the
 // request to wait for it.
--- a/src/core/software_history.h
+++ b/src/core/software_history.h
@@ -52,7 +52,7 @@
 class SoftwareHistory {
  public:
   // Records the servers that are registered now. `is_current`: the servers are
-  // known to be up to date. Called at least several times per second, unless
+  // known to be up to date. Called every second or more often, unless
   // the process stands still.
   void Update(const std::map<std::string, RegisteredServer>& servers,
               bool is_current, TimePoint now);
