--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -34,11 +34,22 @@
 
 }  // namespace
 
+tl::expected<RegisteredServer, std::string> AddressMappingDecoder::Decode(
+    const SharedDocument& document) const {
+  tl::expected<RegisteredServer, std::string> server =
+      this->decoder.Decode(document);
+  if (server && this->map) {
+    server->address = this->map(server->address);
+  }
+  return server;
+}
+
 RunningGateway::RunningGateway(const std::string& instance,
                                const std::string& store_address,
                                std::vector<std::string> seeds,
-                               Duration shutdown_grace)
+                               Duration shutdown_grace, AddressMap address_map)
     : log(std::make_unique<EventLog>(instance, LogFormat::kJson, "off")),
+      server_decoder(std::move(address_map)),
       configuration_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
                                .prefix = "op/",
                                .key = "config"}),
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -15,12 +15,31 @@
 
 namespace rosemarycove {
 
+// Returns the address at which one instance finds a server that is registered
+// at another address; stands for the network between them.
+using AddressMap = std::function<std::string(const std::string& address)>;
+
+// Decodes registrations as the platform does, then maps their addresses.
+class AddressMappingDecoder : public ServerDecoder {
+ public:
+  explicit AddressMappingDecoder(AddressMap map) : map(std::move(map)) {}
+
+  [[nodiscard]] tl::expected<RegisteredServer, std::string> Decode(
+      const SharedDocument& document) const override;
+
+ private:
+  platform::PlatformServerDecoder decoder;
+  AddressMap map;
+};
+
 // Runs one gateway on its own thread.
 class RunningGateway {
  public:
+  // Without `address_map`, the instance reaches all servers.
   RunningGateway(const std::string& instance, const std::string& store_address,
                  std::vector<std::string> seeds = {},
-                 Duration shutdown_grace = std::chrono::seconds(8));
+                 Duration shutdown_grace = std::chrono::seconds(8),
+                 AddressMap address_map = {});
   ~RunningGateway();
 
   // The callers' port.
@@ -58,7 +77,7 @@
   std::unique_ptr<EventLog> log;
   boost::asio::io_context io;
   platform::PlatformCallDialect dialect;
-  platform::PlatformServerDecoder server_decoder;
+  AddressMappingDecoder server_decoder;
   platform::PlatformConfigurationDecoder configuration_decoder;
   platform::StoreClient configuration_store;
   platform::StoreClient server_store;
