Know which servers are out of reach, and which instance could take a request

Callers of an instance that was cut off from all backend servers for 12 s got 503 no_backend for 172 of 200 first tries, while other instances answered 177 of 179. Each connection attempt timed out after 300 ms, servers were ejected and chosen again, and there is no path but the direct one.

ServerReach records which servers and services this instance reaches, from its own attempts only. Placer::Choose returns kOutOfReach for a request that may be relayed. RelaySelector spreads relayed requests over the peers that report a relay address and reach the service. Reports carry both; older releases send neither and are never chosen. Nothing sets may_relay yet.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -52,6 +52,7 @@
     {LogEvent::kServerPause, "server_pause", LogLevel::kWarning},
     {LogEvent::kServerPauseUnreadable, "server_pause_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kServiceReach, "service_reach", LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -57,6 +57,7 @@
   kServerLeaving = 5012,
   kServerPause = 5013,
   kServerPauseUnreadable = 5014,
+  kServiceReach = 5015,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -144,6 +144,7 @@
              this->directory),
       quarantine(std::mt19937_64(std::random_device()())()),
       retry_budget(this->options.retry_budget),
+      relays(std::mt19937_64(std::random_device()())),
       pool(io),
       context{.io = io,
               .dialect = this->platform.dialect,
@@ -153,6 +154,7 @@
               .software_history = this->software_history,
               .stream_origins = this->stream_origins,
               .retry_budget = this->retry_budget,
+              .relays = this->relays,
               .pool = this->pool,
               .observer = this->observer,
               .max_buffered_body_bytes = this->options.max_body_bytes},
@@ -163,7 +165,8 @@
       links(io,
             {.self = {.instance = this->options.instance,
                       .address = this->options.peer_listen_address,
-                      .data_centre = this->options.data_centre},
+                      .data_centre = this->options.data_centre,
+                      .relay_address = this->options.relay_listen_address},
              .seeds = this->options.seeds},
             *this),
       configuration_listener(std::make_unique<ConfigurationListener>(*this)),
@@ -312,7 +315,9 @@
     this->configuration_relay_at.reset();
     this->links.ScheduleReport();
   }
+  this->UpdateReach(now);
   this->links.Tick(now);
+  this->UpdateRelayPeers();
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
   this->retry_budget.set_instance_count(
@@ -474,6 +479,40 @@
   }
 }
 
+void Gateway::UpdateReach(TimePoint now) {
+  for (const ReachChange& item : this->placer.reach().TakeChanges(now)) {
+    LogFields fields = {
+        {"service", item.service},
+        {"change", item.is_out_of_reach ? "out_of_reach" : "in_reach"},
+        {"since_ms", ToLogMilliseconds(item.since)},
+        {"servers_failed", item.servers_failed},
+        {"servers", item.servers}};
+    if (item.last_contact) {
+      fields["last_contact_ms"] = ToLogMilliseconds(*item.last_contact);
+    }
+    this->log.Write(LogEvent::kServiceReach, fields);
+    this->links.ScheduleReport();
+  }
+}
+
+void Gateway::UpdateRelayPeers() {
+  if (this->options.relay_listen_address.empty()) {
+    return;
+  }
+  std::vector<RelayCandidate> candidates;
+  for (const FleetPeer* peer : this->links.ServingPeers()) {
+    if (!peer->identity.relay_address.empty()) {
+      candidates.push_back(
+          {.peer = {.instance = peer->identity.instance,
+                    .address = peer->identity.relay_address,
+                    .data_centre = peer->identity.data_centre,
+                    .configuration_version = peer->configuration_version},
+           .unreachable_services = peer->unreachable_services});
+    }
+  }
+  this->relays.SetPeers(std::move(candidates));
+}
+
 void Gateway::UpdateQuarantine(TimePoint now) {
   this->quarantine.SetTrialRank(this->links.Rank());
   this->quarantine.Tick(now);
@@ -627,6 +666,11 @@
 
 FleetReport Gateway::MakeReport() {
   const TimePoint now = MonotonicNow();
+  std::vector<std::uint64_t> unreachable_services;
+  for (const std::string& service :
+       this->placer.reach().ServicesOutOfReach(now)) {
+    unreachable_services.push_back(IdHash(service));
+  }
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
           .configuration_version = this->configuration_version(),
@@ -637,6 +681,7 @@
           .partitions = this->placer.Partitions(now),
           .rate_limits = this->placer.rate_limits().Reports(false, now),
           .cached_parts = this->placer.caches().untold(),
+          .unreachable_services = std::move(unreachable_services),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -760,6 +805,11 @@
   add("rosemarycove_paused_servers",
       static_cast<std::uint64_t>(
           this->placer.availability().paused_count(MonotonicNow())));
+  const ServerReach& reach = this->placer.reach();
+  add("rosemarycove_services_out_of_reach",
+      reach.ServicesOutOfReach(MonotonicNow()).size());
+  add("rosemarycove_servers_out_of_reach",
+      static_cast<std::uint64_t>(reach.ServersOutOfReach(MonotonicNow())));
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version", this->configuration_version());
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -16,6 +16,7 @@
 #include "app/gateway_observer.h"
 #include "app/metrics.h"
 #include "core/backend_directory.h"
+#include "core/relay_selector.h"
 #include "core/relay_throttle.h"
 #include "net/fleet_links.h"
 #include "proxy/proxy_context.h"
@@ -43,6 +44,9 @@
   std::string caller_listen_address;
   std::string status_listen_address;
   std::string peer_listen_address;
+  // Where other instances send requests that they relay; empty if the instance
+  // relays and accepts none.
+  std::string relay_listen_address;
   // Peer addresses of instances to contact at the start.
   std::vector<std::string> seeds;
   RetryBounds retry_budget;
@@ -164,6 +168,9 @@
   void LogStoreRegained(const char* feed, Duration outage,
                         std::uint64_t revision);
   void LogPartitionChanges();
+  // Logs and reports changes of the services in reach.
+  void UpdateReach(TimePoint now);
+  void UpdateRelayPeers();
   void LogDroppedLines(TimePoint now);
   // The version of the configuration in force; 0 if there is none.
   [[nodiscard]] std::uint64_t configuration_version() const;
@@ -181,6 +188,7 @@
   SoftwareHistory software_history;
   StreamOrigins stream_origins;
   FleetRetryBudget retry_budget;
+  RelaySelector relays;
   ConnectionPool pool;
   ProxyContext context;
   ProxyServer proxy_server;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -24,6 +24,9 @@
   // IP address and port where the instance accepts reports.
   std::string address;
   std::string data_centre;
+  // IP address and port where the instance accepts relayed requests; empty if
+  // it accepts none, or runs a release that doesn't send it.
+  std::string relay_address;
 
   bool operator==(const InstanceIdentity&) const = default;
 };
@@ -71,6 +74,8 @@
   // The number of other instances that the sender knows; 0 if it knows none, or
   // runs a release that doesn't send it.
   std::uint32_t known_peer_count = 0;
+  // IdHash of the services that are out of the sender's reach.
+  std::vector<std::uint64_t> unreachable_services;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -114,6 +114,12 @@
 constexpr double kAimedTargetShare = 0.85;
 // A server is full at this many queued requests per slot.
 constexpr double kMaxQueuedPerSlot = 1.5;
+// A request that failed without a response at this many servers is relayed, if
+// none of its service answered in between.
+constexpr int kFailedServersToRelay = 2;
+// A request that finds no capacity is relayed if one in this many servers, or
+// more, is out of reach.
+constexpr int kServersPerOutOfReach = 3;
 // A server's own report of its load is used for this long.
 constexpr Duration kReportMaxAge = std::chrono::milliseconds(400);
 
@@ -200,6 +206,8 @@
       return "rate_limited";
     case NoChoiceReason::kPaused:
       return "paused";
+    case NoChoiceReason::kOutOfReach:
+      return "out_of_reach";
   }
   return "unknown";
 }
@@ -232,6 +240,7 @@
     : options(std::move(options)),
       directory(directory),
       instance_seed(IdHash(this->options.instance)),
+      server_reach(directory),
       limits(this->options.instance),
       server_availability(this->options.instance) {}
 
@@ -762,9 +771,81 @@
                      });
 }
 
+bool Placer::ShouldTestReach(const PlacementQuery& query, TimePoint now) const {
+  return query.tried_servers.empty() && query.route->MayRepeat() &&
+         this->server_reach.MayTest(query.service->name, now);
+}
+
+bool Placer::FailedOutOfReach(const PlacementQuery& query,
+                              TimePoint now) const {
+  return std::count_if(query.tried_servers.begin(), query.tried_servers.end(),
+                       [&](const std::string& server) {
+                         return this->server_reach.HasFailedSinceContact(
+                             server, query.service->name, now);
+                       }) >= kFailedServersToRelay;
+}
+
+bool Placer::LacksServersInReach(const PlacementQuery& query,
+                                 NoChoiceReason why_not, TimePoint now) const {
+  if (why_not != NoChoiceReason::kUnreachable &&
+      why_not != NoChoiceReason::kFull &&
+      why_not != NoChoiceReason::kHeldBack &&
+      why_not != NoChoiceReason::kAwaitsSoftware) {
+    return false;
+  }
+  int count = 0;
+  int out_of_reach = 0;
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (!Accepts(server, query)) {
+      continue;
+    }
+    ++count;
+    if (WasTried(query, id) ? this->server_reach.HasFailed(id, now)
+                            : this->server_reach.IsOutOfReach(id, now)) {
+      ++out_of_reach;
+    }
+  }
+  return out_of_reach > 0 && out_of_reach * kServersPerOutOfReach >= count;
+}
+
 std::optional<ServerChoice> Placer::Choose(const PlacementQuery& query,
                                            TimePoint now,
                                            NoChoiceReason& why_not) {
+  if (!query.may_relay) {
+    return this->ChooseDirectly(query, now, why_not);
+  }
+  const bool is_out_of_reach =
+      this->server_reach.IsServiceOutOfReach(query.service->name, now);
+  const bool is_test = is_out_of_reach && this->ShouldTestReach(query, now);
+  if ((is_out_of_reach && !is_test) || this->FailedOutOfReach(query, now)) {
+    this->last_limit_counts = {};
+    why_not = NoChoiceReason::kOutOfReach;
+    return std::nullopt;
+  }
+  std::optional<ServerChoice> choice =
+      this->ChooseDirectly(query, now, why_not);
+  if (is_test) {
+    if (choice) {
+      choice->reason = ChoiceReason::kTrial;
+      this->server_reach.RecordTest(query.service->name, now);
+    }
+    why_not = NoChoiceReason::kOutOfReach;
+    return choice;
+  }
+  if (choice && choice->reason == ChoiceReason::kOnlyEjected &&
+      this->server_reach.IsOutOfReach(choice->server.id, now)) {
+    why_not = NoChoiceReason::kOutOfReach;
+    return std::nullopt;
+  }
+  if (!choice && this->LacksServersInReach(query, why_not, now)) {
+    why_not = NoChoiceReason::kOutOfReach;
+  }
+  return choice;
+}
+
+std::optional<ServerChoice> Placer::ChooseDirectly(const PlacementQuery& query,
+                                                   TimePoint now,
+                                                   NoChoiceReason& why_not) {
   std::vector<Candidate> candidates = this->Candidates(query, now, why_not);
   if (candidates.empty()) {
     return why_not == NoChoiceReason::kUnreachable
@@ -910,8 +991,18 @@
       now);
 }
 
+void Placer::RecordResponseHead(ServerChoice& choice, Duration elapsed,
+                                TimePoint now) {
+  choice.has_response = true;
+  this->server_reach.RecordContact(choice.server.id, choice.server.service,
+                                   now - elapsed, now);
+}
+
 void Placer::RecordFirstEvent(const PlacementQuery& query, ServerChoice& choice,
                               Duration elapsed, TimePoint now) {
+  if (!choice.has_response) {
+    this->RecordResponseHead(choice, elapsed, now);
+  }
   const ServerLoad prefilled{
       .prefill_tokens = choice.added_load.prefill_tokens,
       .long_prefill_tokens = choice.added_load.long_prefill_tokens};
@@ -935,6 +1026,15 @@
 
 bool Placer::RecordResult(const ServerChoice& choice, SendResult result,
                           TimePoint now) {
+  if (!choice.has_response) {
+    const RegisteredServer& server = choice.server;
+    if (result == SendResult::kUnreachable) {
+      this->server_reach.RecordFailure(server.id, server.service, now);
+    } else if (result == SendResult::kAnswered ||
+               result == SendResult::kError || result == SendResult::kFull) {
+      this->server_reach.RecordContact(server.id, server.service, now);
+    }
+  }
   return this->server_health.RecordResult(choice.server.id, result, now);
 }
 
@@ -984,6 +1084,7 @@
 
 void Placer::Forget(const std::string& server) {
   this->server_health.Forget(server);
+  this->server_reach.Forget(server);
   this->reported_loads.erase(server);
   this->recently_sent.erase(server);
   for (auto& [key, model] : this->latency_models) {
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -19,6 +19,7 @@
 #include "core/server_availability.h"
 #include "core/server_health.h"
 #include "core/server_rate_limits.h"
+#include "core/server_reach.h"
 #include "core/software_history.h"
 #include "core/types.h"
 
@@ -52,6 +53,9 @@
   TimePoint affinity_wait_until;
   // The request must not take these engines.
   WithheldEngines withheld;
+  // Another instance can place the request if servers are out of reach from
+  // here.
+  bool may_relay = false;
 };
 
 // Why a server was chosen.
@@ -107,6 +111,8 @@
   // The limit of the request's first affinity server; nullopt if that is not
   // among the candidates.
   std::optional<CapacityLimit> affinity_limit;
+  // A response has begun.
+  bool has_response = false;
 };
 
 // Why no server was chosen.
@@ -125,6 +131,9 @@
   // All candidates asked for pauses, or some did and the others are at their
   // rate limits.
   kPaused,
+  // Servers that the request needs are out of reach, perhaps not for other
+  // instances; only if the request may be relayed. See ServerReach.
+  kOutOfReach,
 };
 
 // Returns the word that logs use.
@@ -191,6 +200,9 @@
   // Records that the request is sent to the chosen server.
   void RecordSend(const PlacementQuery& query, const ServerChoice& choice,
                   TimePoint now);
+  // Records the head of the response, `elapsed` after the send.
+  void RecordResponseHead(ServerChoice& choice, Duration elapsed,
+                          TimePoint now);
   // Records the first event, `elapsed` after the send: the prefill is done.
   void RecordFirstEvent(const PlacementQuery& query, ServerChoice& choice,
                         Duration elapsed, TimePoint now);
@@ -257,6 +269,9 @@
   [[nodiscard]] const ServerHealth& health() const {
     return this->server_health;
   }
+  // Mutable, so that responses can be recorded.
+  [[nodiscard]] ServerReach& reach() { return this->server_reach; }
+  [[nodiscard]] const ServerReach& reach() const { return this->server_reach; }
   // The limits of the candidates in the last call of Choose that had
   // candidates.
   [[nodiscard]] const CapacityLimitCounts& last_capacity_limits() const {
@@ -329,6 +344,23 @@
     TimePoint received_at;
   };
 
+  // Chooses among the servers of the service, whether or not they are out of
+  // reach.
+  [[nodiscard]] std::optional<ServerChoice> ChooseDirectly(
+      const PlacementQuery& query, TimePoint now, NoChoiceReason& why_not);
+  // Returns whether the request, which may be relayed, should test whether its
+  // service, which is out of reach, answers again.
+  [[nodiscard]] bool ShouldTestReach(const PlacementQuery& query,
+                                     TimePoint now) const;
+  // Returns whether servers that are out of reach here are why the request
+  // failed at several servers.
+  [[nodiscard]] bool FailedOutOfReach(const PlacementQuery& query,
+                                      TimePoint now) const;
+  // Returns whether servers that are out of reach here are why no server was
+  // chosen.
+  [[nodiscard]] bool LacksServersInReach(const PlacementQuery& query,
+                                         NoChoiceReason why_not,
+                                         TimePoint now) const;
   // Returns whether requests of the service should go to the server.
   [[nodiscard]] bool IsStaying(const RegisteredServer& server,
                                const std::string& service) const;
@@ -427,6 +459,7 @@
   LoadLedger load_ledger;
   PromptCacheMap prompt_caches;
   ServerHealth server_health;
+  ServerReach server_reach;
   ServerRateLimits limits;
   ServerAvailability server_availability;
   // By service and whether the server is reserved, since a running request
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -423,6 +423,7 @@
   peer.configuration_version = report.configuration_version;
   peer.directory_revision = report.directory_revision;
   peer.known_peer_count = report.known_peer_count;
+  peer.unreachable_services = report.unreachable_services;
   peer.directory_read_at = peer.last_report_at - report.directory_age;
   const bool is_known_address = this->senders.contains(sender.address);
   this->AddAddress(sender.address);
@@ -545,6 +546,16 @@
   return names;
 }
 
+std::vector<const FleetPeer*> FleetLinks::ServingPeers() const {
+  std::vector<const FleetPeer*> serving;
+  for (const auto& [name, peer] : this->peers_by_name) {
+    if (!peer.is_draining && !this->down_peers.contains(name)) {
+      serving.push_back(&peer);
+    }
+  }
+  return serving;
+}
+
 bool FleetLinks::HearsAllPeers() const {
   return std::none_of(this->peers_by_name.begin(), this->peers_by_name.end(),
                       [this](const auto& item) {
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -39,6 +39,7 @@
   std::uint64_t directory_revision = 0;
   // See FleetReport.
   std::uint32_t known_peer_count = 0;
+  std::vector<std::uint64_t> unreachable_services;
   // When the peer's copy of the directory was read from the store.
   TimePoint directory_read_at;
 };
@@ -122,6 +123,8 @@
   // Returns the names of the peers that may send requests to backend servers:
   // all but those that are draining or whose processes have ended.
   [[nodiscard]] std::vector<std::string> SendingPeers() const;
+  // Returns the peers that are neither gone nor silent, nor draining.
+  [[nodiscard]] std::vector<const FleetPeer*> ServingPeers() const;
   // Returns whether all of these report.
   [[nodiscard]] bool HearsAllPeers() const;
   // Returns the earliest of the last reports of these; nullopt if there are
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -986,6 +986,7 @@
       return;
     case NoChoiceReason::kNoServer:
     case NoChoiceReason::kUnreachable:
+    case NoChoiceReason::kOutOfReach:
     case NoChoiceReason::kAwaitsAffinity:
       this->GiveUp(EndCause::kNoBackend);
       return;
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -14,6 +14,7 @@
 #include "core/placement_queues.h"
 #include "core/placer.h"
 #include "core/prompt_sizes.h"
+#include "core/relay_selector.h"
 #include "core/request_quarantine.h"
 #include "core/routing_configuration.h"
 #include "core/software_history.h"
@@ -37,6 +38,7 @@
   SoftwareHistory& software_history;
   StreamOrigins& stream_origins;
   FleetRetryBudget& retry_budget;
+  RelaySelector& relays;
   ConnectionPool& pool;
   ProxyObserver& observer;
   // The directory lacks no server that other instances used at this time.
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -206,7 +206,8 @@
     report.identity =
         InstanceIdentity{.instance = ToString(identity->instance()),
                          .address = ToString(identity->address()),
-                         .data_centre = ToString(identity->data_centre())};
+                         .data_centre = ToString(identity->data_centre()),
+                         .relay_address = ToString(identity->relay_address())};
   }
   if (frame.shares() != nullptr) {
     for (const wire::ServerShare* share : *frame.shares()) {
@@ -248,6 +249,10 @@
     report.cached_parts.assign(frame.cached_parts()->begin(),
                                frame.cached_parts()->end());
   }
+  if (frame.unreachable_services() != nullptr) {
+    report.unreachable_services.assign(frame.unreachable_services()->begin(),
+                                       frame.unreachable_services()->end());
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -273,7 +278,12 @@
     const auto instance = builder.CreateString(report.identity->instance);
     const auto address = builder.CreateString(report.identity->address);
     const auto centre = builder.CreateString(report.identity->data_centre);
-    identity = wire::CreateIdentity(builder, instance, address, centre);
+    Offset<flatbuffers::String> relay_address;
+    if (!report.identity->relay_address.empty()) {
+      relay_address = builder.CreateString(report.identity->relay_address);
+    }
+    identity =
+        wire::CreateIdentity(builder, instance, address, centre, relay_address);
   }
   std::vector<wire::ServerShare> shares;
   shares.reserve(report.server_loads.size());
@@ -336,6 +346,10 @@
   if (!report.cached_parts.empty()) {
     cached_parts = builder.CreateVector(report.cached_parts);
   }
+  Offset<flatbuffers::Vector<std::uint64_t>> unreachable_services;
+  if (!report.unreachable_services.empty()) {
+    unreachable_services = builder.CreateVector(report.unreachable_services);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -344,7 +358,7 @@
       report.directory_update.is_snapshot, share_vector, division_vector,
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
-      report.known_peer_count));
+      report.known_peer_count, unreachable_services));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -476,7 +476,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INSTANCE = 4,
     VT_ADDRESS = 6,
-    VT_DATA_CENTRE = 8
+    VT_DATA_CENTRE = 8,
+    VT_RELAY_ADDRESS = 10
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -487,6 +488,9 @@
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
+  const flatbuffers::String *relay_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_RELAY_ADDRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -495,6 +499,8 @@
            verifier.VerifyString(address()) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
+           VerifyOffset(verifier, VT_RELAY_ADDRESS) &&
+           verifier.VerifyString(relay_address()) &&
            verifier.EndTable();
   }
 };
@@ -512,6 +518,9 @@
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
     fbb_.AddOffset(Identity::VT_DATA_CENTRE, data_centre);
   }
+  void add_relay_address(flatbuffers::Offset<flatbuffers::String> relay_address) {
+    fbb_.AddOffset(Identity::VT_RELAY_ADDRESS, relay_address);
+  }
   explicit IdentityBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -527,8 +536,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    flatbuffers::Offset<flatbuffers::String> data_centre = 0) {
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::String> relay_address = 0) {
   IdentityBuilder builder_(_fbb);
+  builder_.add_relay_address(relay_address);
   builder_.add_data_centre(data_centre);
   builder_.add_address(address);
   builder_.add_instance(instance);
@@ -539,15 +550,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *instance = nullptr,
     const char *address = nullptr,
-    const char *data_centre = nullptr) {
+    const char *data_centre = nullptr,
+    const char *relay_address = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto relay_address__ = relay_address ? _fbb.CreateString(relay_address) : 0;
   return rosemarycove::wire::CreateIdentity(
       _fbb,
       instance__,
       address__,
-      data_centre__);
+      data_centre__,
+      relay_address__);
 }
 
 struct Document FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -663,7 +677,8 @@
     VT_BEGUN_STREAMS = 40,
     VT_CONFIGURATION_VERSION = 42,
     VT_CACHED_PARTS = 44,
-    VT_KNOWN_PEERS = 46
+    VT_KNOWN_PEERS = 46,
+    VT_UNREACHABLE_SERVICES = 48
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -731,6 +746,9 @@
   uint32_t known_peers() const {
     return GetField<uint32_t>(VT_KNOWN_PEERS, 0);
   }
+  const flatbuffers::Vector<uint64_t> *unreachable_services() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNREACHABLE_SERVICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -770,6 +788,8 @@
            VerifyOffset(verifier, VT_CACHED_PARTS) &&
            verifier.VerifyVector(cached_parts()) &&
            VerifyField<uint32_t>(verifier, VT_KNOWN_PEERS, 4) &&
+           VerifyOffset(verifier, VT_UNREACHABLE_SERVICES) &&
+           verifier.VerifyVector(unreachable_services()) &&
            verifier.EndTable();
   }
 };
@@ -844,6 +864,9 @@
   void add_known_peers(uint32_t known_peers) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_KNOWN_PEERS, known_peers, 0);
   }
+  void add_unreachable_services(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services) {
+    fbb_.AddOffset(FleetReport::VT_UNREACHABLE_SERVICES, unreachable_services);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -878,7 +901,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams = 0,
     uint64_t configuration_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_parts = 0,
-    uint32_t known_peers = 0) {
+    uint32_t known_peers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -886,6 +910,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_unreachable_services(unreachable_services);
   builder_.add_known_peers(known_peers);
   builder_.add_cached_parts(cached_parts);
   builder_.add_begun_streams(begun_streams);
@@ -928,7 +953,8 @@
     const std::vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams = nullptr,
     uint64_t configuration_version = 0,
     const std::vector<uint64_t> *cached_parts = nullptr,
-    uint32_t known_peers = 0) {
+    uint32_t known_peers = 0,
+    const std::vector<uint64_t> *unreachable_services = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -937,6 +963,7 @@
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerLimit>(*limits) : 0;
   auto begun_streams__ = begun_streams ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>(*begun_streams) : 0;
   auto cached_parts__ = cached_parts ? _fbb.CreateVector<uint64_t>(*cached_parts) : 0;
+  auto unreachable_services__ = unreachable_services ? _fbb.CreateVector<uint64_t>(*unreachable_services) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -960,7 +987,8 @@
       begun_streams__,
       configuration_version,
       cached_parts__,
-      known_peers);
+      known_peers,
+      unreachable_services__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
