Test what is out of reach, and try servers first that have not failed

A request that may be relayed avoided no server that had just failed: with two of three servers crashed and a request every 1.4 s, the cheapest two were tried each time and the sound one never. Servers without a failure since the last contact come first, so a contact or the belief follows soon. RelaySelector's peers are set four times a second while all services are in reach.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -9,6 +9,7 @@
 #include "core/store_revision.h"
 #include "http/http_status.h"
 #include "net/clock.h"
+#include "proxy/endpoint.h"
 
 namespace rosemarycove {
 namespace {
@@ -72,6 +73,9 @@
 // Callers resume a stream at most for this long after its beginning, or for the
 // longest timeout of the routes for streams.
 constexpr Duration kMinResumptionWindow = std::chrono::seconds(30);
+// Time between two updates of the peers that take relayed requests, while all
+// services are in reach.
+constexpr Duration kRelayPeersInterval = std::chrono::milliseconds(250);
 // Minimum time between two log events on dropped lines.
 constexpr Duration kDropLogInterval = std::chrono::seconds(5);
 
@@ -317,7 +321,7 @@
   }
   this->UpdateReach(now);
   this->links.Tick(now);
-  this->UpdateRelayPeers();
+  this->UpdateRelayPeers(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
   this->retry_budget.set_instance_count(
@@ -495,13 +499,17 @@
   }
 }
 
-void Gateway::UpdateRelayPeers() {
-  if (this->options.relay_listen_address.empty()) {
+void Gateway::UpdateRelayPeers(TimePoint now) {
+  const bool is_due =
+      now - this->relay_peers_updated_at >= kRelayPeersInterval ||
+      !this->placer.reach().ServicesOutOfReach(now).empty();
+  if (this->options.relay_listen_address.empty() || !is_due) {
     return;
   }
+  this->relay_peers_updated_at = now;
   std::vector<RelayCandidate> candidates;
   for (const FleetPeer* peer : this->links.ServingPeers()) {
-    if (!peer->identity.relay_address.empty()) {
+    if (ParseTcpEndpoint(peer->identity.relay_address)) {
       candidates.push_back(
           {.peer = {.instance = peer->identity.instance,
                     .address = peer->identity.relay_address,
@@ -765,6 +773,7 @@
     this->told_suspects.erase(peer.identity.address);
     this->told_streams.erase(peer.identity.address);
   }
+  this->relay_peers_updated_at = {};
   if (status != PeerStatus::kUp) {
     this->placer.RemovePeer(peer.identity.instance);
   }
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -170,7 +170,8 @@
   void LogPartitionChanges();
   // Logs and reports changes of the services in reach.
   void UpdateReach(TimePoint now);
-  void UpdateRelayPeers();
+  // Sets the peers that take relayed requests.
+  void UpdateRelayPeers(TimePoint now);
   void LogDroppedLines(TimePoint now);
   // The version of the configuration in force; 0 if there is none.
   [[nodiscard]] std::uint64_t configuration_version() const;
@@ -216,6 +217,7 @@
   std::map<std::string, std::uint64_t> told_suspects;
   std::uint64_t suspect_records_sent = 0;
   TimePoint software_updated_at;
+  TimePoint relay_peers_updated_at;
   // The number of own streams that each peer was told, by address.
   std::map<std::string, std::uint64_t> told_streams;
   std::uint64_t stream_origins_sent = 0;
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -870,7 +870,15 @@
         candidates.size() > 1) {
       candidate.cost += kRiskyServerCost;
     }
-    if (candidate.is_trial && query.route->MayRepeat()) {
+    // Servers that have not failed show sooner whether the service is out of
+    // reach.
+    const bool has_failed = query.may_relay &&
+                            this->server_reach.HasFailedSinceContact(
+                                candidate.server->id, query.service->name, now);
+    if (has_failed) {
+      candidate.cost += kRiskyServerCost;
+    }
+    if (candidate.is_trial && query.route->MayRepeat() && !has_failed) {
       best = &candidate;
       break;
     }
--- a/src/core/server_reach.cc
+++ b/src/core/server_reach.cc
@@ -84,7 +84,6 @@
     state.believed_until = now;
     this->AddChange(service, state, now);
   }
-  state.failures.clear();
 }
 
 void ServerReach::RecordFailure(const std::string& server,
@@ -100,6 +99,7 @@
   ServiceState& state = this->services[service];
   if (now - state.last_failure_at > kFailureMemory) {
     this->End(service, state, now);
+    state.failures.clear();
   }
   if (state.failures.empty()) {
     state.first_failure_at = now;
@@ -124,6 +124,7 @@
     return;
   }
   this->End(service, state, now);
+  state.failures.clear();
   state.last_contact_at = now;
 }
 
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -77,7 +77,7 @@
 
 TEST(FleetLinks, DecodesEveryEncodedField) {
   const FleetReport report{
-      .identity = InstanceIdentity{"a", "127.0.0.1:1", "north"},
+      .identity = InstanceIdentity{"a", "127.0.0.1:1", "north", "127.0.0.1:3"},
       .is_draining = true,
       .configuration_revision = 5,
       .configuration_version = 6,
@@ -99,6 +99,7 @@
                       {.server_hash = 7, .observation = 1}},
       .cached_parts = {21, 22},
       .known_peer_count = 23,
+      .unreachable_services = {24, 25},
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -129,6 +130,7 @@
   CHECK(!decoded.rate_limits.at(1).refused_tier);
   CHECK(decoded.cached_parts == report.cached_parts);
   CHECK_EQUAL(report.known_peer_count, decoded.known_peer_count);
+  CHECK(decoded.unreachable_services == report.unreachable_services);
   CHECK(decoded.peer_addresses == report.peer_addresses);
   CHECK(decoded.configuration->value == report.configuration->value);
   CHECK_EQUAL(8U, decoded.directory_update.base_revision);
--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -178,8 +178,10 @@
 FleetReport FullReport() {
   return {
       .identity =
-          InstanceIdentity{
-              .instance = "a", .address = "1.2.3.4:5", .data_centre = "z"},
+          InstanceIdentity{.instance = "a",
+                           .address = "1.2.3.4:5",
+                           .data_centre = "z",
+                           .relay_address = "1.2.3.4:7"},
       .configuration_revision = 3,
       .directory_revision = 7,
       .directory_age = std::chrono::milliseconds(12),
@@ -187,6 +189,7 @@
       .partitions = {{.service_hash = 8, .reserved_share = 0.5}},
       .suspected_parts = {{.suspect = 4, .crashes = {{.id = 1}}}},
       .rate_limits = {{.server_hash = 6, .observation = 1, .per_second = 2.0}},
+      .unreachable_services = {9, 10},
       .peer_addresses = {"1.2.3.4:6"},
       .configuration = SharedDocument{.key = "config", .value = "{}"},
       .directory_update = {
