--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -16,6 +16,7 @@
 #include "app/gateway_observer.h"
 #include "app/metrics.h"
 #include "core/backend_directory.h"
+#include "core/relay_selector.h"
 #include "core/relay_throttle.h"
 #include "net/fleet_links.h"
 #include "proxy/proxy_context.h"
@@ -43,6 +44,9 @@
   std::string caller_listen_address;
   std::string status_listen_address;
   std::string peer_listen_address;
+  // Where other instances send requests that they relay; empty if the instance
+  // relays and accepts none.
+  std::string relay_listen_address;
   // Peer addresses of instances to contact at the start.
   std::vector<std::string> seeds;
   RetryBounds retry_budget;
@@ -164,6 +168,10 @@
   void LogStoreRegained(const char* feed, Duration outage,
                         std::uint64_t revision);
   void LogPartitionChanges();
+  // Logs and reports changes of the services in reach.
+  void UpdateReach(TimePoint now);
+  // Sets the peers that take relayed requests.
+  void UpdateRelayPeers(TimePoint now);
   void LogDroppedLines(TimePoint now);
   // The version of the configuration in force; 0 if there is none.
   [[nodiscard]] std::uint64_t configuration_version() const;
@@ -181,6 +189,7 @@
   SoftwareHistory software_history;
   StreamOrigins stream_origins;
   FleetRetryBudget retry_budget;
+  RelaySelector relays;
   ConnectionPool pool;
   ProxyContext context;
   ProxyServer proxy_server;
@@ -208,6 +217,7 @@
   std::map<std::string, std::uint64_t> told_suspects;
   std::uint64_t suspect_records_sent = 0;
   TimePoint software_updated_at;
+  TimePoint relay_peers_updated_at;
   // The number of own streams that each peer was told, by address.
   std::map<std::string, std::uint64_t> told_streams;
   std::uint64_t stream_origins_sent = 0;
