Relay requests to another instance if their servers are out of reach

Cause: an instance had no other way to a server than the direct one. Ruled out: ejections of servers that answer (no attempt there reached a server), and readiness (the balancer uses all instances of a data centre if fewer than half are ready, and open connections stay).

A request whose servers are out of reach is now sent over HTTP to a listener for instances of another one, which places it as its own and doesn't relay it again. Fields between the instances are read on that listener only. A relayed request that may have run is never sent again; what the other instance ends unsent for a cause of its own goes to a third one.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -28,6 +28,7 @@
     {LogEvent::kSlotTaken, "slot_taken", LogLevel::kInfo},
     {LogEvent::kCallPlaced, "call_placed", LogLevel::kInfo},
     {LogEvent::kAttemptFailed, "attempt_failed", LogLevel::kWarning},
+    {LogEvent::kCallRelayed, "call_relayed", LogLevel::kInfo},
     {LogEvent::kPeerUp, "peer_up", LogLevel::kInfo},
     {LogEvent::kPeerDown, "peer_down", LogLevel::kWarning},
     {LogEvent::kPeerRefused, "peer_refused", LogLevel::kWarning},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -38,6 +38,7 @@
   kSlotTaken = 3003,
   kCallPlaced = 3004,
   kAttemptFailed = 3005,
+  kCallRelayed = 3006,
   kPeerUp = 6001,
   kPeerDown = 6002,
   kPeerRefused = 6003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -161,16 +161,18 @@
               .relays = this->relays,
               .pool = this->pool,
               .observer = this->observer,
+              .instance = this->options.instance,
+              .data_centre = this->options.data_centre,
               .max_buffered_body_bytes = this->options.max_body_bytes},
       proxy_server({.address = this->options.caller_listen_address,
+                    .relay_address = this->options.relay_listen_address,
                     .max_connections = this->options.max_connections},
                    this->context),
       status_server(io),
       links(io,
             {.self = {.instance = this->options.instance,
                       .address = this->options.peer_listen_address,
-                      .data_centre = this->options.data_centre,
-                      .relay_address = this->options.relay_listen_address},
+                      .data_centre = this->options.data_centre},
              .seeds = this->options.seeds},
             *this),
       configuration_listener(std::make_unique<ConfigurationListener>(*this)),
@@ -196,10 +198,16 @@
           this->status_server.Start(this->options.status_listen_address)) {
     return fault;
   }
-  if (auto fault = this->links.Start()) {
+  if (auto fault = this->proxy_server.Start()) {
     return fault;
   }
-  if (auto fault = this->proxy_server.Start()) {
+  if (const int port = this->proxy_server.relay_port(); port != 0) {
+    // With port 0 in the settings, the system chose it.
+    const std::string& address = this->options.relay_listen_address;
+    this->links.set_relay_address(address.substr(0, address.rfind(':') + 1) +
+                                  std::to_string(port));
+  }
+  if (auto fault = this->links.Start()) {
     return fault;
   }
   this->log.Write(LogEvent::kStarted,
@@ -803,6 +811,10 @@
   add("rosemarycove_requests_ended_total", this->request_counts().ended);
   add("rosemarycove_requests_unanswered_total",
       this->request_counts().unanswered);
+  add("rosemarycove_relay_peers", this->relays.peer_count());
+  add("rosemarycove_requests_relayed_total",
+      this->request_counts().relayed_out);
+  add("rosemarycove_relayed_requests_total", this->request_counts().relayed_in);
   add("rosemarycove_idle_backend_connections", this->pool.idle_count());
   add("rosemarycove_backend_servers", this->directory.servers().size());
   add("rosemarycove_quarantined_parts",
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -73,6 +73,19 @@
        {"reused", record.reused_connection}});
 }
 
+void GatewayObserver::OnRelayed(const RelayedRecord& record) {
+  ++this->request_counts.relayed_out;
+  this->log.Write(LogEvent::kCallRelayed,
+                  {{"request", record.request_id},
+                   {"route", record.route},
+                   {"service", record.service},
+                   {"attempt", record.attempt},
+                   {"to", record.to_instance},
+                   {"to_data_centre", record.to_data_centre},
+                   {"failed_attempts", record.failed_attempts},
+                   {"reused", record.reused_connection}});
+}
+
 void GatewayObserver::OnAttemptFailed(const AttemptFailedRecord& record) {
   this->log.Write(
       LogEvent::kAttemptFailed,
@@ -94,6 +107,9 @@
 
 void GatewayObserver::OnEnded(const EndedRecord& record) {
   ++this->request_counts.ended;
+  if (!record.relayed_from.empty()) {
+    ++this->request_counts.relayed_in;
+  }
   this->log.Write(
       LogEvent::kCallEnded,
       {{"request", record.request_id},
@@ -107,6 +123,8 @@
        {"status", record.status},
        {"attempts", record.attempts},
        {"server", record.server},
+       {"relayed_from", record.relayed_from},
+       {"relayed_to", record.relayed_to},
        {"resumes", record.resumed_request},
        {"began_software", record.first_software_version},
        {"software", record.last_software_version},
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -8,11 +8,15 @@
 namespace rosemarycove {
 
 // How many requests the gateway has read as a whole, how many of them have an
-// outcome, and how many OnUnanswered reported.
+// outcome, and how many OnUnanswered reported; and how often requests were
+// relayed.
 struct RequestCounts {
   std::uint64_t read = 0;
   std::uint64_t ended = 0;
   std::uint64_t unanswered = 0;
+  // Relayed to other instances, and for other instances.
+  std::uint64_t relayed_out = 0;
+  std::uint64_t relayed_in = 0;
 };
 
 // Logs every placement, failed attempt, outcome and ejection, and counts the
@@ -25,6 +29,7 @@
   void OnRequestRead() override { ++this->request_counts.read; }
   void OnUnanswered(const UnansweredRecord& record) override;
   void OnPlaced(const PlacedRecord& record) override;
+  void OnRelayed(const RelayedRecord& record) override;
   void OnAttemptFailed(const AttemptFailedRecord& record) override;
   void OnEnded(const EndedRecord& record) override;
   void OnEjected(const EjectedRecord& record) override;
--- a/src/core/actions.cc
+++ b/src/core/actions.cc
@@ -1,5 +1,6 @@
 #include "core/actions.h"
 
+#include <algorithm>
 #include <array>
 
 namespace rosemarycove {
@@ -24,4 +25,12 @@
   return kCauseNames.at(static_cast<std::size_t>(cause));
 }
 
+std::optional<EndCause> EndCauseOf(std::string_view word) {
+  const auto* found = std::find(kCauseNames.begin(), kCauseNames.end(), word);
+  if (found == kCauseNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<EndCause>(found - kCauseNames.begin());
+}
+
 }  // namespace rosemarycove
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -2,7 +2,9 @@
 // by the proxy (src/proxy).
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -132,5 +134,7 @@
 
 // Returns the lower-case word used in responses, logs and counters.
 std::string_view ToString(EndCause cause);
+// Returns the cause with this word; nullopt if there is none.
+std::optional<EndCause> EndCauseOf(std::string_view word);
 
 }  // namespace rosemarycove
--- a/src/core/relay_selector.h
+++ b/src/core/relay_selector.h
@@ -2,6 +2,7 @@
 // (src/proxy).
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -49,6 +50,9 @@
 
   // Sets the peers that are live and not draining.
   void SetPeers(std::vector<RelayCandidate> peers);
+  [[nodiscard]] std::size_t peer_count() const {
+    return this->candidates.size();
+  }
   // Chooses the peer with the fewer requests of this instance under way out of
   // two; prefers the own data centre unless its peers have notably more.
   // Returns nullopt if no peer can take the request.
--- a/src/core/server_reach.cc
+++ b/src/core/server_reach.cc
@@ -141,6 +141,12 @@
          now - found->second.last_failure_at <= kFailureMemory;
 }
 
+bool ServerReach::HasFailures(const std::string& service) const {
+  return std::any_of(
+      this->servers.begin(), this->servers.end(),
+      [&](const auto& item) { return item.second.service == service; });
+}
+
 bool ServerReach::IsOutOfReach(const std::string& server, TimePoint now) const {
   if (!this->HasFailed(server, now)) {
     return false;
--- a/src/core/server_reach.h
+++ b/src/core/server_reach.h
@@ -61,6 +61,8 @@
   // together with its service.
   [[nodiscard]] bool IsOutOfReach(const std::string& server,
                                   TimePoint now) const;
+  // Returns whether a server of the service failed since its last contact.
+  [[nodiscard]] bool HasFailures(const std::string& service) const;
   // Returns whether the server failed since its last contact, if only once.
   [[nodiscard]] bool HasFailed(const std::string& server, TimePoint now) const;
   // Returns whether the server failed since the last contact with any server of
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -94,6 +94,11 @@
   // Binds the listener and starts to connect. Returns an error message, or
   // nullopt on success.
   std::optional<std::string> Start();
+  // Sets the address where this instance accepts relayed requests, before
+  // Start.
+  void set_relay_address(std::string address) {
+    this->options.self.relay_address = std::move(address);
+  }
   // Sends the reports that are due and detects silent peers.
   void Tick(TimePoint now);
   // Makes the next tick send a report to all peers, even before the interval
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -12,6 +12,7 @@
 
 #include "http/http_status.h"
 #include "net/clock.h"
+#include "proxy/relay_fields.h"
 #include "proxy/socket_options.h"
 
 namespace rosemarycove {
@@ -32,6 +33,9 @@
 // Retry-After of requests that are rejected while the request bodies in memory
 // exceed their maximum size.
 constexpr Duration kRejectedRetryAfter = std::chrono::seconds(1);
+// Longer than another instance keeps an idle connection, so that a request
+// doesn't cross the close.
+constexpr Duration kInstanceIdleTimeout = std::chrono::seconds(10);
 constexpr std::array<std::string_view, 9> kMethods = {
     "GET ",     "HEAD ",    "POST ",  "PUT ",  "DELETE ",
     "CONNECT ", "OPTIONS ", "TRACE ", "PATCH "};
@@ -49,8 +53,9 @@
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
-                                   ProxyContext& context)
+                                   CallerKind kind, ProxyContext& context)
     : socket(std::move(socket)),
+      kind(kind),
       context(context),
       waiting_since(MonotonicNow()),
       last_read(this->waiting_since),
@@ -59,8 +64,14 @@
 }
 
 CallerLimits CallerConnection::Limits() const {
-  return this->context.configuration ? this->context.configuration->limits
-                                     : CallerLimits{};
+  CallerLimits limits = this->context.configuration
+                            ? this->context.configuration->limits
+                            : CallerLimits{};
+  if (this->kind == CallerKind::kInstance) {
+    limits.max_header_bytes += kMaxRelayFieldBytes;
+    limits.idle_timeout = std::max(limits.idle_timeout, kInstanceIdleTimeout);
+  }
+  return limits;
 }
 
 void CallerConnection::Start() { this->Read(); }
@@ -155,7 +166,8 @@
   std::string body = this->reader->TakeBody();
   this->reader.reset();
   this->exchange = std::make_unique<Exchange>(
-      this->context, std::move(head), std::move(body), *this, MonotonicNow());
+      this->context, std::move(head), std::move(body), *this, MonotonicNow(),
+      this->kind == CallerKind::kInstance);
   this->exchange->Start();
 }
 
@@ -164,11 +176,15 @@
   if (status == http_status::kUnavailable) {
     retry = kRejectedRetryAfter;
   }
-  this->Write(
-      WriteLocalResponse({.status = status,
-                          .retry_after = retry,
-                          .body = std::string(ReasonPhrase(status)) + "\n",
-                          .close = true}));
+  LocalResponse response{.status = status,
+                         .retry_after = retry,
+                         .body = std::string(ReasonPhrase(status)) + "\n",
+                         .close = true};
+  if (this->kind == CallerKind::kInstance) {
+    response.fields = RelayedEndingFields(
+        {.cause = EndCause::kNotReady, .not_executed = true});
+  }
+  this->Write(WriteLocalResponse(response));
   this->reader.reset();
   // What follows belongs to the rejected request.
   this->received.clear();
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -12,6 +12,12 @@
 
 namespace rosemarycove {
 
+// Who opens the connections to a listener.
+enum class CallerKind : std::uint8_t {
+  kCaller,
+  kInstance,  // Another instance, which relays its callers' requests.
+};
+
 // Reads requests, handles each complete one with an Exchange and writes its
 // response. It keeps reading while a request is handled, to notice that the
 // caller disconnected. Used on the event loop's thread only.
@@ -21,7 +27,8 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>,
                          public ResponseSink {
  public:
-  CallerConnection(boost::asio::ip::tcp::socket socket, ProxyContext& context);
+  CallerConnection(boost::asio::ip::tcp::socket socket, CallerKind kind,
+                   ProxyContext& context);
 
   void Start();
   // Checks timeouts; called periodically.
@@ -79,6 +86,7 @@
   [[nodiscard]] CallerLimits Limits() const;
 
   boost::asio::ip::tcp::socket socket;
+  CallerKind kind;
   ProxyContext& context;
   std::string received;
   std::string read_buffer;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -107,6 +107,15 @@
                       : TokensEqual(type, "text/event-stream");
 }
 
+// Returns whether an instance ended a relayed request for a cause that may not
+// exist at others.
+bool IsEndingOfInstance(EndCause cause) {
+  return cause == EndCause::kDraining || cause == EndCause::kNotReady ||
+         cause == EndCause::kNoBackend || cause == EndCause::kUnknownRoute ||
+         cause == EndCause::kUnknownApiKey ||
+         cause == EndCause::kAmbiguousHeader;
+}
+
 bool HasNoBody(const RequestHead& request, const ResponseHead& response) {
   return request.method == "HEAD" || response.status == kNoContent ||
          response.status == kNotModified;
@@ -115,13 +124,16 @@
 }  // namespace
 
 Exchange::Exchange(ProxyContext& context, RequestHead head, std::string body,
-                   ResponseSink& sink, TimePoint arrival)
+                   ResponseSink& sink, TimePoint arrival, bool from_instance)
     : context(context),
       request(std::move(head)),
       body(std::move(body)),
       sink(sink),
       arrival(arrival),
       configuration(context.configuration) {
+  if (from_instance) {
+    this->relayed_from.emplace();
+  }
   this->context.buffered_body_bytes += this->body.size();
 }
 
@@ -131,8 +143,27 @@
   this->context.buffered_body_bytes -= this->body.size();
 }
 
+bool Exchange::ReadRelayedRequest() {
+  std::optional<RelayedRequest> relayed = TakeRelayedRequest(this->request);
+  if (!relayed) {
+    this->RespondLocally(http_status::kBadRequest, EndCause::kAmbiguousHeader,
+                         {});
+    return false;
+  }
+  this->relayed_from = std::move(relayed);
+  this->arrival -= this->relayed_from->age;
+  this->possible_executions = this->relayed_from->possible_executions;
+  return true;
+}
+
 void Exchange::Start() {
+  if (this->relayed_from && !this->ReadRelayedRequest()) {
+    return;
+  }
   this->request_info = this->context.dialect.ReadRequest(this->request);
+  if (this->relayed_from && !this->relayed_from->last_event_id.empty()) {
+    this->request_info.last_event_id = this->relayed_from->last_event_id;
+  }
   if (this->request_info.has_conflicting_fields) {
     this->RespondLocally(http_status::kBadRequest, EndCause::kAmbiguousHeader,
                          {});
@@ -287,6 +318,10 @@
                                         this->query.prompt_tokens));
   this->query.shortest_target =
       this->configuration->ShortestTarget(this->service_name);
+  // The instance that got the request from its caller counts it.
+  if (this->relayed_from) {
+    return;
+  }
   this->context.retry_budget.RecordRequest(this->service_name, this->arrival);
   if (this->query.service != nullptr) {
     this->context.placer.RecordRequest(this->query, this->arrival);
@@ -337,6 +372,10 @@
     this->StartWaiting(WaitReasonOf(no_choice));
     return;
   }
+  if (!chosen && no_choice == NoChoiceReason::kOutOfReach) {
+    this->Relay();
+    return;
+  }
   if (!chosen) {
     this->GiveUpWithoutServer(no_choice);
     return;
@@ -346,6 +385,10 @@
 
 std::optional<ServerChoice> Exchange::ChooseServer(TimePoint now,
                                                    NoChoiceReason& no_choice) {
+  this->query.may_relay =
+      !this->relayed_from &&
+      this->context.placer.reach().HasFailures(this->service_name) &&
+      this->context.relays.HasPeer(this->MakeRelayQuery(), now);
   std::optional<ServerChoice> chosen =
       this->context.placer.Choose(this->query, now, no_choice);
   this->no_capacity_counts = chosen
@@ -411,6 +454,8 @@
   this->StopWaiting(chosen.has_value());
   if (chosen) {
     this->Send(*chosen);
+  } else if (no_choice == NoChoiceReason::kOutOfReach) {
+    this->Relay();
   } else {
     this->GiveUpWithoutServer(no_choice);
   }
@@ -451,23 +496,7 @@
     this->Place();
     return;
   }
-  this->choice = chosen;
-  this->connection = std::move(acquired->connection);
-  this->connection_reused = acquired->reused;
-  this->stale_time = std::min(
-      kStaleRoundTrips * this->connection->connect_time() + kStaleMargin,
-      kMaxStaleTime);
-  this->send_started = false;
-  this->sent_at = now;
-  this->last_bytes_at = now;
-  this->first_event_received = false;
-  this->survival_recorded = false;
-  this->response_mode = ResponseMode::kNone;
-  this->pending_failure.reset();
-  this->buffered.clear();
-  this->discarded_bytes = 0;
-  this->splitter.DiscardPartialEvent();
-  ++this->attempts;
+  this->BeginAttempt(chosen, std::move(*acquired), now);
   this->context.placer.RecordSend(this->query, chosen, now);
   this->is_quarantine_trial =
       this->context.quarantine.RecordSend(this->suspects, now);
@@ -484,9 +513,6 @@
        .directory_revision = this->context.directory.revision(),
        .configuration_version = this->configuration->version,
        .reused_connection = this->connection_reused});
-  const std::string resume_from = this->splitter.last_id().empty()
-                                      ? this->request_info.last_event_id
-                                      : this->splitter.last_id();
   std::string bytes =
       WriteRequestHead(this->request, this->body.size(), this->context.dialect,
                        this->request_info,
@@ -495,18 +521,105 @@
                         .customer = this->customer,
                         .urgency = this->RequestUrgency(),
                         .max_tier = this->configuration->max_tier,
-                        .last_event_id = resume_from});
+                        .last_event_id = this->ResumeFrom()});
+  bytes.append(this->body);
+  this->connection->Send(std::move(bytes), this->request.method == "HEAD",
+                         *this);
+}
+
+std::string Exchange::ResumeFrom() const {
+  return this->splitter.last_id().empty() ? this->request_info.last_event_id
+                                          : this->splitter.last_id();
+}
+
+RelayQuery Exchange::MakeRelayQuery() const {
+  return {.service = this->service_name,
+          .data_centre = this->context.data_centre,
+          .min_configuration_version = this->configuration->version,
+          .tried = this->tried_instances};
+}
+
+void Exchange::Relay() {
+  const TimePoint now = MonotonicNow();
+  std::optional<RelayPeer> peer =
+      this->context.relays.Choose(this->MakeRelayQuery(), now);
+  if (!peer) {
+    this->GiveUpWithoutServer(NoChoiceReason::kOutOfReach);
+    return;
+  }
+  const RegisteredServer target{.id = "instance " + peer->instance,
+                                .service = this->service_name,
+                                .address = peer->address,
+                                .data_centre = peer->data_centre};
+  std::optional<PooledConnection> acquired =
+      this->context.pool.Acquire(target, this->request_info.request_id, now);
+  if (!acquired) {
+    this->tried_instances.push_back(peer->instance);
+    this->Relay();
+    return;
+  }
+  this->BeginAttempt({.server = target}, std::move(*acquired), now);
+  this->relay = std::move(peer);
+  this->relayed_to = this->relay->instance;
+  this->relayed_ending.reset();
+  this->context.relays.RecordSend(this->relay->instance, now);
+  this->context.observer.OnRelayed(
+      {.request_id = this->request_info.request_id,
+       .route = this->query.route->name,
+       .service = this->service_name,
+       .attempt = this->attempts,
+       .to_instance = this->relay->instance,
+       .to_data_centre = this->relay->data_centre,
+       .failed_attempts = this->attempts - 1,
+       .reused_connection = this->connection_reused});
+  std::string bytes = WriteRelayedRequestHead(
+      this->request, this->body.size(), this->context.dialect,
+      {.from_instance = this->context.instance,
+       .age = now - this->arrival,
+       .last_event_id = this->ResumeFrom(),
+       .possible_executions = this->possible_executions});
   bytes.append(this->body);
   this->connection->Send(std::move(bytes), this->request.method == "HEAD",
                          *this);
 }
 
+void Exchange::BeginAttempt(const ServerChoice& chosen,
+                            PooledConnection acquired, TimePoint now) {
+  this->choice = chosen;
+  this->connection_target = chosen.server;
+  this->relay.reset();
+  this->connection = std::move(acquired.connection);
+  this->connection_reused = acquired.reused;
+  this->is_quarantine_trial = false;
+  this->responding_server.clear();
+  this->stale_time = std::min(
+      kStaleRoundTrips * this->connection->connect_time() + kStaleMargin,
+      kMaxStaleTime);
+  this->send_started = false;
+  this->sent_at = now;
+  this->last_bytes_at = now;
+  this->first_event_received = false;
+  this->survival_recorded = false;
+  this->response_mode = ResponseMode::kNone;
+  this->pending_failure.reset();
+  this->buffered.clear();
+  this->discarded_bytes = 0;
+  this->splitter.DiscardPartialEvent();
+  ++this->attempts;
+}
+
 void Exchange::OnSendStarted() {
   this->send_started = true;
-  ++this->sent_attempts;
+  // The other instance counts what it sends to servers.
+  if (!this->relay) {
+    ++this->sent_attempts;
+  }
 }
 
 bool Exchange::IsOwnResponse(const ResponseInfo& response_info) const {
+  if (this->relay) {
+    return true;
+  }
   // On a kept connection, a response without an id may belong to an earlier
   // request: servers at fault write responses more than once.
   return response_info.request_id.empty()
@@ -525,7 +638,8 @@
   if (info.is_leaving) {
     availability.RecordLeaving(server, now);
   }
-  if (!this->IsOwnResponse(info) ||
+  // The rest is said to the instance that sent the request to the server.
+  if (this->relay || !this->IsOwnResponse(info) ||
       (!info.is_from_server && !info.not_executed)) {
     return;
   }
@@ -542,13 +656,50 @@
   }
 }
 
-HeadDecision Exchange::OnHead(const ResponseHead& head) {
+bool Exchange::OnRelayedHead(ResponseHead& head) {
+  std::optional<RelayedResponse> relayed = TakeRelayedResponse(head);
+  if (!relayed) {
+    this->pending_failure = Failure{.result = SendResult::kMalformed,
+                                    .may_have_executed = true,
+                                    .reason = "no response of an instance"};
+  } else if (relayed->ending) {
+    this->relayed_ending = std::move(relayed->ending);
+    this->pending_failure =
+        Failure{.result = SendResult::kFull,
+                .may_have_executed = !this->relayed_ending->not_executed,
+                .reason = "ended by the other instance, " +
+                          std::string(ToString(this->relayed_ending->cause))};
+  }
+  if (this->pending_failure) {
+    this->response_mode = ResponseMode::kDiscarded;
+    return false;
+  }
+  const auto& servers = this->context.directory.servers();
+  const auto found = servers.find(relayed->server);
+  if (found != servers.end()) {
+    this->choice->server = found->second;
+  } else {
+    this->choice->server.id = relayed->server;
+  }
+  return true;
+}
+
+HeadDecision Exchange::OnHead(const ResponseHead& received_head) {
+  ResponseHead head = received_head;
+  if (this->relay && !this->OnRelayedHead(head)) {
+    return HeadDecision::kAccept;
+  }
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
   const TimePoint now = MonotonicNow();
   this->RecordAvailability(head, response_info, now);
   if (!this->IsOwnResponse(response_info)) {
     return HeadDecision::kSkip;
   }
+  this->responding_server = this->choice->server.id;
+  if (!this->relay) {
+    this->context.placer.RecordResponseHead(*this->choice, now - this->sent_at,
+                                            now);
+  }
   this->last_bytes_at = now;
   this->response = head;
   this->response_framing = head.framing;
@@ -559,7 +710,7 @@
         {.request_id = this->request_info.request_id,
          .server = this->choice->server.id,
          .text = response_info.unreadable_rate_limit});
-  } else if (!response_info.is_misdirected &&
+  } else if (!this->relay && !response_info.is_misdirected &&
              (response_info.is_from_server || response_info.not_executed)) {
     this->context.placer.ObserveRateLimit(
         this->choice->server, response_info.rate_limit, this->sent_at, now);
@@ -623,7 +774,16 @@
 void Exchange::ForwardHead(const ResponseHead& head, BodyFraming body_framing) {
   this->head_forwarded = true;
   this->framing = body_framing;
-  this->sink.Write(WriteResponseHead(head, body_framing, this->DecideClose()));
+  if (!this->relayed_from) {
+    this->sink.Write(
+        WriteResponseHead(head, body_framing, this->DecideClose()));
+    return;
+  }
+  ResponseHead told_head = head;
+  const HeaderField server = RelayedServerField(this->responding_server);
+  told_head.fields.Add(server.name, server.value);
+  this->sink.Write(
+      WriteResponseHead(told_head, body_framing, this->DecideClose()));
 }
 
 bool Exchange::DecideClose() {
@@ -641,15 +801,20 @@
   this->first_event_received = true;
   this->attempt_first_event_at = now;
   this->last_software_version = this->choice->server.software_version;
-  this->context.placer.RecordFirstEvent(this->query, *this->choice,
-                                        now - this->sent_at, now);
+  if (this->relay) {
+    this->context.relays.RecordResult(this->relay->instance, true, now);
+  } else {
+    this->context.placer.RecordFirstEvent(this->query, *this->choice,
+                                          now - this->sent_at, now);
+    this->context.placer.RecordResult(*this->choice, SendResult::kAnswered,
+                                      now);
+  }
   if (this->first_event_at == TimePoint{}) {
     this->RecordStreamOrigin();
     this->first_software_version = this->last_software_version;
     this->first_event_at = now;
     this->last_event_at = now;
   }
-  this->context.placer.RecordResult(*this->choice, SendResult::kAnswered, now);
 }
 
 void Exchange::RecordSurvival(TimePoint now) {
@@ -666,6 +831,9 @@
 }
 
 void Exchange::RecordConnectionEnd() {
+  if (this->relay) {
+    return;
+  }
   const TimePoint now = MonotonicNow();
   // A server that had closed an idle connection resets it at once when bytes
   // arrive.
@@ -766,7 +934,7 @@
 
 void Exchange::OnComplete() {
   const std::shared_ptr<BackendConnection> done = std::move(this->connection);
-  this->context.pool.Release(this->choice->server, done);
+  this->context.pool.Release(this->connection_target, done);
   if (this->pending_failure) {
     this->FailAttempt(*std::exchange(this->pending_failure, std::nullopt));
     return;
@@ -869,19 +1037,85 @@
     this->connection->Abort();
     this->connection.reset();
   }
-  if (this->choice) {
+  if (this->relay) {
+    this->context.relays.RecordEnd(this->relay->instance);
+    this->relay.reset();
+  } else if (this->choice) {
     this->context.placer.RecordEnd(*this->choice,
                                    MonotonicNow() - this->sent_at);
-    this->choice.reset();
+  }
+  this->choice.reset();
+}
+
+void Exchange::FailRelayedAttempt(const Failure& failure) {
+  const TimePoint now = MonotonicNow();
+  const std::string instance = this->relay->instance;
+  const std::optional<RelayedResponse::Ending> ending =
+      std::exchange(this->relayed_ending, std::nullopt);
+  const bool is_stale_connection =
+      failure.result == SendResult::kUnreachable && !failure.avoid_server;
+  if (!is_stale_connection) {
+    this->tried_instances.push_back(instance);
+    this->context.relays.RecordResult(instance, ending.has_value(), now);
+  }
+  this->EndAttempt();
+  if (ending) {
+    this->sent_attempts += ending->sent_attempts;
+  }
+  if (failure.may_have_executed) {
+    ++this->possible_executions;
+  } else {
+    ++this->not_executed_attempts;
+  }
+  std::string no_retry_reason = "may have run at the other instance";
+  bool retry = false;
+  if (ending && !IsEndingOfInstance(ending->cause)) {
+    no_retry_reason = "other instances have the same servers";
+  } else if (!failure.may_have_executed) {
+    retry = this->MayRetry(no_retry_reason);
+  }
+  this->context.observer.OnAttemptFailed(
+      {.request_id = this->request_info.request_id,
+       .attempt = this->attempts,
+       .server = this->connection_target.id,
+       .result = std::string(ToString(failure.result)),
+       .reason = failure.reason,
+       .elapsed = now - this->sent_at,
+       .may_have_executed = failure.may_have_executed,
+       .has_first_event = this->first_event_received,
+       .shared_parts = SharedParts(this->query.parts),
+       .request_hash = this->suspects.request_hash,
+       .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
+       .next_reason = retry ? "" : no_retry_reason});
+  this->ClearResponse();
+  if (retry) {
+    this->Place();
+    return;
+  }
+  if (failure.may_have_executed) {
+    this->GiveUp(EndCause::kAnswerLost);
+  } else if (!ending || IsEndingOfInstance(ending->cause)) {
+    this->GiveUp(EndCause::kNoBackend);
+  } else if (ending->retry_after > Duration{}) {
+    this->GiveUp(ending->cause, ending->retry_after);
+  } else {
+    this->GiveUp(ending->cause);
   }
 }
 
 void Exchange::FailAttempt(const Failure& failure) {
+  // A response of a server fails as such, whoever passes it on.
+  const bool is_relayed = this->relay.has_value();
+  if (is_relayed &&
+      (failure.result != SendResult::kError || this->response.status == 0)) {
+    this->FailRelayedAttempt(failure);
+    return;
+  }
   const TimePoint now = MonotonicNow();
   const ServerChoice failed = *this->choice;
   const bool is_stale_connection =
       failure.result == SendResult::kUnreachable && !failure.avoid_server;
-  if (!is_stale_connection &&
+  if (!is_relayed && !is_stale_connection &&
       this->context.placer.RecordResult(failed, failure.result, now)) {
     this->context.observer.OnEjected(
         {.server = failed.server.id,
@@ -900,8 +1134,9 @@
   } else {
     ++this->not_executed_attempts;
   }
-  std::string no_retry_reason;
-  const bool retry = failure.next || this->MayRetry(no_retry_reason);
+  std::string no_retry_reason = "the other instance has retried";
+  const bool retry =
+      !is_relayed && (failure.next || this->MayRetry(no_retry_reason));
   this->context.observer.OnAttemptFailed(
       {.request_id = this->request_info.request_id,
        .attempt = this->attempts,
@@ -915,7 +1150,7 @@
        .shared_parts = SharedParts(this->query.parts),
        .request_hash = this->suspects.request_hash,
        .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
-       .next_reason = no_retry_reason});
+       .next_reason = retry ? "" : no_retry_reason});
   if (retry) {
     this->ClearResponse();
     if (failure.next) {
@@ -1025,12 +1260,20 @@
 
 void Exchange::RespondLocally(int status, EndCause cause,
                               std::optional<Duration> retry_after) {
-  this->sink.Write(
-      WriteLocalResponse({.status = status,
-                          .retry_after = retry_after,
-                          .body = std::string(ToString(cause)) + "\n",
-                          .close = this->DecideClose(),
-                          .head_only = this->request.method == "HEAD"}));
+  LocalResponse local_response{.status = status,
+                               .retry_after = retry_after,
+                               .body = std::string(ToString(cause)) + "\n",
+                               .close = this->DecideClose(),
+                               .head_only = this->request.method == "HEAD"};
+  if (this->relayed_from) {
+    local_response.fields = RelayedEndingFields(
+        {.cause = cause,
+         .not_executed = this->possible_executions ==
+                         this->relayed_from->possible_executions,
+         .sent_attempts = this->sent_attempts,
+         .retry_after = retry_after.value_or(Duration{})});
+  }
+  this->sink.Write(WriteLocalResponse(local_response));
   this->End(
       this->possible_executions > 0 ? Outcome::kUnknown : Outcome::kRefused,
       cause, status);
@@ -1058,8 +1301,10 @@
     if (this->send_started) {
       ++this->possible_executions;
     }
-    this->context.placer.ObserveSilence(this->query, *this->choice,
-                                        now - this->sent_at, now);
+    if (!this->relay) {
+      this->context.placer.ObserveSilence(this->query, *this->choice,
+                                          now - this->sent_at, now);
+    }
     this->EndAttempt();
     this->GiveUp(EndCause::kMaxWait);
     return;
@@ -1113,7 +1358,9 @@
     this->last_bytes_at = now;
     return;
   }
-  if (!route.MayRepeat() || !this->send_started || this->pending_failure ||
+  // The other instance looks for a silence itself.
+  if (this->relay || !route.MayRepeat() || !this->send_started ||
+      this->pending_failure ||
       this->possible_executions + 1 >= route.max_attempts) {
     return;
   }
@@ -1220,6 +1467,9 @@
        .status = status,
        .attempts = this->attempts,
        .server = server,
+       .relayed_from =
+           this->relayed_from ? this->relayed_from->from_instance : "",
+       .relayed_to = this->relayed_to,
        .resumed_request = this->request_info.resumed_request,
        .first_software_version = this->first_software_version,
        .last_software_version = this->last_software_version,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -9,6 +9,7 @@
 #include "proxy/event_splitter.h"
 #include "proxy/message_writer.h"
 #include "proxy/proxy_context.h"
+#include "proxy/relay_fields.h"
 
 namespace rosemarycove {
 
@@ -37,14 +38,17 @@
 };
 
 // Sends a request to backend servers until one responds or no further attempt
-// is allowed. A request that may have been executed is sent again only if its
-// route allows it. The exchange reports "not executed" to the caller only if it
-// is certain that no server executed the request. Owned by the caller's
-// connection; used on the event loop's thread only.
+// is allowed. A request whose servers are out of reach is relayed to another
+// instance, which sends it to the servers and doesn't relay it again. A request
+// that may have been executed is sent again only if its route allows it. The
+// exchange reports "not executed" to the caller only if it is certain that no
+// server executed the request. Owned by the caller's connection; used on the
+// event loop's thread only.
 class Exchange : public ResponseListener {
  public:
+  // `from_instance`: another instance relays the request.
   Exchange(ProxyContext& context, RequestHead head, std::string body,
-           ResponseSink& sink, TimePoint arrival);
+           ResponseSink& sink, TimePoint arrival, bool from_instance = false);
   ~Exchange() override;
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -98,6 +102,9 @@
     std::optional<ServerChoice> next = {};
   };
 
+  // Reads what the instance that relays the request says of it. If that can't
+  // be read, responds with an error and returns false.
+  bool ReadRelayedRequest();
   // Sets the route, the customer and the deadline. If that fails, responds with
   // an error and returns false.
   bool ResolveRoute();
@@ -135,6 +142,22 @@
                                            NoChoiceReason& no_choice);
   // Starts an attempt.
   void Send(const ServerChoice& chosen);
+  // Relays the request to another instance, or gives up if none can take it.
+  void Relay();
+  // Describes the instances that may get the request.
+  [[nodiscard]] RelayQuery MakeRelayQuery() const;
+  // Sets the state of a new attempt on this connection.
+  void BeginAttempt(const ServerChoice& chosen, PooledConnection acquired,
+                    TimePoint now);
+  // Returns the id of the last event that the caller has of the stream that
+  // this request goes on with; empty if there is none.
+  [[nodiscard]] std::string ResumeFrom() const;
+  // Handles the head of the response to a relayed request. Returns whether a
+  // server's response follows; otherwise the attempt has failed.
+  bool OnRelayedHead(ResponseHead& head);
+  // Ends the attempt at the other instance as failed, then relays the request
+  // again or ends it.
+  void FailRelayedAttempt(const Failure& failure);
   // Ends the current attempt as failed, then starts another one or ends the
   // request.
   void FailAttempt(const Failure& failure);
@@ -244,8 +267,23 @@
   std::uint64_t quarantined_suspect = 0;
   std::string service_name;
 
+  // Set if another instance relays the request.
+  std::optional<RelayedRequest> relayed_from;
+  // The instances to which this request was relayed without success.
+  std::vector<std::string> tried_instances;
+  // The instance to which it was relayed last; empty if none.
+  std::string relayed_to;
+
   // The current attempt.
   std::optional<ServerChoice> choice;
+  // The instance to which the request is relayed; the server of `choice` then
+  // only has what that instance says of it.
+  std::optional<RelayPeer> relay;
+  // How the other instance ended the request, if it did.
+  std::optional<RelayedResponse::Ending> relayed_ending;
+  // The server at the other end of the connection; for relayed requests, the
+  // other instance.
+  RegisteredServer connection_target;
   std::shared_ptr<BackendConnection> connection;
   bool connection_reused = false;
   // The connection had been closed before if it is reused and ends within this
@@ -270,6 +308,8 @@
   // is complete; nullopt otherwise.
   std::optional<Failure> pending_failure;
   ResponseHead response;
+  // The id of the server that sent the last response.
+  std::string responding_server;
   // How the server marked the end of the last response.
   BodyFraming response_framing = BodyFraming::kNone;
   // The limit that the last response named.
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -46,6 +46,12 @@
   return false;
 }
 
+void HeaderFields::Remove(std::string_view name) {
+  std::erase_if(this->fields, [name](const HeaderField& field) {
+    return TokensEqual(field.name, name);
+  });
+}
+
 std::optional<std::string_view> HeaderFields::Find(
     std::string_view name) const {
   for (const HeaderField& field : this->fields) {
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -26,6 +26,8 @@
   void Add(std::string name, std::string value) {
     this->fields.push_back({std::move(name), std::move(value)});
   }
+  // Removes all fields of this name.
+  void Remove(std::string_view name);
   // Returns the value of the first field of this name, or nullopt.
   [[nodiscard]] std::optional<std::string_view> Find(
       std::string_view name) const;
--- a/src/proxy/message_writer.cc
+++ b/src/proxy/message_writer.cc
@@ -79,6 +79,9 @@
     AddField(text, "Retry-After",
              fmt::format("{:.3f}", ToSeconds(*response.retry_after)));
   }
+  for (const HeaderField& field : response.fields) {
+    AddField(text, field.name, field.value);
+  }
   if (response.close) {
     AddField(text, "Connection", "close");
   }
--- a/src/proxy/message_writer.h
+++ b/src/proxy/message_writer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/types.h"
 #include "http/http_status.h"
@@ -34,6 +35,8 @@
   std::optional<Duration> retry_after;
   std::string body;
   std::string content_type = "text/plain";
+  // Further fields.
+  std::vector<HeaderField> fields;
   // The connection is closed after the response.
   bool close = false;
   // The request's method is HEAD: the body is omitted, but counts in
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -41,6 +41,9 @@
   RelaySelector& relays;
   ConnectionPool& pool;
   ProxyObserver& observer;
+  // The name and the data centre of this instance.
+  std::string instance = {};
+  std::string data_centre = {};
   // The directory lacks no server that other instances used at this time.
   TimePoint directory_current_at = {};
   // Null before the first one is read. A request uses the same configuration
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -36,6 +36,22 @@
   bool reused_connection = false;
 };
 
+// A request was relayed to another instance, since this one can't reach the
+// backend servers.
+struct RelayedRecord {
+  std::string request_id;
+  std::string route;
+  std::string service;
+  // The number of the attempt, from 1.
+  int attempt = 0;
+  // The instance that gets the request, and its data centre.
+  std::string to_instance;
+  std::string to_data_centre;
+  // Attempts of this request that failed before.
+  int failed_attempts = 0;
+  bool reused_connection = false;
+};
+
 // What follows a failed attempt.
 enum class NextStep : std::uint8_t { kAnotherServer, kGiveUp };
 
@@ -82,6 +98,10 @@
   // The id of the server whose response completed the request; empty if there
   // is none.
   std::string server;
+  // The instance that relayed the request to this one, and the instance to
+  // which this one relayed it; empty if none.
+  std::string relayed_from;
+  std::string relayed_to;
   // The id of the request that received the first event of the stream that this
   // request resumes; empty if it resumes none.
   std::string resumed_request;
@@ -174,6 +194,7 @@
   virtual void OnRequestRead() = 0;
   virtual void OnUnanswered(const UnansweredRecord& record) = 0;
   virtual void OnPlaced(const PlacedRecord& record) = 0;
+  virtual void OnRelayed(const RelayedRecord& record) = 0;
   virtual void OnAttemptFailed(const AttemptFailedRecord& record) = 0;
   virtual void OnEnded(const EndedRecord& record) = 0;
   virtual void OnEjected(const EjectedRecord& record) = 0;
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -10,7 +10,11 @@
 using boost::system::error_code;
 
 ProxyServer::ProxyServer(ProxyServerOptions options, ProxyContext& context)
-    : options(std::move(options)), context(context), acceptor(context.io) {}
+    : options(std::move(options)),
+      context(context),
+      caller_entrance{.acceptor = boost::asio::ip::tcp::acceptor(context.io)},
+      relay_entrance{.acceptor = boost::asio::ip::tcp::acceptor(context.io),
+                     .kind = CallerKind::kInstance} {}
 
 ProxyServer::~ProxyServer() {
   for (const auto& caller : this->callers) {
@@ -19,36 +23,46 @@
 }
 
 std::optional<std::string> ProxyServer::Start() {
-  if (auto error = Listen(this->acceptor, this->options.address)) {
+  if (auto error =
+          Listen(this->caller_entrance.acceptor, this->options.address)) {
     return error;
   }
+  if (!this->options.relay_address.empty()) {
+    if (auto error = Listen(this->relay_entrance.acceptor,
+                            this->options.relay_address)) {
+      return error;
+    }
+  }
   this->accepting = true;
-  this->Accept();
+  this->Accept(this->caller_entrance);
+  this->Accept(this->relay_entrance);
   return std::nullopt;
 }
 
-void ProxyServer::Accept() {
-  if (!this->accepting || this->accept_pending ||
+void ProxyServer::Accept(Entrance& entrance) {
+  if (!this->accepting || !entrance.acceptor.is_open() ||
+      entrance.accept_pending ||
       this->callers.size() >= this->options.max_connections) {
     return;
   }
-  this->accept_pending = true;
-  this->acceptor.async_accept(
-      [this](error_code failure, boost::asio::ip::tcp::socket socket) {
-        this->accept_pending = false;
+  entrance.accept_pending = true;
+  entrance.acceptor.async_accept(
+      [this, &entrance](error_code failure,
+                        boost::asio::ip::tcp::socket socket) {
+        entrance.accept_pending = false;
         if (failure) {
           // Out of file descriptors, or the caller disconnected; the next tick
           // accepts again.
           return;
         }
-        this->Add(std::move(socket));
-        this->Accept();
+        this->Add(std::move(socket), entrance.kind);
+        this->Accept(entrance);
       });
 }
 
-void ProxyServer::Add(boost::asio::ip::tcp::socket socket) {
-  auto caller =
-      std::make_shared<CallerConnection>(std::move(socket), this->context);
+void ProxyServer::Add(boost::asio::ip::tcp::socket socket, CallerKind kind) {
+  auto caller = std::make_shared<CallerConnection>(std::move(socket), kind,
+                                                   this->context);
   this->callers.push_back(caller);
   caller->Start();
 }
@@ -58,18 +72,26 @@
     return;
   }
   this->accepting = false;
+  this->Close(this->caller_entrance);
+  this->Close(this->relay_entrance);
+}
+
+void ProxyServer::Close(Entrance& entrance) {
+  if (!entrance.acceptor.is_open()) {
+    return;
+  }
   // Closing the listener resets connections that wait to be accepted.
   error_code failure;
-  this->acceptor.non_blocking(true, failure);
+  entrance.acceptor.non_blocking(true, failure);
   while (!failure && this->callers.size() < this->options.max_connections) {
     boost::asio::ip::tcp::socket socket(this->context.io);
-    this->acceptor.accept(socket, failure);
+    entrance.acceptor.accept(socket, failure);
     if (!failure) {
-      this->Add(std::move(socket));
+      this->Add(std::move(socket), entrance.kind);
     }
   }
   error_code ignored;
-  this->acceptor.close(ignored);
+  entrance.acceptor.close(ignored);
 }
 
 void ProxyServer::CloseIdle(bool unused_too) {
@@ -93,7 +115,8 @@
   for (const auto& caller : this->callers) {
     caller->Tick(now);
   }
-  this->Accept();
+  this->Accept(this->caller_entrance);
+  this->Accept(this->relay_entrance);
 }
 
 std::size_t ProxyServer::connection_count() const {
@@ -108,6 +131,12 @@
                     [](const auto& caller) { return caller->is_busy(); }));
 }
 
-int ProxyServer::port() const { return PortOf(this->acceptor); }
+int ProxyServer::port() const { return PortOf(this->caller_entrance.acceptor); }
+
+int ProxyServer::relay_port() const {
+  return this->relay_entrance.acceptor.is_open()
+             ? PortOf(this->relay_entrance.acceptor)
+             : 0;
+}
 
 }  // namespace rosemarycove
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -1,4 +1,5 @@
-// The HTTP server that accepts callers' connections.
+// The HTTP server that accepts the connections of callers, and of instances
+// that relay their callers' requests.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -15,8 +16,10 @@
 
 // Options of a proxy server.
 struct ProxyServerOptions {
-  // IPv4 address and port.
+  // IPv4 address and port for callers.
   std::string address;
+  // The same for other instances; empty if they may not relay requests here.
+  std::string relay_address;
   // Maximum number of open connections; must fit the process's limit on file
   // descriptors.
   std::size_t max_connections = 1000;
@@ -52,19 +55,29 @@
   [[nodiscard]] std::size_t connection_count() const;
   // The number of requests that are being handled.
   [[nodiscard]] std::size_t active_request_count() const;
-  // The port bound, which the system chose if port 0 was requested.
+  // The ports bound, which the system chose if port 0 was requested; 0 if there
+  // is no listener for instances.
   [[nodiscard]] int port() const;
+  [[nodiscard]] int relay_port() const;
 
  private:
-  void Accept();
-  void Add(boost::asio::ip::tcp::socket socket);
+  struct Entrance {
+    boost::asio::ip::tcp::acceptor acceptor;
+    CallerKind kind = CallerKind::kCaller;
+    bool accept_pending = false;
+  };
+
+  void Accept(Entrance& entrance);
+  // Stops accepting connections at the entrance.
+  void Close(Entrance& entrance);
+  void Add(boost::asio::ip::tcp::socket socket, CallerKind kind);
 
   ProxyServerOptions options;
   ProxyContext& context;
-  boost::asio::ip::tcp::acceptor acceptor;
+  Entrance caller_entrance;
+  Entrance relay_entrance;
   std::list<std::shared_ptr<CallerConnection>> callers;
   bool accepting = false;
-  bool accept_pending = false;
 };
 
 }  // namespace rosemarycove
--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -27,6 +27,7 @@
           .caller_listen_address = "127.0.0.1:0",
           .status_listen_address = "127.0.0.1:0",
           .peer_listen_address = "127.0.0.1:0",
+          .relay_listen_address = "127.0.0.1:0",
           .seeds = std::move(seeds),
           .retry_budget = {.ratio = 0.2, .slack = 20},
           .shutdown_grace = shutdown_grace};
@@ -112,6 +113,23 @@
   return connection->ReadMessage().value_or("");
 }
 
+double RunningGateway::MetricValue(const std::string& name) const {
+  const std::string text = this->GetStatusPage("/metrics");
+  const std::string line = "\n" + name + " ";
+  const std::size_t at = text.find(line);
+  return at == std::string::npos ? -1
+                                 : std::stod(text.substr(at + line.size()));
+}
+
+bool RunningGateway::AwaitMetric(const std::string& name, double value) const {
+  for (int i = 0; i < kMaxTries; ++i) {
+    if (this->MetricValue(name) == value) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool RunningGateway::IsReady() const {
   return this->GetStatusPage("/readyz").starts_with("HTTP/1.1 200");
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -52,6 +52,10 @@
   [[nodiscard]] std::string SendRequest(const std::string& request) const;
   // Returns the response of the status server to GET.
   [[nodiscard]] std::string GetStatusPage(const std::string& path) const;
+  // Returns the value of a metric; -1 if there is none of this name.
+  [[nodiscard]] double MetricValue(const std::string& name) const;
+  // Repeats until the metric has the value; returns false if it never has.
+  [[nodiscard]] bool AwaitMetric(const std::string& name, double value) const;
   // Returns whether the status server reports that the gateway is ready.
   [[nodiscard]] bool IsReady() const;
   void AwaitReady() const;
