--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -51,6 +51,24 @@
   CHECK_EQUAL(90, settings->store.port());
 }
 
+TEST(Platform, RelayedRequestsArriveAtTheFirstPortOfTheRange) {
+  const auto without = ParseBootSettings(kSettings, "node.toml");
+  STRCMP_EQUAL("", without->gateway.relay_listen_address.c_str());
+  const auto address_for = [](const std::string& range) {
+    const auto settings =
+        ParseBootSettings("port_range = " + range + "\n" + kSettings, "f");
+    return settings ? settings->gateway.relay_listen_address
+                    : settings.error();
+  };
+  STRCMP_EQUAL("10.0.0.2:7340", address_for("[7340, 7355]").c_str());
+  STRCMP_EQUAL("", address_for("[]").c_str());
+  for (const char* odd : {"[0, 9]", "[65536, 65537]", "[\"7340\"]", "[-1]",
+                          "7340", "\"7340-7355\"", "[1.5, 2]", "{a = 1}"}) {
+    STRCMP_EQUAL("f:1: port_range: expected a list of ports",
+                 address_for(odd).c_str());
+  }
+}
+
 TEST(Platform, SettingsErrorsContainFileLineAndKey) {
   const auto missing = ParseBootSettings(
       Without(kSettings, "front = \"10.0.0.2:8000\"\n"), "node.toml");
