Relay for lack of capacity only if others reach the servers

With a third of a service's servers crashed and the others full, each instance would pass the requests for which it has no capacity to instances that lack the same servers. The loads that they report tell a crash from a cut: a server that runs at least two of their requests is within their reach.

--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -120,6 +120,9 @@
 // A request that finds no capacity is relayed if one in this many servers, or
 // more, is out of reach.
 constexpr int kServersPerOutOfReach = 3;
+// Requests of other instances that show that they reach a server; a single one
+// may be an attempt that is about to fail.
+constexpr int kMinPeerRequests = 2;
 // A server's own report of its load is used for this long.
 constexpr Duration kReportMaxAge = std::chrono::milliseconds(400);
 
@@ -785,6 +788,12 @@
                        }) >= kFailedServersToRelay;
 }
 
+bool Placer::IsReachedByOthers(const std::string& server, TimePoint now) const {
+  return this->load_ledger.TotalLoad(server, now).running -
+             this->load_ledger.OwnLoad(server).running >=
+         kMinPeerRequests;
+}
+
 bool Placer::LacksServersInReach(const PlacementQuery& query,
                                  NoChoiceReason why_not, TimePoint now) const {
   if (why_not != NoChoiceReason::kUnreachable &&
@@ -800,8 +809,13 @@
       continue;
     }
     ++count;
-    if (WasTried(query, id) ? this->server_reach.HasFailed(id, now)
-                            : this->server_reach.IsOutOfReach(id, now)) {
+    const bool is_out_of_reach = WasTried(query, id)
+                                     ? this->server_reach.HasFailed(id)
+                                     : this->server_reach.IsOutOfReach(id, now);
+    // For lack of capacity alone, requests are not relayed to instances that
+    // lack the same servers.
+    if (is_out_of_reach && (why_not == NoChoiceReason::kUnreachable ||
+                            this->IsReachedByOthers(id, now))) {
       ++out_of_reach;
     }
   }
@@ -872,9 +886,9 @@
     }
     // Servers that have not failed show sooner whether the service is out of
     // reach.
-    const bool has_failed = query.may_relay &&
-                            this->server_reach.HasFailedSinceContact(
-                                candidate.server->id, query.service->name, now);
+    const bool has_failed =
+        query.may_relay && this->server_reach.HasFailedSinceContact(
+                               candidate.server->id, query.service->name, now);
     if (has_failed) {
       candidate.cost += kRiskyServerCost;
     }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -361,6 +361,10 @@
   [[nodiscard]] bool LacksServersInReach(const PlacementQuery& query,
                                          NoChoiceReason why_not,
                                          TimePoint now) const;
+  // Returns whether the server, which is out of reach, runs requests of other
+  // instances.
+  [[nodiscard]] bool IsReachedByOthers(const std::string& server,
+                                       TimePoint now) const;
   // Returns whether requests of the service should go to the server.
   [[nodiscard]] bool IsStaying(const RegisteredServer& server,
                                const std::string& service) const;
--- a/src/core/server_reach.cc
+++ b/src/core/server_reach.cc
@@ -135,17 +135,13 @@
   }
 }
 
-bool ServerReach::HasFailed(const std::string& server, TimePoint now) const {
-  const auto found = this->servers.find(server);
-  return found != this->servers.end() &&
-         now - found->second.last_failure_at <= kFailureMemory;
-}
-
 bool ServerReach::IsOutOfReach(const std::string& server, TimePoint now) const {
-  if (!this->HasFailed(server, now)) {
+  const auto found = this->servers.find(server);
+  if (found == this->servers.end() ||
+      now - found->second.last_failure_at > kFailureMemory) {
     return false;
   }
-  const ServerState& state = this->servers.at(server);
+  const ServerState& state = found->second;
   return state.failures >= kMinFailures ||
          this->IsServiceOutOfReach(state.service, now);
 }
--- a/src/core/server_reach.h
+++ b/src/core/server_reach.h
@@ -62,7 +62,9 @@
   [[nodiscard]] bool IsOutOfReach(const std::string& server,
                                   TimePoint now) const;
   // Returns whether the server failed since its last contact, if only once.
-  [[nodiscard]] bool HasFailed(const std::string& server, TimePoint now) const;
+  [[nodiscard]] bool HasFailed(const std::string& server) const {
+    return this->servers.contains(server);
+  }
   // Returns whether the server failed since the last contact with any server of
   // the service.
   [[nodiscard]] bool HasFailedSinceContact(const std::string& server,
