Don't count attempts that got nothing back as durations of requests

Instances that expect a slot to become free share it by the mean time of an attempt. A failed connection attempt ends at once or after 300 ms, so after a cut the instance believed that all slots turn over at once, and took each free slot that others also saw. Not changed: requests that callers cancel, and those abandoned as silent, count as before.

--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -1036,13 +1036,17 @@
 }
 
 void Placer::RecordEnd(const ServerChoice& choice, Duration elapsed) {
-  const Duration counted = std::max(elapsed, kMinDuration);
-  Duration& mean =
-      this->mean_durations
-          .emplace(std::pair(choice.server.service, choice.is_reserved),
-                   counted)
-          .first->second;
-  mean += FromSeconds(kDurationWeight * ToSeconds(counted - mean));
+  // The time after which a connection attempt fails says nothing about how long
+  // requests occupy a slot.
+  if (choice.has_response || !this->server_reach.HasFailed(choice.server.id)) {
+    const Duration counted = std::max(elapsed, kMinDuration);
+    Duration& mean =
+        this->mean_durations
+            .emplace(std::pair(choice.server.service, choice.is_reserved),
+                     counted)
+            .first->second;
+    mean += FromSeconds(kDurationWeight * ToSeconds(counted - mean));
+  }
   this->load_ledger.Subtract(choice.server.id, choice.added_load);
 }
 
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -207,7 +207,8 @@
   void RecordFirstEvent(const PlacementQuery& query, ServerChoice& choice,
                         Duration elapsed, TimePoint now);
   // Records the end of the attempt, with or without a first event before.
-  // `elapsed` is the time since its start.
+  // `elapsed` is the time since its start. The result of an attempt that failed
+  // is recorded first.
   void RecordEnd(const ServerChoice& choice, Duration elapsed);
   // Records the result for the server's health; returns whether this ejected
   // the server.
--- a/tests/test_server_reach.cc
+++ b/tests/test_server_reach.cc
@@ -503,6 +503,46 @@
   CHECK(world.Choose(world.Query())->reason == ChoiceReason::kOnlyEjected);
 }
 
+// Guards against a cut after which an instance takes more than its share of the
+// slots that become free: it took the time of the failed attempts for that of
+// requests.
+TEST(ServerReach, FailedAttemptsDoNotShortenTheTimeOfRequests) {
+  const auto count_held_back = [](int failed_attempts) {
+    World world(2);
+    world.placer.SetFleet(9, milliseconds(100));
+    for (int i = 0; i < 60; ++i) {
+      ServerChoice choice{.server = *world.directory.Find(IdOf(i % 2))};
+      world.placer.RecordFirstEvent(world.Query(), choice, milliseconds(50),
+                                    world.now);
+      world.placer.RecordEnd(choice, seconds(2));
+    }
+    for (int i = 0; i < failed_attempts; ++i) {
+      const ServerChoice choice{.server = *world.directory.Find(IdOf(i % 2))};
+      world.placer.RecordResult(choice, SendResult::kUnreachable, world.now);
+      world.placer.RecordEnd(choice, Duration{});
+    }
+    for (int i = 0; i < 2; ++i) {
+      const ServerChoice choice{.server = *world.directory.Find(IdOf(i))};
+      world.placer.RecordResult(choice, SendResult::kAnswered, world.now);
+    }
+    int held_back = 0;
+    for (int i = 0; i < 200; ++i) {
+      world.now += milliseconds(100);
+      world.placer.RecordRequest(world.Query(), world.now);
+      world.placer.ledger().SetPeerLoads(
+          "b",
+          {{.server_hash = IdHash("e0"), .load = {.running = 7}},
+           {.server_hash = IdHash("e1"), .load = {.running = 7}}},
+          world.now);
+      held_back += world.Choose(world.Query()) ? 0 : 1;
+    }
+    return held_back;
+  };
+  const int expected = count_held_back(0);
+  CHECK(expected > 20);
+  CHECK_EQUAL(expected, count_held_back(100));
+}
+
 TEST(ServerReach, BeliefFollowsFailuresAndContacts) {
   CHECK(rc::check("histories", [] {
     const int servers = *rc::gen::inRange(1, 6);
