--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -2,6 +2,8 @@
 // address.
 #include <boost/asio/steady_timer.hpp>
 #include <ctime>
+#include <string>
+#include <string_view>
 
 #include "core/backend_directory.h"
 #include "net/clock.h"
@@ -71,6 +73,26 @@
   return false;
 }
 
+// A report of the release before instances relayed requests: of instance "a",
+// with configuration version 6 and 23 known peers.
+constexpr std::string_view kOlderReport =
+    "c800000034000000300034000400080000001c00240000000000000000000000"
+    "0c00100014000000000000000000000000002c00000018003000000001000000"
+    "580000002c000000240000002800000017000000050000000000000009000000"
+    "000000000600000000000000000000000000000001000000040000000b000000"
+    "3132372e302e302e313a320000000a001000040008000c000a00000028000000"
+    "1400000004000000050000006e6f7274680000000b0000003132372e302e302e"
+    "313a31000100000061000000";
+
+std::string FromHex(std::string_view digits) {
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < digits.size(); i += 2) {
+    bytes.push_back(static_cast<char>(
+        std::stoi(std::string(digits.substr(i, 2)), nullptr, 16)));
+  }
+  return bytes;
+}
+
 }  // namespace
 
 TEST_GROUP(FleetLinks){};
@@ -139,6 +161,24 @@
   STRCMP_EQUAL("rest", bytes.c_str());
 }
 
+TEST(FleetLinks, OlderReportNamesNoRelayAddress) {
+  std::string bytes = FromHex(kOlderReport);
+  const auto frame = DecodeFleetFrame(bytes);
+  CHECK(frame.has_value() && frame->has_value());
+  const FleetReport& decoded = **frame;
+  CHECK(decoded.identity == (InstanceIdentity{.instance = "a",
+                                              .address = "127.0.0.1:1",
+                                              .data_centre = "north"}));
+  CHECK_EQUAL(6U, decoded.configuration_version);
+  CHECK_EQUAL(23U, decoded.known_peer_count);
+  CHECK(decoded.unreachable_services.empty());
+  // While all is in reach, a report costs no more than before.
+  FleetReport report = decoded;
+  CHECK_EQUAL(kOlderReport.size() / 2, EncodeFleetFrame(report).size());
+  report.unreachable_services = {1};
+  CHECK(EncodeFleetFrame(report).size() <= kOlderReport.size() / 2 + 24);
+}
+
 TEST(FleetLinks, RejectsMalformedFrames) {
   std::string bytes = EncodeFleetFrame({});
   bytes[bytes.size() / 2] = static_cast<char>(0x7f);
--- a/tests/test_server_reach.cc
+++ b/tests/test_server_reach.cc
@@ -491,6 +491,27 @@
   }
 }
 
+// The servers failed one after the other, with answers in between.
+TEST(ServerReach, RequestIsRelayedIfAllServersAreEjectedAndOutOfReach) {
+  World world(3);
+  ServerReach& reach = world.placer.reach();
+  for (int i = 0; i < 3; ++i) {
+    const ServerChoice choice{.server = *world.directory.Find(IdOf(i))};
+    for (int failure = 0; failure < 2; ++failure) {
+      world.placer.RecordResult(choice, SendResult::kUnreachable, world.now);
+    }
+    if (i < 2) {
+      reach.RecordContact(IdOf(i + 1), "model", world.now);
+    }
+  }
+  CHECK(!world.IsOut());
+  CHECK(!world.Choose(world.Query()));
+  CHECK(world.why_not == NoChoiceReason::kOutOfReach);
+  PlacementQuery direct = world.Query();
+  direct.may_relay = false;
+  CHECK(world.Choose(direct)->reason == ChoiceReason::kOnlyEjected);
+}
+
 // The servers that didn't fail repeatedly may be sound.
 TEST(ServerReach, EjectedServerInReachIsChosenIfThereIsNoOther) {
   World world(2);
