--- a/src/core/server_reach.cc
+++ b/src/core/server_reach.cc
@@ -135,12 +135,6 @@
   }
 }
 
-bool ServerReach::HasFailed(const std::string& server, TimePoint now) const {
-  const auto found = this->servers.find(server);
-  return found != this->servers.end() &&
-         now - found->second.last_failure_at <= kFailureMemory;
-}
-
 bool ServerReach::HasFailures(const std::string& service) const {
   return std::any_of(
       this->servers.begin(), this->servers.end(),
@@ -148,10 +142,12 @@
 }
 
 bool ServerReach::IsOutOfReach(const std::string& server, TimePoint now) const {
-  if (!this->HasFailed(server, now)) {
+  const auto found = this->servers.find(server);
+  if (found == this->servers.end() ||
+      now - found->second.last_failure_at > kFailureMemory) {
     return false;
   }
-  const ServerState& state = this->servers.at(server);
+  const ServerState& state = found->second;
   return state.failures >= kMinFailures ||
          this->IsServiceOutOfReach(state.service, now);
 }
