Test responses that break off at each byte

Operators of a similar system saw a 200 with an empty or short body, framed as whole, after an engine had stopped within its answer's head.

For eleven forms of response (length, chunks, trailers, until close, HTTP/1.0, no content, errors), each cut in the head and near the ends of the body, closed and reset, first on the connection, after interim responses and after another response, a cut completes no response and is never taken for a request that was not sent. The same holds for responses in pieces and for a head that is followed by a second answer.

One case fails: a server that answers a long request before it has read it, without a length, and then resets the connection.

--- /dev/null
+++ b/tests/test_broken_heads.cc
@@ -0,0 +1,381 @@
+// Tests of responses that break off at each byte: within the head, the body, a
+// chunk's size or a trailer.
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "proxy/backend_connection.h"
+#include "proxy/endpoint.h"
+#include "tests/gateway_fixture.h"
+
+// Included last, since CppUTest defines macros that break standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace rosemarycove;            // NOLINT
+using namespace rosemarycove::platform;  // NOLINT
+
+namespace {
+
+constexpr char kRequest[] =
+    "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n\r\n";
+// Separates pieces, and the last byte from the end of the connection.
+constexpr auto kPause = std::chrono::microseconds(300);
+
+enum class CloseMode : std::uint8_t { kOrderly, kReset };
+
+// What precedes the response that breaks off.
+enum class Prelude : std::uint8_t { kNone, kInterim, kRequestBefore };
+
+// A complete response and the body that it has.
+struct Form {
+  std::string name;
+  std::string head;
+  std::string body_bytes;
+  std::string body;
+  // The end of the connection marks the end of the body.
+  bool ends_with_connection = false;
+
+  [[nodiscard]] std::string Bytes() const {
+    return this->head + this->body_bytes;
+  }
+};
+
+std::vector<Form> Forms() {
+  const std::string chunks = "7\r\nabcdefg\r\n10;x=1\r\n0123456789abcdef\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-A: b\r\n\r\n",
+       "abcdefghijkl", "abcdefghijkl"},
+      {"length last",
+       "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 1234\r\n\r\n",
+       std::string(1234, 'x'), std::string(1234, 'x')},
+      {"chunks", "HTTP/1.1 200 OK\r\n" + chunked, chunks + "0\r\n\r\n",
+       "abcdefg0123456789abcdef"},
+      {"chunk size with zeros", "HTTP/1.1 200 OK\r\n" + chunked,
+       "00a\r\n0123456789\r\n000\r\n\r\n", "0123456789"},
+      {"trailers", "HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\n" + chunked,
+       chunks + "0\r\nX-Sum: 12\r\nX-More: 0\r\n\r\n",
+       "abcdefg0123456789abcdef"},
+      {"until close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+       "abcdefghijkl", "abcdefghijkl", true},
+      {"1.0 until close", "HTTP/1.0 200 OK\r\nX-A: b\r\n\r\n", "abcdefghijkl",
+       "abcdefghijkl", true},
+      {"1.0 with length", "HTTP/1.0 200 OK\r\nContent-Length: 12\r\n\r\n",
+       "abcdefghijkl", "abcdefghijkl"},
+      {"no content", "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n", "", ""},
+      {"empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", ""},
+      {"error", "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\n", "oops",
+       "oops"},
+  };
+}
+
+// One response that breaks off.
+struct Cut {
+  Form form;
+  std::size_t offset = 0;
+  CloseMode close_mode = CloseMode::kOrderly;
+  Prelude prelude = Prelude::kNone;
+  // The bytes arrive in pieces of this size; 0: in one piece.
+  std::size_t piece_bytes = 0;
+
+  // Returns the body of the response if it is complete in spite of the cut.
+  [[nodiscard]] std::optional<std::string> CompleteBody() const {
+    const std::size_t head_bytes = this->form.head.size();
+    if (this->form.ends_with_connection) {
+      if (this->close_mode == CloseMode::kReset || this->offset < head_bytes) {
+        return std::nullopt;
+      }
+      return this->form.body.substr(0, this->offset - head_bytes);
+    }
+    return this->offset == this->form.Bytes().size()
+               ? std::optional(this->form.body)
+               : std::nullopt;
+  }
+  [[nodiscard]] std::string Describe() const {
+    return fmt::format(
+        "{} at {}, {}, prelude {}, pieces of {}", this->form.name, this->offset,
+        this->close_mode == CloseMode::kReset ? "reset" : "close",
+        static_cast<int>(this->prelude), this->piece_bytes);
+  }
+};
+
+void SendInPieces(RawConnection& connection, const std::string& bytes,
+                  std::size_t piece_bytes) {
+  if (piece_bytes == 0) {
+    connection.Send(bytes);
+    return;
+  }
+  for (std::size_t at = 0; at < bytes.size(); at += piece_bytes) {
+    connection.Send(bytes.substr(at, piece_bytes));
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+void End(RawConnection& connection, CloseMode close_mode) {
+  if (close_mode == CloseMode::kReset) {
+    connection.Reset();
+  } else {
+    connection.Close();
+  }
+}
+
+// Sends the response up to the cut and ends the connection.
+void SendAndBreakOff(RawConnection& connection, const Cut& cut) {
+  std::string bytes = cut.form.Bytes().substr(0, cut.offset);
+  if (cut.prelude == Prelude::kInterim) {
+    bytes.insert(0,
+                 "HTTP/1.1 100 Continue\r\n\r\n"
+                 "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+  }
+  SendInPieces(connection, bytes, cut.piece_bytes);
+  End(connection, cut.close_mode);
+}
+
+// Records the response to one request.
+class ResponseRecorder : public ResponseListener {
+ public:
+  explicit ResponseRecorder(boost::asio::io_context& io) : io(io) {}
+
+  void OnSendStarted() override {}
+  HeadDecision OnHead(const ResponseHead& head) override {
+    this->status = head.status;
+    return HeadDecision::kAccept;
+  }
+  void OnBody(std::string bytes) override { this->body += bytes; }
+  void OnComplete() override {
+    this->is_complete = true;
+    this->io.stop();
+  }
+  void OnFailed(FailureKind kind, const std::string& /*reason*/) override {
+    this->failure = kind;
+    this->io.stop();
+  }
+
+  int status = 0;
+  std::string body;
+  bool is_complete = false;
+  std::optional<FailureKind> failure;
+
+ private:
+  boost::asio::io_context& io;
+};
+
+// Sends requests to a server and records the response to the last one.
+class Client {
+ public:
+  explicit Client(const RawServer& server)
+      : connection(std::make_shared<BackendConnection>(
+            this->io, *ParseTcpEndpoint(server.address()))) {}
+  ~Client() { this->connection->Abort(); }
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  ResponseRecorder Send(const std::string& request) {
+    ResponseRecorder recorder(this->io);
+    this->io.restart();
+    this->connection->Send(request, false, recorder);
+    this->io.run();
+    return recorder;
+  }
+
+ private:
+  boost::asio::io_context io;
+  std::shared_ptr<BackendConnection> connection;
+};
+
+// Checks what the client makes of the cut.
+class CutChecker {
+ public:
+  CutChecker()
+      : server([this](RawConnection& connection) { this->Serve(connection); }) {
+  }
+
+  // Returns what is wrong with the client's view of the cut; empty if nothing.
+  std::string FindFault(const Cut& next) {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->cut = next;
+    }
+    Client client(this->server);
+    if (next.prelude == Prelude::kRequestBefore &&
+        !client.Send(kRequest).is_complete) {
+      return next.Describe() + ": the request before failed";
+    }
+    const ResponseRecorder response = client.Send(kRequest);
+    const std::optional<std::string> expected = next.CompleteBody();
+    if (expected.has_value() != response.is_complete) {
+      return next.Describe() +
+             (response.is_complete ? ": is complete" : ": failed");
+    }
+    if (expected ? *expected != response.body
+                 : response.failure == FailureKind::kNotSent ||
+                       response.failure == FailureKind::kTimedOut) {
+      return next.Describe() + ": wrong body or kind of failure";
+    }
+    return "";
+  }
+
+ private:
+  void Serve(RawConnection& connection) {
+    Cut current;
+    {
+      const std::lock_guard lock(this->mutex);
+      current = this->cut;
+    }
+    if (current.prelude == Prelude::kRequestBefore) {
+      if (!connection.ReadMessage()) {
+        return;
+      }
+      connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    }
+    if (connection.ReadMessage()) {
+      SendAndBreakOff(connection, current);
+    }
+  }
+
+  std::mutex mutex;
+  Cut cut;
+  RawServer server;
+};
+
+}  // namespace
+
+TEST_GROUP(BrokenHeads){};
+
+// Guards against a response that breaks off at some byte being taken for a
+// complete one, or its request for one that was not sent.
+TEST(BrokenHeads, CutAtEachByteCompletesNoResponse) {
+  for (const Form& form : Forms()) {
+    CutChecker checker;
+    const std::size_t size = form.Bytes().size();
+    for (std::size_t offset = 0; offset <= size; ++offset) {
+      // The inner bytes of a long body are alike.
+      if (offset > form.head.size() + 20 && offset + 20 < size) {
+        continue;
+      }
+      for (const CloseMode close_mode :
+           {CloseMode::kOrderly, CloseMode::kReset}) {
+        for (const Prelude prelude :
+             {Prelude::kNone, Prelude::kInterim, Prelude::kRequestBefore}) {
+          const std::string fault = checker.FindFault({.form = form,
+                                                       .offset = offset,
+                                                       .close_mode = close_mode,
+                                                       .prelude = prelude});
+          STRCMP_EQUAL("", fault.c_str());
+        }
+      }
+    }
+  }
+}
+
+// The same for bytes that are parsed in pieces, down to single bytes.
+TEST(BrokenHeads, PiecesOfAResponseAreCompleteOnlyTogether) {
+  for (const Form& form : Forms()) {
+    const std::string bytes = form.Bytes();
+    for (const std::size_t piece_bytes : {1, 2, 7}) {
+      ResponseReader reader(false);
+      std::string unparsed;
+      std::string body;
+      for (std::size_t at = 0; at < bytes.size(); at += piece_bytes) {
+        const std::string name = fmt::format("{} at {}", form.name, at);
+        unparsed += bytes.substr(at, piece_bytes);
+        const bool is_complete =
+            reader.Feed(unparsed) == ResponseReader::Progress::kComplete;
+        const bool is_last = at + piece_bytes >= bytes.size();
+        CHECK_EQUAL_TEXT(is_last && !form.ends_with_connection, is_complete,
+                         name.c_str());
+        CHECK_EQUAL_TEXT(at + piece_bytes >= form.head.size(),
+                         reader.has_head(), name.c_str());
+        if (reader.has_head()) {
+          body += reader.TakeBody();
+        }
+      }
+      if (form.ends_with_connection) {
+        CHECK(reader.FeedEof() == ResponseReader::Progress::kComplete);
+      }
+      STRCMP_EQUAL(form.body.c_str(), body.c_str());
+    }
+  }
+}
+
+// The same for responses that a server sends in pieces.
+TEST(BrokenHeads, CutOfAResponseInPiecesCompletesNoResponse) {
+  ::setenv("RC_PARAMS", "seed=20261205 max_success=300", 1);
+  CutChecker checker;
+  const std::vector<Form> forms = Forms();
+  CHECK(rc::check("a cut completes no response", [&] {
+    const Form form = *rc::gen::elementOf(forms);
+    const std::size_t size = form.Bytes().size();
+    const std::size_t end = std::min(size, form.head.size() + 60);
+    const auto close_mode =
+        *rc::gen::element(CloseMode::kOrderly, CloseMode::kReset);
+    // A reset drops pieces that wait for an acknowledgement, so the last bytes
+    // of a complete response may not arrive.
+    const std::size_t last = close_mode == CloseMode::kReset ? size - 1 : size;
+    const std::string fault = checker.FindFault(
+        {.form = form,
+         .offset = *rc::gen::oneOf(
+             rc::gen::inRange(std::size_t{0}, std::min(end, last) + 1),
+             rc::gen::just(last)),
+         .close_mode = close_mode,
+         .prelude = *rc::gen::element(Prelude::kNone, Prelude::kInterim,
+                                      Prelude::kRequestBefore),
+         .piece_bytes = *rc::gen::element(std::size_t{1}, std::size_t{2},
+                                          std::size_t{7}, std::size_t{40})});
+    RC_LOG() << fault;
+    RC_ASSERT(fault.empty());
+  }));
+}
+
+// Guards against a head that breaks off and the answer after it being taken for
+// one response.
+TEST(BrokenHeads, HeadThatBreaksOffBeforeASecondAnswerCompletesNoResponse) {
+  const std::string second =
+      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+  for (const Form& form : Forms()) {
+    for (std::size_t offset = 1; offset < form.head.size(); ++offset) {
+      const RawServer server([&](RawConnection& connection) {
+        if (connection.ReadMessage()) {
+          connection.Send(form.head.substr(0, offset) + second);
+          connection.Close();
+        }
+      });
+      const ResponseRecorder response = Client(server).Send(kRequest);
+      const std::string name = fmt::format("{} at {}", form.name, offset);
+      CHECK_TEXT(!response.is_complete, name.c_str());
+      CHECK_TEXT(response.failure != FailureKind::kNotSent, name.c_str());
+    }
+  }
+}
+
+// Guards against a response that its server resets being taken for complete
+// when the request is still being sent: the failed write takes the error from
+// the socket, and the next read reports an end in order.
+TEST(BrokenHeads, ResetWhileTheRequestIsSentCompletesNoResponse) {
+  const std::string body(std::size_t{32} << 20U, 'x');
+  const std::string request =
+      fmt::format("POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n",
+                  body.size()) +
+      body;
+  for (const std::string& part : {std::string(), std::string("part")}) {
+    const RawServer server([&](RawConnection& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + part);
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      connection.Reset();
+    });
+    const ResponseRecorder response = Client(server).Send(request);
+    CHECK_EQUAL(200, response.status);
+    CHECK(!response.is_complete);
+    CHECK(response.failure == FailureKind::kDuringResponse);
+  }
+}
