Don't take a response that is reset for a complete one

Callers of a route whose server answers before it has read a long body, without a length, and then resets the connection got the part that had arrived as a whole 200.

Cause: a socket reports an error once. While the request is still being sent, the event loop writes before it reads; the failed write takes ECONNRESET, its handler ignores it, and the read after it reports an end of stream. The same would turn a timeout of the network into an end by the server, which counts as a crash.

The connection now keeps the failure of a write, and an end of stream after one counts as that failure. After an orderly end, writes fail with EPIPE, so such a response still is complete.

Ruled out: the parser, which completes no cut of eleven forms of response.

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -125,6 +125,7 @@
           if (self->written == 0) {
             self->Fail(FailureKind::kNotSent, failure.message());
           }
+          self->write_failure = failure;
           return;
         }
         self->Write();
@@ -152,17 +153,32 @@
           self->OnBytesRead(count);
           return;
         }
-        const bool clean = failure == boost::asio::error::eof;
-        if (clean && self->head_reported && !self->skipping &&
-            self->reader->FeedEof() == ResponseReader::Progress::kComplete) {
-          self->must_close = true;
-          self->FinishResponse();
-          return;
-        }
-        self->Fail(self->FailureKindOf(failure), failure.message());
+        self->OnConnectionEnded(self->EndCauseOf(failure));
       });
 }
 
+void BackendConnection::OnConnectionEnded(error_code cause) {
+  if (cause == boost::asio::error::eof && this->head_reported &&
+      !this->skipping &&
+      this->reader->FeedEof() == ResponseReader::Progress::kComplete) {
+    this->must_close = true;
+    this->FinishResponse();
+    return;
+  }
+  this->Fail(this->FailureKindOf(cause), cause.message());
+}
+
+error_code BackendConnection::EndCauseOf(error_code read_failure) const {
+  // The socket reports an error once. A write that gets it leaves an end of
+  // stream to the next read. After an orderly end, writes fail with EPIPE.
+  const bool write_took_error =
+      this->write_failure &&
+      this->write_failure != boost::asio::error::broken_pipe;
+  return read_failure == boost::asio::error::eof && write_took_error
+             ? this->write_failure
+             : read_failure;
+}
+
 void BackendConnection::WatchIdle() {
   // Bytes stay in the socket's buffer, where IsReusable finds them.
   this->reading = true;
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -97,6 +97,11 @@
   // under way: such bytes belong to no request.
   void WatchIdle();
   void OnBytesRead(std::size_t count);
+  void OnConnectionEnded(boost::system::error_code cause);
+  // Returns why the connection ended, of which the failure of a read may tell
+  // only a part.
+  [[nodiscard]] boost::system::error_code EndCauseOf(
+      boost::system::error_code read_failure) const;
   void ProcessReceived();
   void FinishResponse();
   void Fail(FailureKind kind, const std::string& reason);
@@ -111,6 +116,8 @@
   std::string request;
   // Bytes of the request that were written.
   std::size_t written = 0;
+  // Why a write of the rest of the request failed.
+  boost::system::error_code write_failure;
   std::string received;
   std::string read_buffer;
   std::unique_ptr<ResponseReader> reader;
--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -247,6 +247,15 @@
   RawServer server;
 };
 
+// A request whose body exceeds the buffers of a connection.
+std::string LongRequest() {
+  const std::string body(std::size_t{32} << 20U, 'x');
+  return fmt::format(
+             "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n",
+             body.size()) +
+         body;
+}
+
 }  // namespace
 
 TEST_GROUP(BrokenHeads){};
@@ -361,11 +370,6 @@
 // when the request is still being sent: the failed write takes the error from
 // the socket, and the next read reports an end in order.
 TEST(BrokenHeads, ResetWhileTheRequestIsSentCompletesNoResponse) {
-  const std::string body(std::size_t{32} << 20U, 'x');
-  const std::string request =
-      fmt::format("POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n",
-                  body.size()) +
-      body;
   for (const std::string& part : {std::string(), std::string("part")}) {
     const RawServer server([&](RawConnection& connection) {
       connection.ReadUntil("\r\n\r\n");
@@ -373,9 +377,23 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
       connection.Reset();
     });
-    const ResponseRecorder response = Client(server).Send(request);
+    const ResponseRecorder response = Client(server).Send(LongRequest());
     CHECK_EQUAL(200, response.status);
     CHECK(!response.is_complete);
     CHECK(response.failure == FailureKind::kDuringResponse);
   }
 }
+
+TEST(BrokenHeads, OrderlyEndWhileTheRequestIsSentCompletesTheResponse) {
+  const RawServer server([&](RawConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+    connection.Shutdown();
+    // The unread bytes turn the close into a reset.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    connection.Close();
+  });
+  const ResponseRecorder response = Client(server).Send(LongRequest());
+  CHECK(response.is_complete);
+  STRCMP_EQUAL("whole", response.body.c_str());
+}
