Take no response in an unknown transfer coding

A response with a Transfer-Encoding other than chunked, such as a cut "chunke" or "gzip, chunked", reached callers as a whole 200 with its body as it was sent, coded or framed, and without the field that says so.

Cause: Boost.Beast frames by the last coding only, and takes a body of another one up to the end of the connection; the field is dropped as hop-by-hop. No request allows a coding, so such a response now is malformed: it may have run, and is tried again where the route allows it.

--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -74,6 +74,14 @@
                      });
 }
 
+// Returns whether the body has a transfer coding other than chunked. The
+// requests that are sent allow no other one.
+bool HasUnknownCoding(const HeaderFields& fields) {
+  const auto coding = fields.Find("transfer-encoding");
+  return coding && (!TokensEqual(*coding, "chunked") ||
+                    fields.Count("transfer-encoding") > 1);
+}
+
 // Returns the status code with which to reject a request that the parser does
 // not accept.
 int StatusOf(const boost::beast::error_code& error) {
@@ -212,7 +220,8 @@
       return Progress::kMalformed;
     }
     if (!this->head_received && this->parser->has_head) {
-      if (ContainsResponse(*this->parser)) {
+      if (ContainsResponse(*this->parser) ||
+          HasUnknownCoding(this->parser->fields)) {
         return Progress::kMalformed;
       }
       if (this->parser->status < kFirstFinalStatus) {
--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -345,6 +345,25 @@
   }));
 }
 
+// Guards against a body in an unknown coding, or without a clear end, being
+// taken for the response's.
+TEST(BrokenHeads, UnclearFramingIsMalformed) {
+  for (const char* fields :
+       {"Transfer-Encoding: chunke\r\n", "Transfer-Encoding: \r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: \r\n", "Content-Length: 4x\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length: 4\r\nContent-Length: 8\r\n"}) {
+    ResponseReader reader(false);
+    std::string bytes =
+        fmt::format("HTTP/1.1 200 OK\r\n{}\r\n4\r\nabcd\r\n0\r\n\r\n", fields);
+    CHECK_TEXT(reader.Feed(bytes) == ResponseReader::Progress::kMalformed,
+               fields);
+  }
+}
+
 // Guards against a head that breaks off and the answer after it being taken for
 // one response.
 TEST(BrokenHeads, HeadThatBreaksOffBeforeASecondAnswerCompletesNoResponse) {
