--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -4,13 +4,17 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <map>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "proxy/backend_connection.h"
@@ -256,6 +260,144 @@
          body;
 }
 
+constexpr int kGateways = 10;
+// Stays below the slack of the retry budget.
+constexpr int kRequestsPerGateway = 18;
+constexpr int kServers = 24;
+constexpr int kEvents = 3;
+
+// The heads' parts that callers' requests need, for the request's id.
+std::string AnswerStart(const std::string& request) {
+  return "HTTP/1.1 200 OK\r\nRosemarycove-Request-Id: " +
+         HeaderValue(request, "Rosemarycove-Request-Id") +
+         "\r\nRosemarycove-Server-Seal: seal\r\n";
+}
+
+// Returns the events behind the one with this id.
+std::string EventsAfter(int last) {
+  std::string events;
+  for (int id = last + 1; id <= kEvents; ++id) {
+    events += fmt::format("id: {}\ndata: event {}\n\n", id, id);
+  }
+  return events;
+}
+
+// Returns the complete response to a request of a route. Its framing varies
+// with `variant`.
+Form AnswerForm(const std::string& request, const std::string& path,
+                int variant) {
+  const std::string start = AnswerStart(request);
+  if (path.starts_with("/stream/")) {
+    const std::string last = HeaderValue(request, "Last-Event-Id");
+    const std::string events = EventsAfter(last.empty() ? 0 : std::stoi(last));
+    const std::string chunk = events.empty() ? "" : Chunk(events);
+    return {"stream",
+            start +
+                "Content-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+            chunk + "0\r\n\r\n", events};
+  }
+  const std::string body = "answer to " + path;
+  switch (variant % 3) {
+    case 0:
+      return {"length",
+              fmt::format("{}Content-Length: {}\r\n\r\n", start, body.size()),
+              body, body};
+    case 1:
+      return {"chunks", start + "Transfer-Encoding: chunked\r\n\r\n",
+              Chunk(body.substr(0, 5)) + Chunk(body.substr(5)) +
+                  "0\r\nX-Sum: 1\r\n\r\n",
+              body};
+    default:
+      return {"until close", start + "Connection: close\r\n\r\n", body, body,
+              true};
+  }
+}
+
+// A server that breaks off its first response to each request.
+class BreakingServer {
+ public:
+  explicit BreakingServer(int seed) : random(seed) {}
+
+  RawServer::Handler Handler() {
+    return [this](RawConnection& connection) {
+      while (const auto request = connection.ReadMessage()) {
+        if (!this->Answer(*request, connection)) {
+          return;
+        }
+      }
+    };
+  }
+  // How the first response to the request with this path was cut, and how many
+  // there were.
+  std::pair<Cut, int> CutOf(const std::string& path) {
+    const std::lock_guard lock(this->mutex);
+    return {this->cuts[path], this->counts[path]};
+  }
+
+ private:
+  // Returns false if the connection has ended.
+  bool Answer(const std::string& request, RawConnection& connection) {
+    const std::size_t start = request.find(' ') + 1;
+    const std::string path =
+        request.substr(start, request.find(' ', start) - start);
+    Cut cut;
+    {
+      const std::lock_guard lock(this->mutex);
+      const int variant = static_cast<int>(this->random() % 3);
+      cut.form = AnswerForm(request, path, variant);
+      if (++this->counts[path] > 1) {
+        connection.Send(cut.form.Bytes());
+        return !cut.form.ends_with_connection;
+      }
+      cut.offset = this->random() % (cut.form.Bytes().size() + 1);
+      cut.close_mode =
+          this->random() % 2 == 0 ? CloseMode::kOrderly : CloseMode::kReset;
+      cut.prelude =
+          this->random() % 3 == 0 ? Prelude::kInterim : Prelude::kNone;
+      this->cuts[path] = cut;
+    }
+    SendAndBreakOff(connection, cut);
+    return false;
+  }
+
+  std::mutex mutex;
+  std::mt19937 random;
+  std::map<std::string, Cut> cuts;
+  std::map<std::string, int> counts;
+};
+
+// Returns the body of a caller's response; nullopt if it is incomplete.
+std::optional<std::string> BodyOf(const std::string& response) {
+  ResponseReader reader(false);
+  std::string bytes = response;
+  if (reader.Feed(bytes) != ResponseReader::Progress::kComplete) {
+    return std::nullopt;
+  }
+  return reader.TakeBody();
+}
+
+// Returns what is wrong with the response to the request with this path; empty
+// if nothing.
+std::string FindFaultOfResponse(const std::string& response,
+                                const std::string& path,
+                                BreakingServer& server) {
+  const auto [cut, count] = server.CutOf(path);
+  const std::string name =
+      fmt::format("{}, {}, sent {} times: {}", path, cut.Describe(), count,
+                  response.substr(0, response.find("\r\n\r\n")));
+  const std::optional<std::string> complete = cut.CompleteBody();
+  if (!complete && path.starts_with("/once/")) {
+    return count == 1 && response.starts_with("HTTP/1.1 502") ? "" : name;
+  }
+  const std::string expected = complete.value_or(
+      path.starts_with("/stream/") ? EventsAfter(0) : "answer to " + path);
+  return count == (complete ? 1 : 2) && response.starts_with("HTTP/1.1 200") &&
+                 BodyOf(response) == expected
+             ? ""
+             : name;
+}
+
 }  // namespace
 
 TEST_GROUP(BrokenHeads){};
@@ -416,3 +558,30 @@
   CHECK(response.is_complete);
   STRCMP_EQUAL("whole", response.body.c_str());
 }
+
+// Guards against callers that get a part of a response as a whole one, or whose
+// request isn't tried again although its route allows it.
+TEST(BrokenHeads, CallersGetTheWholeResponseOrTheTruth) {
+  for (int seed = 1; seed <= kGateways; ++seed) {
+    BreakingServer server(seed);
+    PlatformFixture platform(server.Handler());
+    for (int i = 2; i <= kServers; ++i) {
+      for (const char* service : {"model", "orders", "stock"}) {
+        platform.AddServer(fmt::format("{}-{}", service, i), service,
+                           platform.engine.address());
+      }
+    }
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    for (int i = 0; i < kRequestsPerGateway; ++i) {
+      const char* route = std::array{"once", "again", "stream"}.at(i % 3);
+      const std::string path = fmt::format("/{}/{}-{}", route, seed, i);
+      const auto caller = gateway.Connect();
+      caller->Send(PlatformFixture::Request(path, fmt::format("r{}", i),
+                                            "Connection: close\r\n", path));
+      const std::string fault =
+          FindFaultOfResponse(caller->ReadToEnd(), path, server);
+      STRCMP_EQUAL("", fault.c_str());
+    }
+  }
+}
