Keep connections of servers that do not read a long request for a while

A request whose body exceeds its server's window failed once the server had not read for the user timeout, 1.5 s and lately 2.5 s, with 502 if it may not run twice; also if the server answered meanwhile or would have gone on to read.

Cause: TCP_USER_TIMEOUT also ends connections whose window is full, although the other side acknowledges each probe.

While a request of more than 32 KiB is being sent, the connection looks four times a second whether the server acknowledges what it gets, and turns the timeout off as long as it does. If the server becomes unreachable meanwhile, the timeout is back after two probes without an answer. The timeouts of the route and of silent servers end such a request.

Evidence: test_connection_liveness LongRequestOutlivesAServerThatDoesNotRead failed before for bodies of 1 MiB and 32 MiB and passes now.

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -22,6 +22,11 @@
 // considered unreachable. A sound one may be silent for a second or two, and
 // two keep-alive probes have to fail.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(2500);
+// The window of a server takes requests up to this size even if it does not
+// read.
+constexpr std::size_t kMaxUnwatchedBytes = std::size_t{32} << 10U;
+// Interval of the checks of a longer one that is being sent.
+constexpr Duration kUnreadWatchInterval = std::chrono::milliseconds(250);
 // A response to another request with a larger body counts as endless.
 constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20U;
 // A connection is closed after this many requests, which limits the number of
@@ -54,7 +59,7 @@
 
 BackendConnection::BackendConnection(boost::asio::io_context& io,
                                      boost::asio::ip::tcp::endpoint endpoint)
-    : socket(io), endpoint(std::move(endpoint)) {}
+    : socket(io), unread_watch(io), endpoint(std::move(endpoint)) {}
 
 void BackendConnection::Send(std::string request_bytes, bool head_request,
                              ResponseListener& response_listener) {
@@ -129,9 +134,30 @@
           return;
         }
         self->Write();
+        self->WatchUnreadRequest();
       });
 }
 
+void BackendConnection::WatchUnreadRequest() {
+  if (this->watching_unread || this->closed ||
+      this->request.size() <= kMaxUnwatchedBytes) {
+    return;
+  }
+  this->watching_unread = true;
+  this->unread_watch.expires_after(kUnreadWatchInterval);
+  this->unread_watch.async_wait([self = this->shared_from_this()](
+                                    error_code /*failure*/) {
+    self->watching_unread = false;
+    if (self->closed) {
+      return;
+    }
+    const bool waits = UpdateUserTimeout(self->socket, kUnacknowledgedTimeout);
+    if (waits || self->writing) {
+      self->WatchUnreadRequest();
+    }
+  });
+}
+
 void BackendConnection::Read() {
   if (this->reading || this->paused || this->closed) {
     return;
@@ -331,6 +357,7 @@
   // The descriptor is released even if close reports an error.
   error_code ignored;
   this->socket.close(ignored);
+  this->unread_watch.cancel();
 }
 
 void BackendConnection::PauseReading() { this->paused = true; }
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -92,6 +93,9 @@
  private:
   void Connect();
   void Write();
+  // Keeps the connection of a server that does not read the rest of the request
+  // while it can be reached.
+  void WatchUnreadRequest();
   void Read();
   // Closes the connection if bytes arrive, or it ends, while no request is
   // under way: such bytes belong to no request.
@@ -111,6 +115,7 @@
       boost::system::error_code failure) const;
 
   boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer unread_watch;
   boost::asio::ip::tcp::endpoint endpoint;
   ResponseListener* listener = nullptr;
   std::string request;
@@ -134,6 +139,7 @@
   bool connected = false;
   bool connecting = false;
   bool writing = false;
+  bool watching_unread = false;
   bool reading = false;
   bool paused = false;
   bool closed = false;
--- a/src/proxy/socket_options.cc
+++ b/src/proxy/socket_options.cc
@@ -1,6 +1,9 @@
 #include "proxy/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <boost/asio/detail/socket_option.hpp>
 
@@ -22,24 +25,54 @@
 constexpr int kProbeAfterSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbeCount = 2;
+// The number of probes without an answer with which the other side still counts
+// as reachable: the answer to the last one may be on its way.
+constexpr int kMaxUnansweredProbes = 1;
 
-}  // namespace
-
-void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
-                        Duration user_timeout) {
+void SetUserTimeout(boost::asio::ip::tcp::socket& socket, Duration timeout) {
   // Setting options fails on a connection that is already broken; its next use
   // reports the error.
   boost::system::error_code ignored;
-  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(
       UserTimeout(static_cast<int>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(user_timeout)
+          std::chrono::duration_cast<std::chrono::milliseconds>(timeout)
               .count())),
       ignored);
+}
+
+// Returns whether the other side has acknowledged all bytes that were sent and
+// answers probes.
+bool IsAcknowledging(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) == 0 &&
+         info.tcpi_unacked == 0 && info.tcpi_probes <= kMaxUnansweredProbes;
+}
+
+}  // namespace
+
+void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
+                        Duration user_timeout) {
+  SetUserTimeout(socket, user_timeout);
+  // See SetUserTimeout.
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
   socket.set_option(ProbeAfter(kProbeAfterSeconds), ignored);
   socket.set_option(ProbeInterval(kProbeIntervalSeconds), ignored);
   socket.set_option(ProbeCount(kProbeCount), ignored);
 }
 
+bool UpdateUserTimeout(boost::asio::ip::tcp::socket& socket,
+                       Duration user_timeout) {
+  int waiting_bytes = 0;
+  const bool waits =
+      ::ioctl(socket.native_handle(), SIOCOUTQ, &waiting_bytes) == 0 &&
+      waiting_bytes > 0;
+  SetUserTimeout(socket,
+                 waits && IsAcknowledging(socket) ? Duration{} : user_timeout);
+  return waits;
+}
+
 }  // namespace rosemarycove
--- a/src/proxy/socket_options.h
+++ b/src/proxy/socket_options.h
@@ -16,4 +16,11 @@
 void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
                         Duration user_timeout);
 
+// Sets the user timeout of a connection on which bytes wait to be sent, or
+// turns it off while the other side acknowledges what it gets and just does not
+// read: the timeout would end such a connection, too. To be called periodically
+// until it returns false, when all bytes are acknowledged.
+bool UpdateUserTimeout(boost::asio::ip::tcp::socket& socket,
+                       Duration user_timeout);
+
 }  // namespace rosemarycove
--- a/tests/test_connection_liveness.cc
+++ b/tests/test_connection_liveness.cc
@@ -127,13 +127,11 @@
   std::shared_ptr<BackendConnection> connection;
 };
 
-// A request whose body exceeds the buffers of a connection.
-std::string LongRequest() {
-  const std::string body(std::size_t{32} << 20U, 'x');
+std::string RequestWithBody(std::size_t bytes) {
   return fmt::format(
              "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n",
-             body.size()) +
-         body;
+             bytes) +
+         std::string(bytes, 'x');
 }
 
 void CheckAnswered(const ResponseRecorder& response) {
@@ -214,5 +212,10 @@
       connection.Send(kAnswer);
     }
   });
-  CheckAnswered(Client(server).Send(LongRequest()));
+  // The first body exceeds the server's window, the second one the buffers of
+  // both sides.
+  for (const std::size_t bytes :
+       {std::size_t{1} << 20U, std::size_t{32} << 20U}) {
+    CheckAnswered(Client(server).Send(RequestWithBody(bytes)));
+  }
 }
