--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -585,3 +585,33 @@
     }
   }
 }
+
+// Guards against chunk headers within the body that a caller of HTTP/1.0 gets,
+// and against a part of it that looks whole.
+TEST(BrokenHeads, CallersOfHttp10GetLongBodiesWithoutChunks) {
+  const std::string body(std::size_t{200} << 10U, 'x');
+  for (const bool is_whole : {true, false}) {
+    PlatformFixture platform([&](RawConnection& connection) {
+      if (const auto request = connection.ReadMessage()) {
+        connection.Send(AnswerStart(*request) +
+                        "Transfer-Encoding: chunked\r\n\r\n" + Chunk(body) +
+                        (is_whole ? "0\r\n\r\n" : ""));
+        connection.Close();
+      }
+    });
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    const auto caller = gateway.Connect();
+    std::string request = PlatformFixture::Request("/once/x", "r1");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    caller->Send(request);
+    bool is_reset = false;
+    const std::string response = caller->ReadToEnd(&is_reset);
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    STRCMP_EQUAL("", HeaderValue(response, "Transfer-Encoding").c_str());
+    CHECK_EQUAL(!is_whole, is_reset);
+    if (is_whole) {
+      CHECK(response.substr(response.find("\r\n\r\n") + 4) == body);
+    }
+  }
+}
--- a/tests/test_connection_liveness.cc
+++ b/tests/test_connection_liveness.cc
@@ -18,6 +18,7 @@
 #include "platform/standins/raw_server.h"
 #include "proxy/backend_connection.h"
 #include "proxy/endpoint.h"
+#include "tests/gateway_fixture.h"
 
 // Included last, since CppUTest defines macros that break standard headers.
 #include <CppUTest/TestHarness.h>
@@ -36,6 +37,9 @@
 constexpr auto kLongSilence = milliseconds(3500);
 // Silences of a sound server or its host, which end nothing.
 constexpr auto kShortSilence = milliseconds(2000);
+// Longer than the user timeout of callers' connections and shorter than the
+// idle timeout of the configuration.
+constexpr auto kCallerSilence = seconds(12);
 constexpr int kMaxDescriptors = 1024;
 
 // The options that decide when the kernel ends a connection.
@@ -219,3 +223,26 @@
     CheckAnswered(Client(server).Send(RequestWithBody(bytes)));
   }
 }
+
+// Guards against a response that ends because its caller does not read for
+// longer than the user timeout, but for less than the idle timeout.
+TEST(ConnectionLiveness, CallerThatReadsLateGetsTheWholeResponse) {
+  const std::string body(std::size_t{32} << 20U, 'x');
+  PlatformFixture platform([&](RawConnection& connection) {
+    while (const auto request = connection.ReadMessage()) {
+      connection.Send(EngineResponse(*request, body));
+    }
+  });
+  platform.PutConfiguration(2, false, "30000");
+  const RunningGateway gateway("a", platform.store.address());
+  gateway.AwaitReady();
+  const auto caller = gateway.Connect();
+  caller->Send(
+      "POST /once/x HTTP/1.1\r\nHost: site.example\r\n"
+      "Rosemarycove-Request-Id: r1\r\nAuthorization: Token key-1\r\n"
+      "Rosemarycove-Deadline-Ms: 30000\r\nContent-Length: 0\r\n\r\n");
+  std::this_thread::sleep_for(kCallerSilence);
+  const auto response = caller->ReadMessage();
+  CHECK(response.has_value());
+  CHECK(response->ends_with(body));
+}
