Send long bodies without a length to HTTP/1.0 callers without chunks

Callers that use HTTP/1.0 got a response of more than 64 KiB whose server stated no length with chunk headers within the body, as a whole 200.

Cause: event streams for such callers end with the connection, but a response that is too long to be buffered was always passed on in chunks.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -610,9 +610,7 @@
     this->response_mode = ResponseMode::kStream;
     if (!this->head_forwarded) {
       this->stream_has_type = !head.MediaType().empty();
-      this->ForwardHead(head, this->request.is_http_1_0
-                                  ? BodyFraming::kUntilClose
-                                  : BodyFraming::kChunked);
+      this->ForwardHead(head, this->FramingWithoutLength());
     }
     return HeadDecision::kAccept;
   }
@@ -626,6 +624,11 @@
   this->sink.Write(WriteResponseHead(head, body_framing, this->DecideClose()));
 }
 
+BodyFraming Exchange::FramingWithoutLength() const {
+  return this->request.is_http_1_0 ? BodyFraming::kUntilClose
+                                   : BodyFraming::kChunked;
+}
+
 bool Exchange::DecideClose() {
   this->announced_close = !this->request.KeepsAlive() ||
                           this->context.is_draining ||
@@ -703,7 +706,7 @@
         this->response_mode = ResponseMode::kForwarded;
         this->ForwardHead(this->response, this->response.length
                                               ? BodyFraming::kLength
-                                              : BodyFraming::kChunked);
+                                              : this->FramingWithoutLength());
         this->ForwardBuffered();
       }
       return;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -174,6 +174,8 @@
   // attempt.
   [[nodiscard]] bool IsOwnResponse(const ResponseInfo& response_info) const;
   void ForwardHead(const ResponseHead& head, BodyFraming framing);
+  // Returns how the end of a body of unknown length is marked for the caller.
+  [[nodiscard]] BodyFraming FramingWithoutLength() const;
   // Forwards `buffered`. Pauses reading from the server if too many bytes wait
   // to be sent to the caller.
   void ForwardBuffered();
