--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -314,10 +314,11 @@
   }
 }
 
-// A server that breaks off its first response to each request.
+// A server that breaks off its first responses to each request.
 class BreakingServer {
  public:
-  explicit BreakingServer(int seed) : random(seed) {}
+  explicit BreakingServer(int seed, int cut_count = 1)
+      : cut_count(cut_count), random(seed) {}
 
   RawServer::Handler Handler() {
     return [this](RawConnection& connection) {
@@ -346,11 +347,14 @@
       const std::lock_guard lock(this->mutex);
       const int variant = static_cast<int>(this->random() % 3);
       cut.form = AnswerForm(request, path, variant);
-      if (++this->counts[path] > 1) {
+      if (++this->counts[path] > this->cut_count) {
         connection.Send(cut.form.Bytes());
         return !cut.form.ends_with_connection;
       }
-      cut.offset = this->random() % (cut.form.Bytes().size() + 1);
+      // Only a request with one cut may get a whole response.
+      const std::size_t offsets =
+          cut.form.Bytes().size() + (this->cut_count == 1 ? 1 : 0);
+      cut.offset = this->random() % offsets;
       cut.close_mode =
           this->random() % 2 == 0 ? CloseMode::kOrderly : CloseMode::kReset;
       cut.prelude =
@@ -361,6 +365,7 @@
     return false;
   }
 
+  int cut_count;
   std::mutex mutex;
   std::mt19937 random;
   std::map<std::string, Cut> cuts;
@@ -586,6 +591,39 @@
   }
 }
 
+// Guards against a stream that looks whole, or has an event twice, after both
+// the stream and what should go on with it broke off.
+TEST(BrokenHeads, StreamThatBreaksOffTwiceDoesNotLookComplete) {
+  for (int seed = 1; seed <= kGateways; ++seed) {
+    BreakingServer server(seed, 2);
+    PlatformFixture platform(server.Handler());
+    for (int i = 2; i <= kServers; ++i) {
+      platform.AddServer(fmt::format("model-{}", i), "model",
+                         platform.engine.address());
+    }
+    const RunningGateway gateway("a", platform.store.address());
+    gateway.AwaitReady();
+    for (int i = 0; i < kRequestsPerGateway; ++i) {
+      const std::string path = fmt::format("/stream/{}-{}", seed, i);
+      const auto caller = gateway.Connect();
+      caller->Send(PlatformFixture::Request(path, fmt::format("r{}", i),
+                                            "Connection: close\r\n", path));
+      std::string response = caller->ReadToEnd();
+      const std::string name = server.CutOf(path).first.Describe();
+      CHECK_EQUAL_TEXT(2, server.CutOf(path).second, name.c_str());
+      if (response.starts_with("HTTP/1.1 502")) {
+        continue;
+      }
+      CHECK_TEXT(response.starts_with("HTTP/1.1 200"), name.c_str());
+      ResponseReader reader(false);
+      CHECK_TEXT(reader.Feed(response) == ResponseReader::Progress::kNeedMore &&
+                     reader.FeedEof() == ResponseReader::Progress::kMalformed,
+                 name.c_str());
+      CHECK_TEXT(EventsAfter(0).starts_with(reader.TakeBody()), name.c_str());
+    }
+  }
+}
+
 // Guards against chunk headers within the body that a caller of HTTP/1.0 gets,
 // and against a part of it that looks whole.
 TEST(BrokenHeads, CallersOfHttp10GetLongBodiesWithoutChunks) {
