`serve`: count no cancelled attempt as complete

When a caller left while a response without a length arrived, its attempt counted as completed and its client went back to the pool. The caller is gone, so none got such a response; what the node recorded of the server was wrong.

Cause: the cancellation shuts the connection down, the read reports an end of stream, and that completes a response without a length.

Evidence: test_attempt_runner CancelledAttemptCompletesNoResponse failed before and passes in eleven runs after the change.

--- a/src/http/attempt_runner.cc
+++ b/src/http/attempt_runner.cc
@@ -53,10 +53,11 @@
         upstream_id(std::move(upstream_id)) {}
 
   void Cancel() override {
+    // Before the end of the connection, which may complete a response.
+    this->cancelled = true;
     if (this->client != nullptr) {
       this->client->stop();
     }
-    this->cancelled = true;
   }
 
   // Sends the request with the client and blocks until the attempt has ended.
@@ -170,7 +171,7 @@
     if (this->malformed) {
       return AttemptResult::kMalformed;
     }
-    if (!sent) {
+    if (!sent || this->cancelled) {
       return AttemptResult::kLost;
     }
     return this->DetermineResponseResult();
