--- a/src/http/attempt_runner.cc
+++ b/src/http/attempt_runner.cc
@@ -53,14 +53,15 @@
         upstream_id(std::move(upstream_id)) {}
 
   void Cancel() override {
+    // Before the end of the connection, which may complete a response.
+    this->cancelled = true;
     if (this->client != nullptr) {
       this->client->stop();
     }
-    this->cancelled = true;
   }
 
   // Sends the request with the client and blocks until the attempt has ended.
-  AttemptResult Send(httplib::Client& target) {
+  AttemptResult Send(BackendClient& target) {
     this->client = &target;
     this->pending.SetCanceller(this->attempt.attempt, this);
     httplib::Response response;
@@ -170,7 +171,7 @@
     if (this->malformed) {
       return AttemptResult::kMalformed;
     }
-    if (!sent) {
+    if (!sent || this->cancelled) {
       return AttemptResult::kLost;
     }
     return this->DetermineResponseResult();
@@ -218,7 +219,7 @@
   const SendAttempt& attempt;
   AttemptListener& listener;
   std::string upstream_id;
-  httplib::Client* client = nullptr;
+  BackendClient* client = nullptr;
   std::atomic<bool> cancelled = false;
   SseParser parser;
   UpstreamResponse response;
@@ -243,13 +244,13 @@
   // The server may close an idle connection while the request is being sent; it
   // is then unknown whether the request ran. A request that must not run twice
   // therefore always gets a new connection.
-  std::unique_ptr<httplib::Client> client =
+  std::unique_ptr<BackendClient> client =
       pending.upstream().repeatable ? this->clients.Acquire(attempt.address)
                                     : this->clients.MakeClient(attempt.address);
   Attempt run(pending, attempt, this->listener,
               UpstreamId(this->process, pending.id()));
   const AttemptResult result = run.Send(*client);
-  if (result == AttemptResult::kCompleted) {
+  if (result == AttemptResult::kCompleted && client->is_reusable()) {
     this->clients.Release(attempt.address, std::move(client));
   }
   this->listener.OnEnded({.id = pending.id(),
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -19,9 +19,14 @@
 // Maximum bytes per read from the socket.
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10U;
 // A server that leaves bytes of a request unacknowledged for this long is
-// considered unreachable. A round trip takes a few milliseconds, and lost
-// packets are retransmitted within a few hundred.
-constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
+// considered unreachable. A sound one may be silent for a second or two, and
+// two keep-alive probes have to fail.
+constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(2500);
+// The window of a server takes requests up to this size even if it does not
+// read.
+constexpr std::size_t kMaxUnwatchedBytes = std::size_t{32} << 10U;
+// Interval of the checks of a longer one that is being sent.
+constexpr Duration kUnreadWatchInterval = std::chrono::milliseconds(250);
 // A response to another request with a larger body counts as endless.
 constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20U;
 // A connection is closed after this many requests, which limits the number of
@@ -54,7 +59,7 @@
 
 BackendConnection::BackendConnection(boost::asio::io_context& io,
                                      boost::asio::ip::tcp::endpoint endpoint)
-    : socket(io), endpoint(std::move(endpoint)) {}
+    : socket(io), unread_watch(io), endpoint(std::move(endpoint)) {}
 
 void BackendConnection::Send(std::string request_bytes, bool head_request,
                              ResponseListener& response_listener) {
@@ -125,12 +130,34 @@
           if (self->written == 0) {
             self->Fail(FailureKind::kNotSent, failure.message());
           }
+          self->write_failure = failure;
           return;
         }
         self->Write();
+        self->WatchUnreadRequest();
       });
 }
 
+void BackendConnection::WatchUnreadRequest() {
+  if (this->watching_unread || this->closed ||
+      this->request.size() <= kMaxUnwatchedBytes) {
+    return;
+  }
+  this->watching_unread = true;
+  this->unread_watch.expires_after(kUnreadWatchInterval);
+  this->unread_watch.async_wait([self = this->shared_from_this()](
+                                    error_code /*failure*/) {
+    self->watching_unread = false;
+    if (self->closed) {
+      return;
+    }
+    const bool waits = UpdateUserTimeout(self->socket, kUnacknowledgedTimeout);
+    if (waits || self->writing) {
+      self->WatchUnreadRequest();
+    }
+  });
+}
+
 void BackendConnection::Read() {
   if (this->reading || this->paused || this->closed) {
     return;
@@ -152,17 +179,32 @@
           self->OnBytesRead(count);
           return;
         }
-        const bool clean = failure == boost::asio::error::eof;
-        if (clean && self->head_reported && !self->skipping &&
-            self->reader->FeedEof() == ResponseReader::Progress::kComplete) {
-          self->must_close = true;
-          self->FinishResponse();
-          return;
-        }
-        self->Fail(self->FailureKindOf(failure), failure.message());
+        self->OnConnectionEnded(self->EndCauseOf(failure));
       });
 }
 
+void BackendConnection::OnConnectionEnded(error_code cause) {
+  if (cause == boost::asio::error::eof && this->head_reported &&
+      !this->skipping &&
+      this->reader->FeedEof() == ResponseReader::Progress::kComplete) {
+    this->must_close = true;
+    this->FinishResponse();
+    return;
+  }
+  this->Fail(this->FailureKindOf(cause), cause.message());
+}
+
+error_code BackendConnection::EndCauseOf(error_code read_failure) const {
+  // The socket reports an error once. A write that gets it leaves an end of
+  // stream to the next read. After an orderly end, writes fail with EPIPE.
+  const bool write_took_error =
+      this->write_failure &&
+      this->write_failure != boost::asio::error::broken_pipe;
+  return read_failure == boost::asio::error::eof && write_took_error
+             ? this->write_failure
+             : read_failure;
+}
+
 void BackendConnection::WatchIdle() {
   // Bytes stay in the socket's buffer, where IsReusable finds them.
   this->reading = true;
@@ -315,6 +357,7 @@
   // The descriptor is released even if close reports an error.
   error_code ignored;
   this->socket.close(ignored);
+  this->unread_watch.cancel();
 }
 
 void BackendConnection::PauseReading() { this->paused = true; }
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -92,11 +93,19 @@
  private:
   void Connect();
   void Write();
+  // Keeps the connection of a server that does not read the rest of the request
+  // while it can be reached.
+  void WatchUnreadRequest();
   void Read();
   // Closes the connection if bytes arrive, or it ends, while no request is
   // under way: such bytes belong to no request.
   void WatchIdle();
   void OnBytesRead(std::size_t count);
+  void OnConnectionEnded(boost::system::error_code cause);
+  // Returns why the connection ended, of which the failure of a read may tell
+  // only a part.
+  [[nodiscard]] boost::system::error_code EndCauseOf(
+      boost::system::error_code read_failure) const;
   void ProcessReceived();
   void FinishResponse();
   void Fail(FailureKind kind, const std::string& reason);
@@ -106,11 +115,14 @@
       boost::system::error_code failure) const;
 
   boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer unread_watch;
   boost::asio::ip::tcp::endpoint endpoint;
   ResponseListener* listener = nullptr;
   std::string request;
   // Bytes of the request that were written.
   std::size_t written = 0;
+  // Why a write of the rest of the request failed.
+  boost::system::error_code write_failure;
   std::string received;
   std::string read_buffer;
   std::unique_ptr<ResponseReader> reader;
@@ -127,6 +139,7 @@
   bool connected = false;
   bool connecting = false;
   bool writing = false;
+  bool watching_unread = false;
   bool reading = false;
   bool paused = false;
   bool closed = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -761,9 +761,7 @@
     this->response_mode = ResponseMode::kStream;
     if (!this->head_forwarded) {
       this->stream_has_type = !head.MediaType().empty();
-      this->ForwardHead(head, this->request.is_http_1_0
-                                  ? BodyFraming::kUntilClose
-                                  : BodyFraming::kChunked);
+      this->ForwardHead(head, this->FramingWithoutLength());
     }
     return HeadDecision::kAccept;
   }
@@ -786,6 +784,11 @@
       WriteResponseHead(told_head, body_framing, this->DecideClose()));
 }
 
+BodyFraming Exchange::FramingWithoutLength() const {
+  return this->request.is_http_1_0 ? BodyFraming::kUntilClose
+                                   : BodyFraming::kChunked;
+}
+
 bool Exchange::DecideClose() {
   this->announced_close = !this->request.KeepsAlive() ||
                           this->context.is_draining ||
@@ -871,7 +874,7 @@
         this->response_mode = ResponseMode::kForwarded;
         this->ForwardHead(this->response, this->response.length
                                               ? BodyFraming::kLength
-                                              : BodyFraming::kChunked);
+                                              : this->FramingWithoutLength());
         this->ForwardBuffered();
       }
       return;
--- a/src/proxy/socket_options.h
+++ b/src/proxy/socket_options.h
@@ -10,8 +10,17 @@
 
 // Makes a connection fail once sent bytes stay unacknowledged for
 // `user_timeout`, and enables keep-alive probes, so that a network partition
-// is detected even though no reset arrives. Also disables Nagle's algorithm.
+// is detected even though no reset arrives. Probes are sent each second; at the
+// second one or later, the connection fails if it got no answer for
+// `user_timeout`. Also disables Nagle's algorithm.
 void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
                         Duration user_timeout);
 
+// Sets the user timeout of a connection on which bytes wait to be sent, or
+// turns it off while the other side acknowledges what it gets and just does not
+// read: the timeout would end such a connection, too. To be called periodically
+// until it returns false, when all bytes are acknowledged.
+bool UpdateUserTimeout(boost::asio::ip::tcp::socket& socket,
+                       Duration user_timeout);
+
 }  // namespace rosemarycove
