Refuse requests that the rest of the grace is too short for

Callers saw 502, or a stream that broke off, for requests that an instance took late in a planned stop, also for routes that may not be repeated.

Cause: the last moment for a new request was fixed at 3 s after SIGTERM, whatever the grace and the time that such requests take, and a request that waited for capacity or was retried was sent at any time. Class of fault: a fixed time where a learnt one is needed.

RequestDurations learns for each route how long a server takes (the 0.95 quantile; without observations, the route's target up to 2 s, for streams 2 s), and ShutdownSchedule holds the times of the stop. A request is refused as not run, with cause `draining`, if it would usually end after the cut-off: when it arrives, with the expected wait, while it waits, before it is placed and before it is retried. One that may have run already can't be refused, so it is retried if the median time is left. The time is bounded by what the request itself has left.

RequestsThatWaitAtTheEndOfTheGraceAreRefusedAsNotRun started the drain before its requests had been read, in one of two orders; as they have no usual time yet, all were then refused. It now waits until they are read and checks the same.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -61,9 +61,6 @@
 constexpr Duration kUnreadyDelay = std::chrono::milliseconds(2600);
 // End of the shutdown grace that is reserved for an orderly exit.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
-// Requests that arrive later, on connections that are still open, may not be
-// finished within the grace; they are refused.
-constexpr Duration kLastRequestDelay = std::chrono::milliseconds(3000);
 // Time for the last bytes to leave the process after the requests that are open
 // at the end of the grace were cut off.
 constexpr Duration kFlushTime = std::chrono::milliseconds(250);
@@ -220,7 +217,8 @@
 
 bool Gateway::ready() const {
   return this->context.configuration != nullptr &&
-         this->directory.revision() != 0 && !this->drain_started_at;
+         this->directory.revision() != 0 &&
+         !this->context.shutdown.has_started();
 }
 
 void Gateway::WaitForSignal() {
@@ -261,11 +259,11 @@
 }
 
 void Gateway::StartDrain() {
-  if (this->drain_started_at) {
+  if (this->context.shutdown.has_started()) {
     return;
   }
-  this->drain_started_at = MonotonicNow();
-  this->drain_grace = this->options.shutdown_grace;
+  this->context.shutdown.Start(this->options.shutdown_grace - kShutdownMargin,
+                               MonotonicNow());
   this->context.is_draining = true;
   this->links.ScheduleReport();
   this->log.Write(LogEvent::kDrainStarted,
@@ -338,25 +336,22 @@
 }
 
 void Gateway::ContinueDrain(TimePoint now) {
-  if (!this->drain_started_at) {
+  const ShutdownSchedule& shutdown = this->context.shutdown;
+  if (!shutdown.has_started()) {
     return;
   }
-  const Duration elapsed = now - *this->drain_started_at;
-  const Duration cut_off_delay =
-      std::max(Duration{}, Duration(this->drain_grace - kShutdownMargin));
-  const bool is_over = elapsed >= cut_off_delay;
-  if (elapsed < kUnreadyDelay && !is_over) {
+  const bool is_over = shutdown.IsOver(now);
+  if (shutdown.Elapsed(now) < kUnreadyDelay && !is_over) {
     return;
   }
   this->proxy_server.StopAccepting();
-  this->context.refuses_requests = is_over || elapsed >= kLastRequestDelay;
   if (is_over) {
     this->CutOffRequests();
   } else {
-    this->proxy_server.CloseIdle(this->context.refuses_requests);
+    this->proxy_server.CloseIdle(!shutdown.AcceptsAt(now));
   }
   if (this->proxy_server.connection_count() == 0 ||
-      elapsed >= cut_off_delay + kFlushTime) {
+      shutdown.IsOver(now - kFlushTime)) {
     this->stopped = true;
     this->io.stop();
   }
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -213,10 +213,6 @@
   std::uint64_t stream_origins_sent = 0;
   // When this instance last read the directory from the store itself.
   TimePoint own_directory_read_at;
-  // Set once the drain has started.
-  std::optional<TimePoint> drain_started_at;
-  // The grace in force when the drain started.
-  Duration drain_grace{};
   // Requests were still open when the shutdown grace ended.
   bool requests_cut_off = false;
   bool stopped = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -145,7 +145,7 @@
   if (!this->ResolveRoute()) {
     return;
   }
-  if (this->context.refuses_requests) {
+  if (!this->context.shutdown.AcceptsAt(this->arrival)) {
     this->RejectAsNotExecuted(EndCause::kDraining, kDrainingRetryAfter);
     return;
   }
@@ -309,6 +309,30 @@
   return this->deadline - now;
 }
 
+bool Exchange::IsTooLate(TimePoint sent_at) const {
+  // The rest of a stream whose beginning was forwarded is broken off in any
+  // case if it isn't sent on.
+  if (!this->context.shutdown.has_started() || this->head_forwarded) {
+    return false;
+  }
+  // Once it may have been executed, the request can't be refused, and what is
+  // more likely than not to end in time is worth an attempt.
+  const Route& route = *this->query.route;
+  const Duration usual = this->possible_executions > 0
+                             ? this->context.durations.MedianTime(route)
+                             : this->context.durations.LongTime(route);
+  return !this->context.shutdown.HasTimeFor(
+      std::min(usual, this->Remaining(sent_at)), sent_at);
+}
+
+bool Exchange::GiveUpIfTooLate(TimePoint now) {
+  if (!this->IsTooLate(now)) {
+    return false;
+  }
+  this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
+  return true;
+}
+
 bool Exchange::GiveUpIfQuarantined(TimePoint now) {
   const std::optional<QuarantinedSuspect> found =
       this->context.quarantine.FindQuarantined(this->suspects, now);
@@ -322,7 +346,7 @@
 
 void Exchange::Place() {
   const TimePoint now = MonotonicNow();
-  if (this->GiveUpIfQuarantined(now)) {
+  if (this->GiveUpIfTooLate(now) || this->GiveUpIfQuarantined(now)) {
     return;
   }
   if (this->query.service == nullptr) {
@@ -373,6 +397,10 @@
     this->GiveUpWithoutServer(NoChoiceReason::kHeldBack);
     return;
   }
+  if (this->IsTooLate(now + this->expected_wait)) {
+    this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
+    return;
+  }
   this->wait_deadline = this->arrival + max_wait;
   if (this->head_forwarded) {
     this->wait_deadline =
@@ -395,7 +423,7 @@
 }
 
 AdmitResult Exchange::TryAdmit(TimePoint now) {
-  if (this->GiveUpIfQuarantined(now)) {
+  if (this->GiveUpIfTooLate(now) || this->GiveUpIfQuarantined(now)) {
     return AdmitResult::kLeftQueue;
   }
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
@@ -901,7 +929,12 @@
     ++this->not_executed_attempts;
   }
   std::string no_retry_reason;
-  const bool retry = failure.next || this->MayRetry(no_retry_reason);
+  const bool is_too_late = !failure.next && this->IsTooLate(now);
+  if (is_too_late) {
+    no_retry_reason = "the instance is about to exit";
+  }
+  const bool retry =
+      failure.next || (!is_too_late && this->MayRetry(no_retry_reason));
   this->context.observer.OnAttemptFailed(
       {.request_id = this->request_info.request_id,
        .attempt = this->attempts,
@@ -933,6 +966,10 @@
     this->End(Outcome::kFailed, EndCause::kBackendError, this->response.status);
     return;
   }
+  if (is_too_late && !failure.may_have_executed) {
+    this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
+    return;
+  }
   this->GiveUp(failure.may_have_executed ? EndCause::kAnswerLost
                                          : EndCause::kNoBackend);
 }
@@ -1050,6 +1087,9 @@
     this->GiveUpWithoutServer(NoChoiceReason::kHeldBack);
     return;
   }
+  if (this->waiting_id && this->GiveUpIfTooLate(now)) {
+    return;
+  }
   if (!this->choice) {
     return;
   }
@@ -1057,6 +1097,7 @@
     if (this->send_started) {
       ++this->possible_executions;
     }
+    this->context.durations.Observe(*this->query.route, now - this->sent_at);
     this->context.placer.ObserveSilence(this->query, *this->choice,
                                         now - this->sent_at, now);
     this->EndAttempt();
@@ -1237,6 +1278,9 @@
        .quarantined_suspect = this->quarantined_suspect,
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
+  if (outcome == Outcome::kCompleted) {
+    this->context.durations.Observe(*route, now - this->sent_at);
+  }
   this->EndAttempt();
   if (outcome == Outcome::kCompleted) {
     this->context.stream_origins.RecordCompletion(this->stream_hash);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -125,6 +125,11 @@
                                       const std::string& default_service) const;
   // Sends the request to a server, queues it or gives up.
   void Place();
+  // Returns whether the instance shuts down and a server that gets the request
+  // at this time would probably not end it before the cut-off.
+  [[nodiscard]] bool IsTooLate(TimePoint sent_at) const;
+  // Gives up and returns true if it is too late to send the request.
+  bool GiveUpIfTooLate(TimePoint now);
   // Gives up and returns true if one of the request's suspects is quarantined.
   bool GiveUpIfQuarantined(TimePoint now);
   // Ends the current attempt and the request, and returns true, if one of its
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -14,8 +14,10 @@
 #include "core/placement_queues.h"
 #include "core/placer.h"
 #include "core/prompt_sizes.h"
+#include "core/request_durations.h"
 #include "core/request_quarantine.h"
 #include "core/routing_configuration.h"
+#include "core/shutdown_schedule.h"
 #include "core/software_history.h"
 #include "core/stream_origins.h"
 #include "proxy/call_dialect.h"
@@ -45,15 +47,15 @@
   // from start to end.
   std::shared_ptr<const RoutingConfiguration> configuration;
   PromptSizes prompt_sizes = {};
+  RequestDurations durations = {};
   // Requests that wait for capacity, and their exchanges by id.
   PlacementQueues placement_queues = {};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
   RequestId next_request_id = 1;
   // The instance is stopping; responses ask callers to close their connections.
   bool is_draining = false;
-  // Requests that arrive are refused as not executed, since the process is
-  // about to exit.
-  bool refuses_requests = false;
+  // Which requests are still handled until the process exits.
+  ShutdownSchedule shutdown = {};
   // Total size of the request bodies in memory. Once it exceeds the maximum,
   // further requests are rejected after their heads are read.
   std::size_t buffered_body_bytes = 0;
--- a/tests/test_drain.cc
+++ b/tests/test_drain.cc
@@ -302,6 +302,11 @@
     callers.back()->Send(PlatformFixture::Request(
         "/stream/hold-stream", "r" + std::to_string(i), fields));
   }
+  while (!draining.engines.HasReceived("r0")) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  // Time for the other requests to be read.
+  std::this_thread::sleep_for(milliseconds(100));
   draining.StartDrain();
   int refused = 0;
   for (int i = 0; i < kRequests; ++i) {
