Keep a response's time limit when the configuration changes

Callers that read a response slowly lost its rest when a configuration with a shorter idle timeout came while they read.

Cause: the time that a caller may take to read a part of a response was read from the configuration in force, not from the one with which the request began. It is now set when the request begins, as all else that a request takes from its configuration.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -150,6 +150,7 @@
 
 void CallerConnection::StartExchange() {
   this->had_request = true;
+  this->write_timeout = this->Limits().idle_timeout;
   this->context.observer.OnRequestRead();
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
@@ -160,6 +161,7 @@
 }
 
 void CallerConnection::Reject(int status) {
+  this->write_timeout = this->Limits().idle_timeout;
   std::optional<Duration> retry;
   if (status == http_status::kUnavailable) {
     retry = kRejectedRetryAfter;
@@ -263,14 +265,13 @@
       this->exchange->Tick(now);
     }
     if (!this->sending.empty() &&
-        now - this->last_write > this->Limits().idle_timeout) {
+        now - this->last_write > this->write_timeout) {
       this->OnCallerLost(CloseCause::kCallerNotReading);
     }
     return;
   }
   if (this->closing) {
-    const bool write_timed_out =
-        now - this->last_write > this->Limits().idle_timeout;
+    const bool write_timed_out = now - this->last_write > this->write_timeout;
     if (this->unsent_bytes() == 0 ? now >= *this->close_at : write_timed_out) {
       this->Close(*this->closing);
     }
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -104,6 +104,9 @@
   TimePoint waiting_since;
   TimePoint last_read;
   TimePoint last_write;
+  // How long the caller may take to read a part of the response. A
+  // configuration that comes later doesn't change it.
+  Duration write_timeout{};
   // When a closing connection is closed, provided that all is sent; nullopt
   // before it closes.
   std::optional<TimePoint> close_at;
