Refuse requests that arrive just after the cut-off

Callers lost the connection of requests that they sent around the end of the grace: the connection was closed, or reset, without a response, so they could not know that the request had not been run.

Cause: at the cut-off, half a second before the end of the grace, idle connections were closed at once, also new ones whose first request was on its way. With a grace of more than 3.5 s they are closed before, at 2.6 and 3 s. Nothing requires it at that moment: the process goes on for 250 ms to send its last bytes. Idle connections now stay open for that time, and a request that arrives is refused as not run. They are closed when the process is about to exit.

Evidence: RequestsThatCrossTheCutOffAreRefused failed before. A request that crosses the last close is still reset, unread: nothing can announce the end of an idle connection to its caller.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -345,7 +345,9 @@
     return;
   }
   this->proxy_server.StopAccepting();
-  if (is_over) {
+  if (shutdown.IsOver(now - kFlushTime)) {
+    this->proxy_server.CloseIdle(true);
+  } else if (is_over) {
     this->CutOffRequests();
   } else {
     this->proxy_server.CloseIdle(!shutdown.AcceptsAt(now));
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -316,8 +316,6 @@
     this->exchange->CutOff();
   } else if (this->reader && !this->closing) {
     this->Reject(http_status::kUnavailable);
-  } else {
-    this->CloseIfIdle(true);
   }
 }
 
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -33,7 +33,8 @@
   // `unused_too`.
   void CloseIfIdle(bool unused_too);
   // Ends the request with a true outcome and starts to close the connection,
-  // since the process is about to exit.
+  // since the process is about to exit. An idle connection stays open, so that
+  // a request that is on its way is refused and not lost.
   void Shutdown();
   // Closes the connection and drops its request at once, without a response.
   // Must not be called from within the request's own functions.
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -43,7 +43,7 @@
   // those that never had a request only if `unused_too`.
   void CloseIdle(bool unused_too);
   // Ends all requests with a true outcome and starts to close their
-  // connections.
+  // connections. Idle connections stay open until the process exits.
   void Shutdown();
   // Checks timeouts and removes closed connections; called periodically.
   void Tick(TimePoint now);
