--- a/tests/test_late_in_the_grace.cc
+++ b/tests/test_late_in_the_grace.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include "tests/gateway_fixture.h"
 
@@ -162,6 +163,7 @@
   StatusCounts counts;
   std::mutex mutex;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       // Spreads the callers over the time that a request takes.
