Answer a request whose bytes were received when its connection counts as idle

What callers saw: in a drain, a connection was closed without a response and without a reset, so that a request that was just sent, and not passed on, could not be told from one that was read.

Cause: async_read_some takes the bytes from the socket when it is started, and its handler is queued. A tick that came between them saw no unread bytes in the socket and none received, and closed the connection as idle. Class of fault: a state that is read from two places while the data are in neither.

Now the connection waits until its socket is readable and reads in the handler, so HasUnreadBytes sees all that has not been parsed. Its cost, one more call to epoll for each read, was not measured.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -56,6 +56,8 @@
       last_read(this->waiting_since),
       last_write(this->waiting_since) {
   SetLivenessOptions(this->socket, kUnacknowledgedTimeout);
+  error_code ignored;
+  this->socket.non_blocking(true, ignored);
 }
 
 CallerLimits CallerConnection::Limits() const {
@@ -71,22 +73,34 @@
     return;
   }
   this->reading = true;
-  this->read_buffer.resize(kReadBufferBytes);
-  this->socket.async_read_some(
-      boost::asio::buffer(this->read_buffer),
-      [self = this->shared_from_this()](error_code failure, std::size_t count) {
+  // The bytes stay in the socket until they are parsed, so that HasUnreadBytes
+  // sees them. async_read_some may take them some time before its handler runs.
+  this->socket.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = this->shared_from_this()](error_code failure) {
         self->reading = false;
-        if (self->closed) {
-          return;
-        }
-        if (failure) {
-          self->OnCallerLost(CloseCause::kCallerClosed);
-          return;
+        if (!self->closed) {
+          self->ReadAvailable(failure);
         }
-        self->OnBytesRead(count);
       });
 }
 
+void CallerConnection::ReadAvailable(error_code failure) {
+  std::size_t count = 0;
+  if (!failure) {
+    this->read_buffer.resize(kReadBufferBytes);
+    count =
+        this->socket.read_some(boost::asio::buffer(this->read_buffer), failure);
+  }
+  if (failure == boost::asio::error::would_block) {
+    this->Read();
+  } else if (failure) {
+    this->OnCallerLost(CloseCause::kCallerClosed);
+  } else {
+    this->OnBytesRead(count);
+  }
+}
+
 void CallerConnection::OnBytesRead(std::size_t count) {
   this->last_read = MonotonicNow();
   this->received.append(this->read_buffer.data(), count);
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -52,6 +52,8 @@
 
  private:
   void Read();
+  // Reads what the socket has, unless waiting for it failed.
+  void ReadAvailable(boost::system::error_code failure);
   void OnBytesRead(std::size_t count);
   void ParseReceived();
   void StartExchange();
--- a/tests/test_drain.cc
+++ b/tests/test_drain.cc
@@ -275,6 +275,24 @@
   LONGS_EQUAL(0, counts.unanswered);
 }
 
+// Guards against a request that is lost without a reset: its bytes have been
+// received when its connection is closed as idle, and not yet been parsed.
+TEST(Drain, RequestThatArrivesJustBeforeTheEndOfTheGraceIsAnswered) {
+  DrainingGateway draining(milliseconds(1500));
+  draining.StartDrain();
+  std::unique_ptr<RawConnection> caller;
+  // The event loop then accepts the connection and ends the drain at once.
+  draining.gateway->RunOnEventLoop([&](Gateway&) {
+    caller = draining.gateway->Connect();
+    caller->Send(PlatformFixture::Request("/once/x", "r1"));
+    std::this_thread::sleep_until(draining.drain_started_at +
+                                  milliseconds(1100));
+  });
+  STRCMP_EQUAL("HTTP/1.1 503 Service Unavailable",
+               ReadStatusLine(*caller).c_str());
+  draining.gateway->AwaitEnd();
+}
+
 // Guards against a drain that goes on after the grace that the platform allows,
 // since SIGHUP came meanwhile.
 TEST(Drain, ReloadedSettingsDoNotLengthenADrain) {
