--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <thread>
 #include <utility>
@@ -18,35 +19,52 @@
 
 namespace rosemarycove::soak {
 
-std::vector<int> FindFreePorts(int count) {
-  std::vector<int> descriptors;
-  std::vector<int> ports;
-  for (int i = 0; i < count; ++i) {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    if (::bind(descriptor, generic, size) == 0 &&
-        ::getsockname(descriptor, generic, &size) == 0) {
-      ports.push_back(ntohs(address.sin_port));
+namespace {
+
+bool IsFree(int port) {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool is_free =
+      ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) == 0;
+  ::close(descriptor);
+  return is_free;
+}
+
+}  // namespace
+
+int FindFreePorts(int count) {
+  constexpr int kFirst = 12000;
+  constexpr int kRange = 18000;
+  // Runs at the same time begin at different ports.
+  constexpr int kStride = 331;
+  const int start = ::getpid() * kStride % kRange;
+  int run = 0;
+  for (int i = 0; i < kRange; ++i) {
+    const int offset = (start + i) % kRange;
+    run = offset == 0 ? 0 : run;
+    run = IsFree(kFirst + offset) ? run + 1 : 0;
+    if (run == count) {
+      return kFirst + offset - count + 1;
     }
-    descriptors.push_back(descriptor);
-  }
-  for (const int descriptor : descriptors) {
-    ::close(descriptor);
   }
-  return ports;
+  return 0;
 }
 
 GatewayProcess::GatewayProcess(std::filesystem::path program_path,
                                std::filesystem::path work_folder,
-                               std::string name, GatewayPorts listen_ports)
+                               std::string name, GatewayPorts listen_ports,
+                               std::vector<std::string> settings)
     : program(std::move(program_path)),
       folder(std::move(work_folder)),
       instance(std::move(name)),
-      ports(listen_ports) {}
+      ports(listen_ports),
+      environment(std::move(settings)) {}
 
 GatewayProcess::~GatewayProcess() {
   if (this->process != 0) {
@@ -64,7 +82,8 @@
 }
 
 void GatewayProcess::WriteSettings(const std::string& store_address,
-                                   const std::vector<int>& seed_ports) const {
+                                   const std::vector<int>& seed_ports,
+                                   std::chrono::milliseconds grace) const {
   std::vector<std::string> seeds;
   seeds.reserve(seed_ports.size());
   for (const int port : seed_ports) {
@@ -72,11 +91,14 @@
   }
   std::ofstream(this->SettingsFile()) << fmt::format(
       "node_name = \"{}\"\nzone = \"here\"\nseeds = [{}]\n"
+      "port_range = [{}, {}]\n"
       "[listen]\nfront = \"127.0.0.1:{}\"\nready_addr = \"127.0.0.1:{}\"\n"
-      "control_addr = \"127.0.0.1:{}\"\n[bounds]\ngrace_s = 8\n"
+      "control_addr = \"127.0.0.1:{}\"\n[bounds]\ngrace_s = {}\n"
       "[platform]\naddress = \"{}\"\n",
-      this->instance, fmt::join(seeds, ", "), this->ports.callers,
-      this->ports.status, this->ports.peers, store_address);
+      this->instance, fmt::join(seeds, ", "), this->ports.relay(),
+      this->ports.relay() + 1, this->ports.callers(), this->ports.status(),
+      this->ports.peers(), std::chrono::duration<double>(grace).count(),
+      store_address);
 }
 
 bool GatewayProcess::Start() {
@@ -84,6 +106,14 @@
   const std::string log_file = this->LogFile();
   const std::string settings_file = this->SettingsFile();
   const char* const path = this->program.c_str();
+  std::vector<const char*> variables;
+  for (const std::string& setting : this->environment) {
+    variables.push_back(setting.c_str());
+  }
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    variables.push_back(*variable);
+  }
+  variables.push_back(nullptr);
   this->process = ::fork();
   if (this->process == 0) {
     const int log =
@@ -92,7 +122,8 @@
     ::dup2(log, STDERR_FILENO);
     // Connections of this process would otherwise stay open in the new one.
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
-    ::execl(path, path, "gateway", "--config", settings_file.c_str(), nullptr);
+    ::execle(path, path, "gateway", "--config", settings_file.c_str(), nullptr,
+             variables.data());
     ::_exit(127);
   }
   return this->process > 0;
@@ -118,7 +149,8 @@
 }
 
 bool GatewayProcess::IsReady() const {
-  const auto connection = platform::RawConnection::Connect(this->ports.status);
+  const auto connection =
+      platform::RawConnection::Connect(this->ports.status());
   return connection &&
          connection->Send("GET /readyz HTTP/1.1\r\nHost: s\r\n\r\n") &&
          connection->ReadMessage().value_or("").starts_with("HTTP/1.1 200");
@@ -136,4 +168,24 @@
   return lines;
 }
 
+ProcessUsage GatewayProcess::Usage() const {
+  const std::filesystem::path entry =
+      fmt::format("/proc/{}", static_cast<int>(this->process));
+  ProcessUsage usage;
+  std::error_code error;
+  for (auto item = std::filesystem::directory_iterator(entry / "fd", error);
+       item != std::filesystem::directory_iterator(); item.increment(error)) {
+    ++usage.descriptors;
+  }
+  std::ifstream status(entry / "status");
+  constexpr int kKilobytes = 1024;
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmRSS:")) {
+      usage.memory_mb =
+          std::atoi(line.c_str() + line.find(':') + 1) / kKilobytes;
+    }
+  }
+  return usage;
+}
+
 }  // namespace rosemarycove::soak
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -11,28 +11,43 @@
 
 namespace rosemarycove::soak {
 
+// The ports of one process, one after another.
 struct GatewayPorts {
-  int callers = 0;
-  int status = 0;
-  int peers = 0;
+  static constexpr int kCount = 5;
+  int first = 0;
+  [[nodiscard]] int callers() const { return this->first; }
+  [[nodiscard]] int status() const { return this->first + 1; }
+  [[nodiscard]] int peers() const { return this->first + 2; }
+  // The first of two for the relay.
+  [[nodiscard]] int relay() const { return this->first + 3; }
 };
 
-// Returns ports of the loopback address that were free a moment ago.
-std::vector<int> FindFreePorts(int count);
+// Returns the first of this many successive ports of the loopback address that
+// were free a moment ago, below those that the system gives out; 0 if there are
+// none.
+int FindFreePorts(int count);
+
+// What a process holds.
+struct ProcessUsage {
+  int descriptors = 0;
+  int memory_mb = 0;
+};
 
 // Starts and signals one gateway. The settings and the log are files in its
 // folder, named after the instance; all its processes append to the same log.
 class GatewayProcess {
  public:
   GatewayProcess(std::filesystem::path program, std::filesystem::path folder,
-                 std::string name, GatewayPorts ports);
+                 std::string name, GatewayPorts ports,
+                 std::vector<std::string> environment);
   // Kills the process if it runs.
   ~GatewayProcess();
   GatewayProcess(const GatewayProcess&) = delete;
   GatewayProcess& operator=(const GatewayProcess&) = delete;
 
   void WriteSettings(const std::string& store_address,
-                     const std::vector<int>& seed_ports) const;
+                     const std::vector<int>& seed_ports,
+                     std::chrono::milliseconds grace) const;
   // Returns false if there is no process.
   bool Start();
   void Signal(int number) const;
@@ -41,7 +56,9 @@
   std::optional<int> Wait(std::chrono::milliseconds timeout);
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] const std::string& name() const { return this->instance; }
-  [[nodiscard]] int caller_port() const { return this->ports.callers; }
+  [[nodiscard]] int caller_port() const { return this->ports.callers(); }
+  [[nodiscard]] int peer_port() const { return this->ports.peers(); }
+  [[nodiscard]] ProcessUsage Usage() const;
   // Returns the lines of the log that contain the text.
   [[nodiscard]] std::vector<std::string> LogLinesWith(
       const std::string& text) const;
@@ -54,6 +71,8 @@
   std::filesystem::path folder;
   std::string instance;
   GatewayPorts ports;
+  // Settings in addition to the environment of this process.
+  std::vector<std::string> environment;
   pid_t process = 0;
 };
 
