Divide the slots of brittle servers between the instances

Callers would have seen, in a burst, streams broken off, 502 and refusals again and again: servers that fall over when they have to reject more than a few requests within a second fell one after another, as each instance sent what the others had left no room for, and the load of one that fell went to the rest.

Cause: servers say in their responses how many rejections they tolerate, and nothing read it. Waiting at servers cost nothing but a retry, and nothing bounded the sum of the rejections over all instances.

Now the field is read and told to all instances, once per change. While a server is brittle, each instance has a part of its slots, the same at all instances, so the sum holds before they hear of each other; nothing is sent that would wait there. Idle slots are lent while the server is at most two thirds full, no more at once than a third of the rejections that it tolerates. After a rejection the instance sends it nothing for a second or more, and all believe in less room for a while. Servers of the service that have not answered yet count as brittle, so one that comes back as a new process is not overrun. Requests without room wait or are refused as in an overload (`brittle` in `servers_lacked`).

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -52,6 +52,9 @@
     {LogEvent::kServerPause, "server_pause", LogLevel::kWarning},
     {LogEvent::kServerPauseUnreadable, "server_pause_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
+    {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
+     LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -57,6 +57,8 @@
   kServerLeaving = 5012,
   kServerPause = 5013,
   kServerPauseUnreadable = 5014,
+  kServerBrittle = 5015,
+  kServerBrittleUnreadable = 5016,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -303,6 +303,7 @@
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
   this->HandleDirectoryChanges(this->directory.Tick(now), "grace");
   this->UpdateRateLimits(now);
+  this->UpdateBrittleServers(now);
   this->UpdateDirectoryAge(now);
   if (now - this->software_updated_at >= kSoftwareInterval) {
     this->UpdateSoftware(now);
@@ -508,6 +509,29 @@
   }
 }
 
+void Gateway::UpdateBrittleServers(TimePoint now) {
+  BrittleServers& brittle = this->placer.brittle_servers();
+  if (brittle.empty()) {
+    return;
+  }
+  brittle.SetFleet(this->links.SendingPeers(), this->links.ReportInterval());
+  brittle.Tick(this->directory.servers(), now);
+  const auto format = [](std::optional<int> tolerated) {
+    return tolerated ? fmt::format("{}", *tolerated) : std::string("none");
+  };
+  for (const BrittlenessChange& item : brittle.TakeChanges()) {
+    this->log.Write(LogEvent::kServerBrittle,
+                    {{"server", this->FindServerId(item.server_hash)},
+                     {"tolerated", format(item.tolerated)},
+                     {"before", format(item.previous)},
+                     {"from", item.from.empty() ? "response" : item.from},
+                     {"age_ms", ToLogMilliseconds(item.age)}});
+  }
+  if (brittle.HasUrgentReport()) {
+    this->links.ScheduleReport();
+  }
+}
+
 void Gateway::UpdateDirectoryAge(TimePoint now) {
   // While all instances lack the store, the directory ages, but nobody else has
   // a later one either.
@@ -637,6 +661,7 @@
           .partitions = this->placer.Partitions(now),
           .rate_limits = this->placer.rate_limits().Reports(false, now),
           .cached_parts = this->placer.caches().untold(),
+          .brittle_servers = this->placer.brittle_servers().Reports(false, now),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -647,6 +672,7 @@
   std::uint64_t& told = this->told_suspects[peer.identity.address];
   if (report.identity) {
     report.rate_limits = this->placer.rate_limits().Reports(true, now);
+    report.brittle_servers = this->placer.brittle_servers().Reports(true, now);
     report.suspected_parts = this->quarantine.Records(now);
     told = this->quarantine.last_change();
   } else {
@@ -686,6 +712,7 @@
 
 void Gateway::OnRoundSent() {
   this->placer.rate_limits().RecordReportSent();
+  this->placer.brittle_servers().RecordReportSent();
   this->placer.caches().MarkTold();
 }
 
@@ -702,6 +729,8 @@
   this->stream_origins.Merge(report.stream_origins, now);
   this->placer.rate_limits().Merge(peer.identity.instance, report.rate_limits,
                                    report.identity.has_value(), now);
+  this->placer.brittle_servers().Merge(peer.identity.instance,
+                                       report.brittle_servers, now);
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
@@ -755,6 +784,9 @@
       static_cast<std::uint64_t>(this->quarantine.quarantined_count()));
   add("rosemarycove_limited_servers",
       static_cast<std::uint64_t>(this->placer.rate_limits().limited_count()));
+  add("rosemarycove_brittle_servers",
+      static_cast<std::uint64_t>(
+          this->placer.brittle_servers().brittle_count()));
   add("rosemarycove_leaving_servers",
       static_cast<std::uint64_t>(this->placer.availability().leaving_count()));
   add("rosemarycove_paused_servers",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -153,6 +153,8 @@
   void UpdateSoftware(TimePoint now);
   // Advances the servers' rate limits, and logs and reports their changes.
   void UpdateRateLimits(TimePoint now);
+  // The same for brittle servers.
+  void UpdateBrittleServers(TimePoint now);
   // Drops what servers that are gone said, and logs the changes.
   void UpdateAvailability(TimePoint now);
   // Returns the id of the server with this LifetimeHash, for the log.
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -174,4 +174,12 @@
                    {"text", record.text}});
 }
 
+void GatewayObserver::OnUnreadableBrittleness(
+    const UnreadableBrittlenessRecord& record) {
+  this->log.Write(LogEvent::kServerBrittleUnreadable,
+                  {{"request", record.request_id},
+                   {"server", record.server},
+                   {"text", record.text}});
+}
+
 }  // namespace rosemarycove
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -30,6 +30,8 @@
   void OnEjected(const EjectedRecord& record) override;
   void OnUnreadableRateLimit(const UnreadableRateLimitRecord& record) override;
   void OnUnreadablePause(const UnreadablePauseRecord& record) override;
+  void OnUnreadableBrittleness(
+      const UnreadableBrittlenessRecord& record) override;
 
   [[nodiscard]] const RequestCounts& counts() const {
     return this->request_counts;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/backend_directory.h"
+#include "core/brittle_servers.h"
 #include "core/load_ledger.h"
 #include "core/prompt_cache_map.h"
 #include "core/request_quarantine.h"
@@ -71,6 +72,7 @@
   // The number of other instances that the sender knows; 0 if it knows none, or
   // runs a release that doesn't send it.
   std::uint32_t known_peer_count = 0;
+  std::vector<BrittlenessReport> brittle_servers;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/core/load_ledger.cc
+++ b/src/core/load_ledger.cc
@@ -84,6 +84,20 @@
   return found == this->own_loads.end() ? ServerLoad{} : found->second;
 }
 
+std::vector<std::pair<std::string, int>> LoadLedger::RunningByPeer(
+    const std::string& server, TimePoint now) const {
+  const std::uint64_t server_hash = IdHash(server);
+  std::vector<std::pair<std::string, int>> running;
+  for (const auto& [name, report] : this->peers) {
+    const auto found = report.loads.find(server_hash);
+    if (found != report.loads.end() &&
+        now - report.received_at <= kPeerLoadMaxAge) {
+      running.emplace_back(name, found->second.running);
+    }
+  }
+  return running;
+}
+
 std::vector<ServerLoadEntry> LoadLedger::OwnLoads() const {
   std::vector<ServerLoadEntry> entries;
   entries.reserve(this->own_loads.size());
--- a/src/core/load_ledger.h
+++ b/src/core/load_ledger.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/types.h"
@@ -61,6 +62,10 @@
   [[nodiscard]] ServerLoad TotalLoad(const std::string& server,
                                      TimePoint now) const;
   [[nodiscard]] ServerLoad OwnLoad(const std::string& server) const;
+  // Returns the requests of each other instance that has any at the server, by
+  // the instance's name.
+  [[nodiscard]] std::vector<std::pair<std::string, int>> RunningByPeer(
+      const std::string& server, TimePoint now) const;
   // Returns all of this instance's own loads, for fleet reports.
   [[nodiscard]] std::vector<ServerLoadEntry> OwnLoads() const;
   // Returns the age of the oldest report that has not expired; zero if there is
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -224,6 +224,8 @@
       return "contended";
     case CapacityLimit::kPaused:
       return "paused";
+    case CapacityLimit::kBrittle:
+      return "brittle";
   }
   return "unknown";
 }
@@ -233,6 +235,7 @@
       directory(directory),
       instance_seed(IdHash(this->options.instance)),
       limits(this->options.instance),
+      brittle(this->options.instance),
       server_availability(this->options.instance) {}
 
 const LatencyModel& Placer::LatencyModelOf(const std::string& service,
@@ -655,6 +658,16 @@
                               now);
 }
 
+bool Placer::HasSlotIfBrittle(const RegisteredServer& server, int tier,
+                              TimePoint now) const {
+  if (!this->brittle.IsBrittle(server)) {
+    return true;
+  }
+  const int running = this->EstimateLoad(server.id, now).running;
+  return running + 1 <= UsableSlots(server, tier) &&
+         this->brittle.HasRoom(server, running, this->load_ledger, now);
+}
+
 bool Placer::TakesNow(const RegisteredServer& server, int tier,
                       TimePoint now) const {
   return this->server_availability.MaySend(server, tier, now) &&
@@ -683,7 +696,8 @@
   if (!this->HasRateFor(*candidate.server, query.tier, now)) {
     return CapacityLimit::kRate;
   }
-  if (!query.service->IsModel()) {
+  const bool is_brittle = this->brittle.IsBrittle(*candidate.server);
+  if (!query.service->IsModel() && !is_brittle) {
     return CapacityLimit::kNone;
   }
   if (this->IsWithheld(query, candidate.server->id)) {
@@ -691,19 +705,17 @@
   }
   ServerLoad load = candidate.load;
   // Affinity servers differ between prompts, so the instances do not all choose
-  // the same one at once, and unreported load is not assumed there.
-  if (!candidate.affinity_rank) {
+  // the same one at once, and unreported load is not assumed there. The parts
+  // of a brittle server's slots leave room for it.
+  if (!candidate.affinity_rank && !is_brittle) {
     load += this->UnreportedLoad(candidate.server->id, now);
   }
-  const int tier = std::min(query.tier, kMaxHeadroomTier);
-  if (load.running + 1 > UsableSlots(*candidate.server, tier)) {
-    return CapacityLimit::kSlots;
-  }
-  // Other instances can't send a stream that goes on to another version either.
-  if (!query.required_software &&
-      !this->WinsSlot(query, candidate, load.running, now)) {
-    return CapacityLimit::kContended;
+  const CapacityLimit slot_limit =
+      this->FindSlotLimit(query, candidate, load, now);
+  if (slot_limit != CapacityLimit::kNone || !query.service->IsModel()) {
+    return slot_limit;
   }
+  const int tier = std::min(query.tier, kMaxHeadroomTier);
   const double memory_share =
       query.tolerates_pauses ? kMaxPauseTolerantMemoryShare : kMaxMemoryShare;
   if (query.service->kv_capacity_tokens > 0 &&
@@ -744,6 +756,26 @@
                                            : CapacityLimit::kTooSlow;
 }
 
+CapacityLimit Placer::FindSlotLimit(const PlacementQuery& query,
+                                    const Candidate& candidate,
+                                    const ServerLoad& load,
+                                    TimePoint now) const {
+  const RegisteredServer& server = *candidate.server;
+  if (load.running + 1 > UsableSlots(server, query.tier)) {
+    return CapacityLimit::kSlots;
+  }
+  if (this->brittle.IsBrittle(server)) {
+    return this->brittle.HasRoom(server, load.running, this->load_ledger, now)
+               ? CapacityLimit::kNone
+               : CapacityLimit::kBrittle;
+  }
+  // Other instances can't send a stream that goes on to another version either.
+  return query.required_software ||
+                 this->WinsSlot(query, candidate, load.running, now)
+             ? CapacityLimit::kNone
+             : CapacityLimit::kContended;
+}
+
 bool Placer::ShouldWaitForAffinity(const PlacementQuery& query,
                                    const std::vector<Candidate>& candidates,
                                    const Candidate& best, TimePoint now) {
@@ -758,7 +790,8 @@
                        return candidate.IsFirstAffinity() &&
                               candidate.limit != CapacityLimit::kNone &&
                               candidate.limit != CapacityLimit::kRate &&
-                              candidate.limit != CapacityLimit::kPaused;
+                              candidate.limit != CapacityLimit::kPaused &&
+                              candidate.limit != CapacityLimit::kBrittle;
                      });
 }
 
@@ -858,7 +891,8 @@
     if (!Accepts(server, query) || WasTried(query, id) ||
         this->server_availability.HasLeft(server, now) ||
         !this->server_availability.MaySend(server, query.tier, now) ||
-        !this->HasRateFor(server, query.tier, now)) {
+        !this->HasRateFor(server, query.tier, now) ||
+        !this->HasSlotIfBrittle(server, query.tier, now)) {
       continue;
     }
     if (best == nullptr || this->server_health.EjectedUntil(id) <
@@ -900,6 +934,7 @@
   this->limits.RecordSend(
       LifetimeHash(choice.server.id, choice.server.incarnation), now);
   this->server_availability.RecordSend(choice.server, now);
+  this->brittle.RecordSend(choice.server, now);
   RecentlySent& sent = this->recently_sent[choice.server.id];
   if (now - sent.interval_start > this->report_interval) {
     sent = {.interval_start = now};
@@ -935,6 +970,21 @@
 
 bool Placer::RecordResult(const ServerChoice& choice, SendResult result,
                           TimePoint now) {
+  switch (result) {
+    case SendResult::kAnswered:
+      this->brittle.RecordAnswer(choice.server);
+      break;
+    case SendResult::kFull:
+      this->brittle.RecordRejection(choice.server, choice.load.running, now);
+      break;
+    case SendResult::kUnreachable:
+      this->brittle.RecordLoss(choice.server, now);
+      break;
+    case SendResult::kError:
+    case SendResult::kMalformed:
+    case SendResult::kSilent:
+      break;
+  }
   return this->server_health.RecordResult(choice.server.id, result, now);
 }
 
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/backend_directory.h"
+#include "core/brittle_servers.h"
 #include "core/fleet_report.h"
 #include "core/latency_model.h"
 #include "core/load_ledger.h"
@@ -82,13 +83,15 @@
   // Other instances probably take the free slots that this one knows of.
   kContended,
   kPaused,  // The server asked for a pause; see ServerAvailability.
+  // The server could reject the request, and is brittle; see BrittleServers.
+  kBrittle,
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 9>;
+using CapacityLimitCounts = std::array<int, 10>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -224,6 +227,13 @@
   void ObserveRateLimit(const RegisteredServer& server,
                         std::optional<double> per_second, TimePoint sent_at,
                         TimePoint now);
+  // Records the rejections that the server tolerates, as its response says;
+  // nullopt if the response doesn't say that it is brittle.
+  void ObserveBrittleness(const RegisteredServer& server,
+                          std::optional<int> tolerated, TimePoint sent_at,
+                          TimePoint now) {
+    this->brittle.Observe(server, tolerated, sent_at, now);
+  }
   // Drops the rate limits of servers that are gone.
   void ExpireRateLimits(TimePoint now);
   // Applies a load report of the server: its running and waiting requests, from
@@ -247,6 +257,11 @@
   [[nodiscard]] const ServerRateLimits& rate_limits() const {
     return this->limits;
   }
+  // Mutable, so that the gateway can exchange what it knows with its peers.
+  [[nodiscard]] BrittleServers& brittle_servers() { return this->brittle; }
+  [[nodiscard]] const BrittleServers& brittle_servers() const {
+    return this->brittle;
+  }
   // Mutable, so that responses can be recorded.
   [[nodiscard]] ServerAvailability& availability() {
     return this->server_availability;
@@ -372,6 +387,10 @@
   // Returns whether the server's rate limit has room for a request of the tier.
   [[nodiscard]] bool HasRateFor(const RegisteredServer& server, int tier,
                                 TimePoint now) const;
+  // Returns whether the server is not brittle, or has a slot for a request of
+  // the tier.
+  [[nodiscard]] bool HasSlotIfBrittle(const RegisteredServer& server, int tier,
+                                      TimePoint now) const;
   // Records that none of the candidates has capacity for the request; returns
   // why.
   [[nodiscard]] NoChoiceReason RecordRefusal(
@@ -384,6 +403,12 @@
   [[nodiscard]] CapacityLimit FindCapacityLimit(const PlacementQuery& query,
                                                 const Candidate& candidate,
                                                 TimePoint now) const;
+  // Returns whether the server has a slot for the request, as far as the other
+  // instances' requests are known or expected.
+  [[nodiscard]] CapacityLimit FindSlotLimit(const PlacementQuery& query,
+                                            const Candidate& candidate,
+                                            const ServerLoad& load,
+                                            TimePoint now) const;
   // Returns whether this instance may use one of the server's free slots.
   // `running` is the server's known load. All instances learn of a free slot
   // long before they learn that another one took it, so each uses it only with
@@ -428,6 +453,7 @@
   PromptCacheMap prompt_caches;
   ServerHealth server_health;
   ServerRateLimits limits;
+  BrittleServers brittle;
   ServerAvailability server_availability;
   // By service and whether the server is reserved, since a running request
   // slows others far more where prompts are long.
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -77,6 +77,11 @@
   std::optional<double> rate_limit;
   // What the server names as its limit, if that is unreadable; empty otherwise.
   std::string unreadable_rate_limit;
+  // The rejections within a second that the server, which is brittle,
+  // tolerates; nullopt if it doesn't say so or the number is unreadable.
+  std::optional<int> rejections_tolerated;
+  // What it says instead, if that is unreadable; empty otherwise.
+  std::string unreadable_brittleness;
   // How long the server, which refuses the request for now, wants no further
   // ones; zero if it does not say or it is unreadable.
   Duration pause{};
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -542,6 +542,19 @@
   }
 }
 
+void Exchange::RecordBrittleness(const ResponseInfo& info, TimePoint now) {
+  if (!info.unreadable_brittleness.empty()) {
+    this->context.observer.OnUnreadableBrittleness(
+        {.request_id = this->request_info.request_id,
+         .server = this->choice->server.id,
+         .text = info.unreadable_brittleness});
+  } else if (!info.is_misdirected &&
+             (info.is_from_server || info.not_executed)) {
+    this->context.placer.ObserveBrittleness(
+        this->choice->server, info.rejections_tolerated, this->sent_at, now);
+  }
+}
+
 HeadDecision Exchange::OnHead(const ResponseHead& head) {
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
   const TimePoint now = MonotonicNow();
@@ -564,6 +577,7 @@
     this->context.placer.ObserveRateLimit(
         this->choice->server, response_info.rate_limit, this->sent_at, now);
   }
+  this->RecordBrittleness(response_info, now);
   if (response_info.load) {
     this->context.placer.ApplyLoadReport(this->choice->server.id,
                                          response_info.load->running,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -186,6 +186,8 @@
   // next time, and at all.
   void RecordAvailability(const ResponseHead& head, const ResponseInfo& info,
                           TimePoint now);
+  // Records whether the server says that it is brittle.
+  void RecordBrittleness(const ResponseInfo& info, TimePoint now);
   // Gives the attempt up, and returns true, if its request waits for a new
   // connection and the server has asked for a pause meanwhile.
   bool StopIfPaused(TimePoint now);
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -166,6 +166,15 @@
   std::string text;
 };
 
+// A response said that the server is brittle, but the rejections that it
+// tolerates can't be read; it changes nothing.
+struct UnreadableBrittlenessRecord {
+  std::string request_id;
+  std::string server;
+  // What the response said.
+  std::string text;
+};
+
 // Receives the events on the event loop's thread; must not block.
 class ProxyObserver {
  public:
@@ -180,6 +189,8 @@
   virtual void OnUnreadableRateLimit(
       const UnreadableRateLimitRecord& record) = 0;
   virtual void OnUnreadablePause(const UnreadablePauseRecord& record) = 0;
+  virtual void OnUnreadableBrittleness(
+      const UnreadableBrittlenessRecord& record) = 0;
 };
 
 }  // namespace rosemarycove
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -22,6 +22,8 @@
 constexpr float kMaxWork = 1e12F;
 // The value of a limit that has ended.
 constexpr double kNoRateLimit = -1;
+// The value of the tolerated rejections of a server that is not brittle.
+constexpr std::uint16_t kNotBrittle = 65535;
 
 // Clamps a number to the range of T, the type of a field.
 template <typename T>
@@ -133,6 +135,26 @@
   return report;
 }
 
+wire::BrittleServer EncodeBrittleness(const BrittlenessReport& report) {
+  const auto tolerated = static_cast<std::uint16_t>(
+      std::clamp<int>(report.tolerated.value_or(0), 0, kNotBrittle - 1));
+  return {report.server_hash, EncodeAge(report.age),
+          report.tolerated ? tolerated : kNotBrittle,
+          Saturate<std::uint16_t>(report.rejected),
+          Saturate<std::uint16_t>(report.room)};
+}
+
+BrittlenessReport DecodeBrittleness(const wire::BrittleServer& frame) {
+  BrittlenessReport report{.server_hash = frame.server(),
+                           .age = std::chrono::milliseconds(frame.age_ms()),
+                           .rejected = frame.rejected(),
+                           .room = frame.room()};
+  if (frame.tolerated() != kNotBrittle) {
+    report.tolerated = frame.tolerated();
+  }
+  return report;
+}
+
 Offset<wire::SoftwareHistory> EncodeSoftware(FlatBufferBuilder& builder,
                                              const SoftwareReport& report) {
   std::vector<wire::SoftwareUse> uses;
@@ -239,6 +261,11 @@
       report.rate_limits.push_back(DecodeRateLimit(*limit));
     }
   }
+  if (frame.brittle_servers() != nullptr) {
+    for (const wire::BrittleServer* server : *frame.brittle_servers()) {
+      report.brittle_servers.push_back(DecodeBrittleness(*server));
+    }
+  }
   if (frame.software() != nullptr) {
     report.software = DecodeSoftware(*frame.software());
   }
@@ -327,6 +354,14 @@
   if (!limits.empty()) {
     limit_vector = builder.CreateVectorOfStructs(limits);
   }
+  std::vector<wire::BrittleServer> brittle_servers;
+  for (const BrittlenessReport& server : report.brittle_servers) {
+    brittle_servers.push_back(EncodeBrittleness(server));
+  }
+  Offset<flatbuffers::Vector<const wire::BrittleServer*>> brittle_vector;
+  if (!brittle_servers.empty()) {
+    brittle_vector = builder.CreateVectorOfStructs(brittle_servers);
+  }
   Offset<wire::SoftwareHistory> software;
   if (report.software) {
     software = EncodeSoftware(builder, *report.software);
@@ -344,7 +379,7 @@
       report.directory_update.is_snapshot, share_vector, division_vector,
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
-      report.known_peer_count));
+      report.known_peer_count, brittle_vector));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -27,6 +27,8 @@
 
 struct ServerLimit;
 
+struct BrittleServer;
+
 struct SoftwareUse;
 
 struct SoftwareHistory;
@@ -224,6 +226,56 @@
 };
 FLATBUFFERS_STRUCT_END(ServerLimit, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) BrittleServer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t age_ms_;
+  uint16_t tolerated_;
+  uint16_t rejected_;
+  uint16_t room_;
+  int16_t padding0__;  int32_t padding1__;
+
+ public:
+  BrittleServer()
+      : server_(0),
+        age_ms_(0),
+        tolerated_(0),
+        rejected_(0),
+        room_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  BrittleServer(uint64_t _server, uint32_t _age_ms, uint16_t _tolerated, uint16_t _rejected, uint16_t _room)
+      : server_(flatbuffers::EndianScalar(_server)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        tolerated_(flatbuffers::EndianScalar(_tolerated)),
+        rejected_(flatbuffers::EndianScalar(_rejected)),
+        room_(flatbuffers::EndianScalar(_room)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint16_t tolerated() const {
+    return flatbuffers::EndianScalar(tolerated_);
+  }
+  uint16_t rejected() const {
+    return flatbuffers::EndianScalar(rejected_);
+  }
+  uint16_t room() const {
+    return flatbuffers::EndianScalar(room_);
+  }
+};
+FLATBUFFERS_STRUCT_END(BrittleServer, 24);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SoftwareUse FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t software_;
@@ -663,7 +715,8 @@
     VT_BEGUN_STREAMS = 40,
     VT_CONFIGURATION_VERSION = 42,
     VT_CACHED_PARTS = 44,
-    VT_KNOWN_PEERS = 46
+    VT_KNOWN_PEERS = 46,
+    VT_BRITTLE_SERVERS = 48
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -731,6 +784,9 @@
   uint32_t known_peers() const {
     return GetField<uint32_t>(VT_KNOWN_PEERS, 0);
   }
+  const flatbuffers::Vector<const rosemarycove::wire::BrittleServer *> *brittle_servers() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::BrittleServer *> *>(VT_BRITTLE_SERVERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -770,6 +826,8 @@
            VerifyOffset(verifier, VT_CACHED_PARTS) &&
            verifier.VerifyVector(cached_parts()) &&
            VerifyField<uint32_t>(verifier, VT_KNOWN_PEERS, 4) &&
+           VerifyOffset(verifier, VT_BRITTLE_SERVERS) &&
+           verifier.VerifyVector(brittle_servers()) &&
            verifier.EndTable();
   }
 };
@@ -844,6 +902,9 @@
   void add_known_peers(uint32_t known_peers) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_KNOWN_PEERS, known_peers, 0);
   }
+  void add_brittle_servers(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers) {
+    fbb_.AddOffset(FleetReport::VT_BRITTLE_SERVERS, brittle_servers);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -878,7 +939,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>> begun_streams = 0,
     uint64_t configuration_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_parts = 0,
-    uint32_t known_peers = 0) {
+    uint32_t known_peers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -886,6 +948,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_brittle_servers(brittle_servers);
   builder_.add_known_peers(known_peers);
   builder_.add_cached_parts(cached_parts);
   builder_.add_begun_streams(begun_streams);
@@ -928,7 +991,8 @@
     const std::vector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>> *begun_streams = nullptr,
     uint64_t configuration_version = 0,
     const std::vector<uint64_t> *cached_parts = nullptr,
-    uint32_t known_peers = 0) {
+    uint32_t known_peers = 0,
+    const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -937,6 +1001,7 @@
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerLimit>(*limits) : 0;
   auto begun_streams__ = begun_streams ? _fbb.CreateVector<flatbuffers::Offset<rosemarycove::wire::BegunStreams>>(*begun_streams) : 0;
   auto cached_parts__ = cached_parts ? _fbb.CreateVector<uint64_t>(*cached_parts) : 0;
+  auto brittle_servers__ = brittle_servers ? _fbb.CreateVectorOfStructs<rosemarycove::wire::BrittleServer>(*brittle_servers) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -960,7 +1025,8 @@
       begun_streams__,
       configuration_version,
       cached_parts__,
-      known_peers);
+      known_peers,
+      brittle_servers__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_brittle_servers.cc
+++ b/tests/test_brittle_servers.cc
@@ -14,6 +14,7 @@
 
 #include "core/backend_directory.h"
 #include "core/placer.h"
+#include "core/server_rate_limits.h"
 
 // Included last, since CppUTest defines macros that break standard headers.
 #include <CppUTest/TestHarness.h>
@@ -30,8 +31,7 @@
 constexpr Duration kMaxWait = milliseconds(800);
 constexpr Duration kDownTime = seconds(3);
 constexpr Duration kBrittleFrom = seconds(2);
-constexpr Duration kEnd = seconds(11);
-// Falls count once instances had this long to learn that servers are brittle.
+// From this time after the servers say that they are brittle, they are.
 constexpr Duration kTimeToLearn = seconds(3);
 constexpr int kMaxAttempts = 3;
 constexpr int kTiers = 3;
@@ -43,7 +43,7 @@
   [[nodiscard]] tl::expected<RegisteredServer, std::string> Decode(
       const SharedDocument& document) const override {
     return RegisteredServer{.id = document.key,
-                            .incarnation = 1,
+                            .incarnation = std::stoull(document.value),
                             .service = "model",
                             .address = "a-" + document.key,
                             .data_centre = "here",
@@ -74,8 +74,15 @@
   int waiting_room = 6;
   int brittle_waiting_room = 0;
   bool become_brittle = true;
+  Duration duration = seconds(11);
   // Subjects of the prompts; few make for affinity servers in demand.
   int subjects = 40;
+  // Slots of each server that callers take whom no instance knows.
+  int slots_taken = 0;
+  // A server that fell comes back as another process.
+  bool restarts = false;
+  // Callers know only the first ones.
+  int busy_instances = instances;
   std::uint32_t seed = 1;
 };
 
@@ -85,6 +92,8 @@
   int falls = 0;
   // Requests that got neither a response nor a refusal.
   int unended = 0;
+  // A request got a server at a moment at which a more urgent one was refused.
+  int overtaken = 0;
 
   [[nodiscard]] double ServedShare() const {
     return static_cast<double>(this->served) / std::max(1, this->asked);
@@ -99,11 +108,11 @@
     std::vector<SharedDocument> documents;
     for (int i = 0; i < options.servers; ++i) {
       documents.push_back({.key = "s" + std::to_string(i),
-                           .revision = static_cast<std::uint64_t>(i + 1),
-                           .value = "server"});
+                           .revision = ++this->revision,
+                           .value = "1"});
     }
     this->servers.resize(documents.size());
-    this->directory.Replace(documents, 1000, this->now, this->now);
+    this->directory.Replace(documents, this->revision, this->now, this->now);
     for (int i = 0; i < options.instances; ++i) {
       Instance& instance = this->instances.emplace_back();
       instance.name = "i" + std::to_string(i);
@@ -112,12 +121,23 @@
           this->directory);
       instance.placer->SetFleet(options.instances, options.report_interval);
     }
+    for (Instance& instance : this->instances) {
+      std::vector<std::string> peers;
+      for (const Instance& peer : this->instances) {
+        if (&peer != &instance) {
+          peers.push_back(peer.name);
+        }
+      }
+      instance.placer->brittle_servers().SetFleet(peers,
+                                                  options.report_interval);
+    }
   }
 
   FleetResult Run() {
-    const TimePoint end = this->start + kEnd;
+    const TimePoint end = this->start + this->options.duration;
     for (; this->now < end + kMaxWait + 4 * kServiceTime; this->now += kStep) {
       this->Report();
+      this->Restart();
       this->EndRequests();
       if (this->now < end) {
         this->Arrive();
@@ -154,9 +174,13 @@
   };
 
   [[nodiscard]] Duration Elapsed() const { return this->now - this->start; }
-  [[nodiscard]] bool IsBrittle() const {
+  [[nodiscard]] bool SaysBrittle() const {
     return this->options.become_brittle && this->Elapsed() >= kBrittleFrom;
   }
+  [[nodiscard]] bool IsBrittle() const {
+    return this->SaysBrittle() &&
+           this->Elapsed() >= kBrittleFrom + kTimeToLearn;
+  }
 
   // Half of what the servers can do and, in bursts, twice as much.
   [[nodiscard]] double Rate() const {
@@ -172,7 +196,8 @@
     const int count = std::poisson_distribution<int>(
         this->Rate() * ToSeconds(kStep))(this->random);
     for (int i = 0; i < count; ++i) {
-      const std::size_t index = this->Draw(this->instances.size());
+      const std::size_t index =
+          this->Draw(static_cast<std::size_t>(this->options.busy_instances));
       const std::uint64_t subject =
           1 + this->Draw(static_cast<std::size_t>(this->options.subjects));
       Request request{
@@ -212,12 +237,17 @@
       return;
     }
     instance.tried_at = this->now;
+    instance.placer->brittle_servers().Tick(this->directory.servers(),
+                                            this->now);
     bool was_refused = false;
     for (auto& queue : instance.waiting) {
       while (!queue.empty()) {
         if (this->now - queue.front().arrived_at > kMaxWait) {
           ++this->ended;
         } else if (was_refused || !this->Place(queue.front())) {
+          if (!was_refused) {
+            this->CountOvertaken(queue.front().query, *instance.placer);
+          }
           was_refused = true;
           break;
         }
@@ -226,6 +256,15 @@
     }
   }
 
+  // `refused` was refused at this moment.
+  void CountOvertaken(PlacementQuery refused, Placer& placer) {
+    NoChoiceReason why_not{};
+    ++refused.tier;
+    if (placer.Choose(refused, this->now, why_not)) {
+      ++this->result.overtaken;
+    }
+  }
+
   // Returns whether the request was sent; it may have failed since.
   bool Place(Request& request) {
     Instance& instance = this->instances[request.instance];
@@ -241,7 +280,7 @@
     request.ends_at = {};
     ++request.attempts;
     Server& server = this->servers[std::stoul(choice->server.id.substr(1))];
-    const int room = this->options.slots +
+    const int room = this->options.slots - this->options.slots_taken +
                      (this->IsBrittle() ? this->options.brittle_waiting_room
                                         : this->options.waiting_room);
     if (this->now < server.down_until) {
@@ -257,7 +296,13 @@
   }
 
   // Records what the response to the request says of the server.
-  void Say(const Request& /*request*/) {}
+  void Say(const Request& request) {
+    this->instances[request.instance].placer->ObserveBrittleness(
+        request.choice.server,
+        this->SaysBrittle() ? std::optional(this->options.tolerated)
+                            : std::nullopt,
+        request.sent_at, this->now);
+  }
 
   void CountRejection(Server& server) {
     server.rejections.push_back(this->now);
@@ -268,9 +313,7 @@
         static_cast<int>(server.rejections.size()) <= this->options.tolerated) {
       return;
     }
-    if (this->Elapsed() >= kBrittleFrom + kTimeToLearn) {
-      ++this->result.falls;
-    }
+    ++this->result.falls;
     server.down_until = this->now + kDownTime;
     server.rejections.clear();
     for (Request& request : std::exchange(server.requests, {})) {
@@ -292,9 +335,10 @@
 
   void EndRequests() {
     for (Server& server : this->servers) {
-      const auto running =
-          std::min<std::size_t>(static_cast<std::size_t>(this->options.slots),
-                                server.requests.size());
+      const auto running = std::min<std::size_t>(
+          static_cast<std::size_t>(this->options.slots -
+                                   this->options.slots_taken),
+          server.requests.size());
       std::deque<Request> rest;
       for (std::size_t i = 0; i < server.requests.size(); ++i) {
         Request& request = server.requests[i];
@@ -318,6 +362,26 @@
     }
   }
 
+  // Registers the servers that come back now as new processes.
+  void Restart() {
+    if (!this->options.restarts) {
+      return;
+    }
+    for (std::size_t i = 0; i < this->servers.size(); ++i) {
+      if (this->now == this->servers[i].down_until) {
+        const std::string id = "s" + std::to_string(i);
+        ++this->revision;
+        this->directory.Apply({{.key = id,
+                                .revision = this->revision,
+                                .value = std::to_string(this->revision)}},
+                              this->revision, this->now, this->now);
+        for (Instance& instance : this->instances) {
+          instance.placer->Forget(id);
+        }
+      }
+    }
+  }
+
   // Spreads the reports of instances over their interval.
   void Report() {
     const auto count = static_cast<int>(this->instances.size());
@@ -326,18 +390,24 @@
       const auto round = [&](TimePoint at) {
         return (at.time_since_epoch() + shift) / this->options.report_interval;
       };
-      if (round(this->now) == round(this->now - kStep)) {
+      Instance& sender = this->instances[static_cast<std::size_t>(from)];
+      if (round(this->now) == round(this->now - kStep) &&
+          !sender.placer->brittle_servers().HasUrgentReport()) {
         continue;
       }
-      Instance& sender = this->instances[static_cast<std::size_t>(from)];
       const auto loads = sender.placer->ledger().OwnLoads();
       const auto partitions = sender.placer->Partitions(this->now);
+      const auto brittle =
+          sender.placer->brittle_servers().Reports(false, this->now);
+      sender.placer->brittle_servers().RecordReportSent();
       for (Instance& receiver : this->instances) {
         if (&receiver == &sender) {
           continue;
         }
         receiver.placer->ledger().SetPeerLoads(sender.name, loads, this->now);
         receiver.placer->SetPeerWork(sender.name, partitions, this->now);
+        receiver.placer->brittle_servers().Merge(sender.name, brittle,
+                                                 this->now);
         if (from == 0) {
           receiver.placer->FollowPartitions(partitions);
         }
@@ -358,6 +428,7 @@
   BackendDirectory directory{decoder};
   std::vector<Instance> instances;
   std::vector<Server> servers;
+  std::uint64_t revision = 0;
   std::uint64_t last_id = std::uint64_t{1} << 40U;
   int ended = 0;
   FleetResult result;
@@ -370,6 +441,7 @@
 void CheckFleet(const FleetOptions& options) {
   const FleetResult result = BrittleFleet(options).Run();
   CHECK_EQUAL(0, result.unended);
+  CHECK_EQUAL(0, result.overtaken);
   CHECK(result.falls <= MaxFalls(options));
   // Care costs less than a quarter of what sturdy servers serve.
   FleetOptions sturdy = options;
@@ -393,11 +465,217 @@
 
 // Guards against the same where 62 instances each believe in a free slot.
 TEST(BrittleServers, BurstsFellFewServersOfALargeFleet) {
-  for (const int tolerated : {3, 12}) {
-    CheckFleet({.instances = 62,
-                .servers = 112,
-                .report_interval = milliseconds(488),
-                .tolerated = tolerated,
-                .subjects = 400});
+  CheckFleet({.instances = 62,
+              .servers = 112,
+              .report_interval = milliseconds(488),
+              .duration = milliseconds(7500),
+              .subjects = 400});
+}
+
+// Guards against a fall of servers that come back as new processes, which have
+// not said yet that they are brittle, or have less room than instances know of.
+TEST(BrittleServers, ServersThatReturnOrHaveLessRoomAreNotOverrun) {
+  for (const int tolerated : {3, 8, 20}) {
+    const FleetOptions options{
+        .tolerated = tolerated, .slots_taken = 2, .restarts = true};
+    const FleetResult result = BrittleFleet(options).Run();
+    CHECK_EQUAL(0, result.unended);
+    CHECK_EQUAL(0, result.overtaken);
+    CHECK(result.falls <= MaxFalls(options));
+  }
+}
+
+// Guards against slots that stay unused since callers know only some of the
+// instances.
+TEST(BrittleServers, IdleInstancesLendTheirSlots) {
+  const FleetOptions options{.tolerated = 12, .busy_instances = 5};
+  const FleetResult result = BrittleFleet(options).Run();
+  CHECK(result.falls <= MaxFalls(options));
+  // More than the busy instances' own slots would serve.
+  FleetOptions own_slots = options;
+  own_slots.tolerated = 0;
+  CHECK(result.served > 1.05 * BrittleFleet(own_slots).Run().served);
+}
+
+TEST_GROUP(Brittleness) {
+  static constexpr int kSlots = 12;
+  const TimePoint start = TimePoint{} + std::chrono::hours(1);
+  const RegisteredServer first{
+      .id = "s1", .incarnation = 1, .service = "model", .slots = kSlots};
+  const RegisteredServer second{
+      .id = "s2", .incarnation = 1, .service = "model", .slots = kSlots};
+  const RegisteredServer other{
+      .id = "o", .incarnation = 1, .service = "other", .slots = kSlots};
+  const std::map<std::string, RegisteredServer> registered{
+      {"s1", first}, {"s2", second}, {"o", other}};
+  LoadLedger ledger;
+  BrittleServers servers{"a"};
+
+  void AddRunning(const RegisteredServer& server, int count) {
+    for (int i = 0; i < count; ++i) {
+      this->ledger.Add(server.id, {.running = 1});
+    }
+  }
+};
+
+// Guards against parts of the slots whose sum is not the number of slots.
+TEST(Brittleness, PartsOfAllInstancesAreTheSlots) {
+  for (const int count : {1, 2, 5, 9, 12, 13, 62}) {
+    int sum = 0;
+    for (int own = 0; own < count; ++own) {
+      BrittleServers instance("i" + std::to_string(own));
+      std::vector<std::string> peers;
+      for (int i = 0; i < count; ++i) {
+        if (i != own) {
+          peers.push_back("i" + std::to_string(i));
+        }
+      }
+      instance.SetFleet(peers, milliseconds(100));
+      // Nothing can be borrowed.
+      instance.Observe(first, 0, start, start);
+      LoadLedger own_ledger;
+      while (instance.HasRoom(first, own_ledger.OwnLoad("s1").running,
+                              own_ledger, start)) {
+        own_ledger.Add("s1", {.running = 1});
+        ++sum;
+      }
+    }
+    CHECK_EQUAL(kSlots, sum);
+  }
+}
+
+TEST(Brittleness, LaterResponseDecides) {
+  servers.Observe(first, 3, start, start);
+  servers.Observe(first, std::nullopt, start - seconds(1), start);
+  CHECK(servers.IsBrittle(first));
+  servers.Observe(first, std::nullopt, start + seconds(1), start + seconds(1));
+  CHECK(!servers.IsBrittle(first));
+  CHECK_EQUAL(2U, servers.TakeChanges().size());
+}
+
+// Guards against a fall of servers of the service that have not answered yet.
+TEST(Brittleness, HoldsForServersThatHaveNotAnsweredYet) {
+  servers.Observe(first, 3, start, start);
+  servers.Tick(registered, start);
+  CHECK(servers.IsBrittle(second));
+  CHECK(!servers.IsBrittle(other));
+  servers.Observe(second, std::nullopt, start, start);
+  servers.Tick(registered, start);
+  CHECK(servers.IsBrittle(first));
+  CHECK(!servers.IsBrittle(second));
+}
+
+TEST(Brittleness, EndsWithTheLifetimeOfAllServersThatSaidSo) {
+  servers.Observe(first, 3, start, start);
+  servers.Tick(registered, start);
+  auto replaced = registered;
+  replaced["s1"].incarnation = 2;
+  servers.Tick(replaced, start + seconds(1));
+  CHECK(!servers.IsBrittle(replaced["s1"]));
+  CHECK(!servers.IsBrittle(second));
+}
+
+// Guards against reports that grow with the fleet: each change is told once.
+TEST(Brittleness, ChangesAreToldOnceAndToNewPeers) {
+  servers.Observe(first, 3, start, start);
+  CHECK(servers.HasUrgentReport());
+  const auto reports = servers.Reports(false, start + seconds(1));
+  CHECK_EQUAL(1U, reports.size());
+  servers.RecordReportSent();
+  servers.Observe(first, 3, start + seconds(1), start + seconds(1));
+  CHECK(!servers.HasUrgentReport());
+  CHECK(servers.Reports(false, start + seconds(1)).empty());
+  CHECK_EQUAL(1U, servers.Reports(true, start + seconds(1)).size());
+
+  BrittleServers peer("b");
+  peer.Merge("a", reports, start + seconds(1));
+  CHECK(peer.IsBrittle(first));
+  CHECK(!peer.HasUrgentReport());
+  peer.Observe(first, std::nullopt, start + seconds(2), start + seconds(2));
+  CHECK(peer.HasUrgentReport());
+  servers.Merge("b", peer.Reports(false, start + seconds(2)),
+                start + seconds(2));
+  CHECK(!servers.IsBrittle(first));
+}
+
+TEST(Brittleness, RejectionIsFollowedByRetreat) {
+  servers.Observe(first, 3, start, start);
+  CHECK(servers.HasRoom(first, 0, ledger, start));
+  servers.RecordRejection(first, 0, start);
+  CHECK(!servers.HasRoom(first, 0, ledger, start + milliseconds(990)));
+  CHECK(servers.HasRoom(first, 0, ledger, start + milliseconds(1510)));
+  // Twice as long after the next one, until an answer.
+  servers.RecordRejection(first, 0, start + seconds(2));
+  CHECK(!servers.HasRoom(first, 0, ledger, start + milliseconds(3990)));
+  servers.RecordAnswer(first);
+  servers.RecordRejection(first, 0, start + seconds(6));
+  CHECK(servers.HasRoom(first, 0, ledger, start + milliseconds(7510)));
+}
+
+// Guards against a server that lets fewer requests wait, or runs fewer, than
+// before being filled again at once.
+TEST(Brittleness, RejectionAtALoadLowersTheRoom) {
+  servers.Observe(first, 3, start, start);
+  CHECK(servers.HasRoom(first, kSlots - 1, ledger, start));
+  CHECK(!servers.HasRoom(first, kSlots, ledger, start));
+  servers.RecordRejection(first, 10, start);
+  const TimePoint later = start + milliseconds(1510);
+  CHECK(!servers.HasRoom(first, kSlots - 1, ledger, later));
+  CHECK(servers.HasRoom(first, 9, ledger, later));
+  CHECK(servers.HasRoom(first, kSlots - 1, ledger,
+                        start + std::chrono::minutes(1)));
+}
+
+TEST(Brittleness, NothingIsBorrowedWhileAServerRejects) {
+  servers.SetFleet({"b"}, milliseconds(100));
+  servers.Observe(first, 20, start, start);
+  AddRunning(first, kSlots / 2);
+  const auto may_borrow = [&](TimePoint from) {
+    for (int i = 0; i < 20; ++i) {
+      if (servers.HasRoom(first, kSlots / 2, ledger,
+                          from + milliseconds(100 * i))) {
+        return true;
+      }
+    }
+    return false;
+  };
+  CHECK(may_borrow(start));
+  const TimePoint later = start + seconds(3);
+  for (int i = 0; i <= 20; ++i) {
+    const TimePoint at = later + milliseconds(100 * i);
+    servers.Merge("b",
+                  {{.server_hash = LifetimeHash("s1", 1),
+                    .tolerated = 20,
+                    .rejected = 1,
+                    .room = kSlots}},
+                  at);
+    CHECK(!servers.HasRoom(first, kSlots / 2, ledger, at));
+  }
+  servers.Merge("b", {}, later + seconds(2));
+  CHECK(may_borrow(later + seconds(2)));
+}
+
+// Guards against a server that comes back being overrun as the last resort,
+// while all instances still believe that it is gone.
+TEST(Brittleness, EjectedServerGetsNoMoreThanItHasRoomFor) {
+  const SlotDecoder decoder(kSlots);
+  BackendDirectory directory(decoder);
+  directory.Replace({{.key = "s1", .revision = 1, .value = "1"}}, 1, start,
+                    start);
+  Placer placer({.data_centre = "here", .instance = "a"}, directory);
+  const RegisteredServer& server = directory.servers().at("s1");
+  placer.ObserveBrittleness(server, 3, start, start);
+  const PlacementQuery query{.route = &kRoute, .service = &kModel};
+  int sent = 0;
+  NoChoiceReason why_not{};
+  while (const auto choice = placer.Choose(query, start, why_not)) {
+    if (sent == 0) {
+      placer.RecordResult(*choice, SendResult::kUnreachable, start);
+      placer.RecordResult(*choice, SendResult::kUnreachable, start);
+    }
+    placer.RecordSend(query, *choice, start);
+    ++sent;
+    CHECK(sent <= kSlots);
   }
+  CHECK(sent > 0);
 }
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -99,6 +99,12 @@
                       {.server_hash = 7, .observation = 1}},
       .cached_parts = {21, 22},
       .known_peer_count = 23,
+      .brittle_servers = {{.server_hash = 24,
+                           .tolerated = 0,
+                           .age = std::chrono::milliseconds(40),
+                           .rejected = 2,
+                           .room = 9},
+                          {.server_hash = 25}},
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -129,6 +135,13 @@
   CHECK(!decoded.rate_limits.at(1).refused_tier);
   CHECK(decoded.cached_parts == report.cached_parts);
   CHECK_EQUAL(report.known_peer_count, decoded.known_peer_count);
+  const BrittlenessReport& brittle = decoded.brittle_servers.at(0);
+  CHECK_EQUAL(24U, brittle.server_hash);
+  CHECK_EQUAL(0, *brittle.tolerated);
+  CHECK(brittle.age == report.brittle_servers.at(0).age);
+  CHECK_EQUAL(2, brittle.rejected);
+  CHECK_EQUAL(9, brittle.room);
+  CHECK(!decoded.brittle_servers.at(1).tolerated);
   CHECK(decoded.peer_addresses == report.peer_addresses);
   CHECK(decoded.configuration->value == report.configuration->value);
   CHECK_EQUAL(8U, decoded.directory_update.base_revision);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -117,6 +117,29 @@
   STRCMP_EQUAL("2", read({"2", "2"}).unreadable_rate_limit.c_str());
 }
 
+TEST(Platform, ReadsOnlyWellFormedRejectionCounts) {
+  const auto read = [](std::initializer_list<const char*> values) {
+    ResponseHead head;
+    for (const char* value : values) {
+      head.fields.Add("server-brittle", value);
+    }
+    return PlatformCallDialect().ReadResponse(head);
+  };
+  CHECK(!read({}).rejections_tolerated);
+  CHECK(read({}).unreadable_brittleness.empty());
+  CHECK_EQUAL(12, *read({"12"}).rejections_tolerated);
+  CHECK_EQUAL(0, *read({"0"}).rejections_tolerated);
+  CHECK(*read({"99999999999"}).rejections_tolerated >= 65535);
+  for (const char* value : {"-1", "yes", "1.5", "1.", "1,2", "+1", " 1"}) {
+    CHECK(!read({value}).rejections_tolerated);
+    STRCMP_EQUAL(value, read({value}).unreadable_brittleness.c_str());
+  }
+  CHECK(!read({""}).rejections_tolerated);
+  STRCMP_EQUAL("empty", read({""}).unreadable_brittleness.c_str());
+  CHECK(!read({"2", "2"}).rejections_tolerated);
+  STRCMP_EQUAL("2", read({"2", "2"}).unreadable_brittleness.c_str());
+}
+
 TEST(Platform, RejectsMalformedServerEntries) {
   const PlatformServerDecoder decoder;
   const std::string valid =
