--- a/tests/test_brittle_servers.cc
+++ b/tests/test_brittle_servers.cc
@@ -106,6 +106,7 @@
   explicit BrittleFleet(const FleetOptions& options)
       : options(options), random(options.seed), decoder(options.slots) {
     std::vector<SharedDocument> documents;
+    documents.reserve(static_cast<std::size_t>(options.servers));
     for (int i = 0; i < options.servers; ++i) {
       documents.push_back({.key = "s" + std::to_string(i),
                            .revision = ++this->revision,
