Lend no slots of brittle servers while an instance is silent

While instances can't hear each other, callers would again have seen brittle servers fall: 6 of 9 servers, with 9 instances and 3 tolerated rejections, where 2 are allowed (test_brittle_servers, InstancesThatCannotHearEachOtherFellFewServers, before this change). Cause: what is borrowed at a server is bounded by what the others report, and each instance borrowed the whole bound by itself.

Now nothing is borrowed while an instance is silent, as with what is left of rate limits; the parts hold without reports.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -514,7 +514,8 @@
   if (brittle.empty()) {
     return;
   }
-  brittle.SetFleet(this->links.SendingPeers(), this->links.ReportInterval());
+  brittle.SetFleet(this->links.SendingPeers(), this->links.HearsAllPeers(),
+                   this->links.ReportInterval());
   brittle.Tick(this->directory.servers(), now);
   const auto format = [](std::optional<int> tolerated) {
     return tolerated ? fmt::format("{}", *tolerated) : std::string("none");
--- a/src/core/brittle_servers.cc
+++ b/src/core/brittle_servers.cc
@@ -38,7 +38,8 @@
 }  // namespace
 
 void BrittleServers::SetFleet(std::vector<std::string> instances,
-                              Duration interval) {
+                              bool hears_all_instances, Duration interval) {
+  this->hears_all = hears_all_instances;
   this->report_interval = interval;
   if (instances == this->peers) {
     return;
@@ -248,7 +249,7 @@
                                TimePoint now) const {
   const std::uint64_t server_hash = LifetimeHash(server.id, server.incarnation);
   // The others may not have heard of the last request yet.
-  if (now - state.last_sent_at < this->report_interval ||
+  if (!this->hears_all || now - state.last_sent_at < this->report_interval ||
       this->HasRejected(server_hash, state, now)) {
     return false;
   }
--- a/src/core/brittle_servers.h
+++ b/src/core/brittle_servers.h
@@ -49,7 +49,8 @@
 // the same at every instance, so their sum holds while instances don't hear of
 // each other's requests. What is not in use, others borrow. A lender may find
 // its slot borrowed, so a server's borrowed slots are no more than a share of
-// the rejections that it tolerates.
+// the rejections that it tolerates, and nothing is borrowed while some instance
+// is silent.
 //
 // The servers of a service are alike: while some are brittle, so is one that
 // has not answered yet. Brittleness ends when a response doesn't say it, and
@@ -61,8 +62,9 @@
       : instance(std::move(instance)) {}
 
   // Sets the other instances that may send to the servers, and the longest time
-  // between the reports of an instance.
-  void SetFleet(std::vector<std::string> peers, Duration report_interval);
+  // between the reports of an instance. `hears_all`: all of them report.
+  void SetFleet(std::vector<std::string> peers, bool hears_all,
+                Duration report_interval);
   // Finds the servers of brittle services and drops those that are gone. Called
   // periodically with the servers by id.
   void Tick(const std::map<std::string, RegisteredServer>& registered,
@@ -178,6 +180,7 @@
 
   std::string instance;
   std::vector<std::string> peers;
+  bool hears_all = true;
   Duration report_interval = std::chrono::milliseconds(100);
   // By LifetimeHash.
   std::map<std::uint64_t, State> states;
--- a/tests/test_brittle_servers.cc
+++ b/tests/test_brittle_servers.cc
@@ -33,6 +33,8 @@
 constexpr Duration kBrittleFrom = seconds(2);
 // From this time after the servers say that they are brittle, they are.
 constexpr Duration kTimeToLearn = seconds(3);
+// After this time without a report, an instance counts as silent.
+constexpr Duration kSilence = milliseconds(650);
 constexpr int kMaxAttempts = 3;
 constexpr int kTiers = 3;
 
@@ -81,6 +83,8 @@
   int slots_taken = 0;
   // A server that fell comes back as another process.
   bool restarts = false;
+  // From this time on, no instance hears of the others.
+  Duration cut_from = Duration::max();
   // Callers know only the first ones.
   int busy_instances = instances;
   std::uint32_t seed = 1;
@@ -122,16 +126,7 @@
           this->directory);
       instance.placer->SetFleet(options.instances, options.report_interval);
     }
-    for (Instance& instance : this->instances) {
-      std::vector<std::string> peers;
-      for (const Instance& peer : this->instances) {
-        if (&peer != &instance) {
-          peers.push_back(peer.name);
-        }
-      }
-      instance.placer->brittle_servers().SetFleet(peers,
-                                                  options.report_interval);
-    }
+    this->SetFleet(true);
   }
 
   FleetResult Run() {
@@ -174,6 +169,19 @@
     TimePoint tried_at;
   };
 
+  void SetFleet(bool hears_all) {
+    for (Instance& instance : this->instances) {
+      std::vector<std::string> peers;
+      for (const Instance& peer : this->instances) {
+        if (&peer != &instance) {
+          peers.push_back(peer.name);
+        }
+      }
+      instance.placer->brittle_servers().SetFleet(
+          peers, hears_all, this->options.report_interval);
+    }
+  }
+
   [[nodiscard]] Duration Elapsed() const { return this->now - this->start; }
   [[nodiscard]] bool SaysBrittle() const {
     return this->options.become_brittle && this->Elapsed() >= kBrittleFrom;
@@ -385,6 +393,12 @@
 
   // Spreads the reports of instances over their interval.
   void Report() {
+    if (this->Elapsed() >= this->options.cut_from) {
+      if (this->Elapsed() == this->options.cut_from + kSilence) {
+        this->SetFleet(false);
+      }
+      return;
+    }
     const auto count = static_cast<int>(this->instances.size());
     for (int from = 0; from < count; ++from) {
       const Duration shift = this->options.report_interval * from / count;
@@ -486,6 +500,17 @@
   }
 }
 
+// Guards against parts that hold only while instances hear of each other.
+TEST(BrittleServers, InstancesThatCannotHearEachOtherFellFewServers) {
+  for (const int tolerated : {3, 12}) {
+    const FleetOptions options{.tolerated = tolerated,
+                               .cut_from = milliseconds(4500)};
+    const FleetResult result = BrittleFleet(options).Run();
+    CHECK_EQUAL(0, result.unended);
+    CHECK(result.falls <= MaxFalls(options));
+  }
+}
+
 // Guards against slots that stay unused since callers know only some of the
 // instances.
 TEST(BrittleServers, IdleInstancesLendTheirSlots) {
@@ -531,7 +556,7 @@
           peers.push_back("i" + std::to_string(i));
         }
       }
-      instance.SetFleet(peers, milliseconds(100));
+      instance.SetFleet(peers, true, milliseconds(100));
       // Nothing can be borrowed.
       instance.Observe(first, 0, start, start);
       LoadLedger own_ledger;
@@ -545,6 +570,15 @@
   }
 }
 
+TEST(Brittleness, NothingIsKnownOfServersThatDoNotSaySo) {
+  servers.Observe(first, std::nullopt, start, start);
+  servers.Merge("b", {}, start);
+  servers.Tick(registered, start);
+  CHECK(servers.empty());
+  CHECK(!servers.HasUrgentReport());
+  CHECK(servers.HasRoom(first, 10 * kSlots, ledger, start));
+}
+
 TEST(Brittleness, LaterResponseDecides) {
   servers.Observe(first, 3, start, start);
   servers.Observe(first, std::nullopt, start - seconds(1), start);
@@ -628,7 +662,7 @@
 }
 
 TEST(Brittleness, NothingIsBorrowedWhileAServerRejects) {
-  servers.SetFleet({"b"}, milliseconds(100));
+  servers.SetFleet({"b"}, true, milliseconds(100));
   servers.Observe(first, 20, start, start);
   AddRunning(first, kSlots / 2);
   const auto may_borrow = [&](TimePoint from) {
