--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -54,6 +54,9 @@
     {LogEvent::kServerPauseUnreadable, "server_pause_unreadable",
      LogLevel::kWarning},
     {LogEvent::kServiceReach, "service_reach", LogLevel::kWarning},
+    {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
+    {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
+     LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -59,6 +59,8 @@
   kServerPause = 5013,
   kServerPauseUnreadable = 5014,
   kServiceReach = 5015,
+  kServerBrittle = 5016,
+  kServerBrittleUnreadable = 5017,
 };
 
 // Severity of an event.
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/backend_directory.h"
+#include "core/brittle_servers.h"
 #include "core/load_ledger.h"
 #include "core/prompt_cache_map.h"
 #include "core/request_quarantine.h"
@@ -76,6 +77,7 @@
   std::uint32_t known_peer_count = 0;
   // IdHash of the services that are out of the sender's reach.
   std::vector<std::uint64_t> unreachable_services;
+  std::vector<BrittlenessReport> brittle_servers;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -712,6 +712,19 @@
   return true;
 }
 
+void Exchange::RecordBrittleness(const ResponseInfo& info, TimePoint now) {
+  if (!info.unreadable_brittleness.empty()) {
+    this->context.observer.OnUnreadableBrittleness(
+        {.request_id = this->request_info.request_id,
+         .server = this->choice->server.id,
+         .text = info.unreadable_brittleness});
+  } else if (!info.is_misdirected &&
+             (info.is_from_server || info.not_executed)) {
+    this->context.placer.ObserveBrittleness(
+        this->choice->server, info.rejections_tolerated, this->sent_at, now);
+  }
+}
+
 HeadDecision Exchange::OnHead(const ResponseHead& received_head) {
   ResponseHead head = received_head;
   if (this->relay && !this->OnRelayedHead(head)) {
@@ -743,6 +756,7 @@
     this->context.placer.ObserveRateLimit(
         this->choice->server, response_info.rate_limit, this->sent_at, now);
   }
+  this->RecordBrittleness(response_info, now);
   if (response_info.load) {
     this->context.placer.ApplyLoadReport(this->choice->server.id,
                                          response_info.load->running,
