--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -21,7 +21,11 @@
 // Records the calls of the links.
 class RecordingReportHandler : public FleetReportHandler {
  public:
-  FleetReport MakeReport() override { return {.configuration_revision = 7}; }
+  FleetReport MakeReport() override {
+    return {.is_draining = this->is_draining,
+            .configuration_revision = 7,
+            .unreachable_services = this->unreachable_services};
+  }
   void AddMissingDocuments(const FleetPeer&, FleetReport&) override {}
   void OnRoundSent() override {}
   void OnReport(const FleetPeer& peer, const FleetReport& report) override {
@@ -32,6 +36,9 @@
     this->changes.emplace_back(peer.identity.instance, status);
   }
 
+  // Sent in the reports.
+  bool is_draining = false;
+  std::vector<std::uint64_t> unreachable_services;
   std::set<std::string> reported_by;
   std::size_t addresses_told = 0;
   std::vector<std::pair<std::string, PeerStatus>> changes;
@@ -44,7 +51,8 @@
       : links(io,
               {.self = {.instance = name,
                         .address = "127.0.0.1:0",
-                        .data_centre = "centre-" + name},
+                        .data_centre = "centre-" + name,
+                        .relay_address = "127.0.0.1:9"},
                .seeds = std::move(seeds)},
               handler) {}
 
@@ -209,6 +217,32 @@
   CHECK(b.links.SilentDataCentres().empty());
 }
 
+TEST(FleetLinks, PeersTellWhichServicesTheyCannotReach) {
+  boost::asio::io_context io;
+  Instance a(io, "a", {});
+  CHECK(!a.links.Start().has_value());
+  Instance b(io, "b", {"127.0.0.1:" + std::to_string(a.links.port())});
+  CHECK(!b.links.Start().has_value());
+  const auto heard = [&a](const std::vector<std::uint64_t>& services) {
+    const auto peers = a.links.ServingPeers();
+    return peers.size() == 1 &&
+           peers[0]->identity.relay_address == "127.0.0.1:9" &&
+           peers[0]->unreachable_services == services;
+  };
+  CHECK(RunUntil(io, {&a, &b}, [&] { return heard({}); }));
+  b.handler.unreachable_services = {7};
+  CHECK(RunUntil(io, {&a, &b}, [&] { return heard({7}); }));
+  b.handler.unreachable_services.clear();
+  CHECK(RunUntil(io, {&a, &b}, [&] { return heard({}); }));
+  // A draining peer is heard, but serves no more; neither does a silent one.
+  b.handler.is_draining = true;
+  CHECK(RunUntil(io, {&a, &b}, [&] { return a.links.ServingPeers().empty(); }));
+  CHECK_EQUAL(1, a.links.live_peer_count());
+  b.handler.is_draining = false;
+  CHECK(RunUntil(io, {&a, &b}, [&] { return heard({}); }));
+  CHECK(RunUntil(io, {&a}, [&] { return a.links.ServingPeers().empty(); }));
+}
+
 TEST(FleetLinks, SplitsEventsWhereverTheDataIsCut) {
   const std::string stream =
       "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda";
