Let callers read late while they can be reached

A caller that did not read its response for more than 10 s was cut off, although the idle timeout was 15 s.

Cause: TCP_USER_TIMEOUT, 10 s for callers, also ends connections whose window is full, although the other side acknowledges each probe.

While bytes wait to be sent to a caller, its connection is checked each second, as those to servers are; the idle timeout ends callers that do not read.

Evidence: test_connection_liveness CallerThatReadsLateGetsTheWholeResponse failed before and passed with this change.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -26,6 +26,8 @@
 // A caller's connection fails if response bytes stay unacknowledged for this
 // long. Longer than for servers, since callers may be slow.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(10);
+// Interval of the checks whether a caller that does not read can be reached.
+constexpr Duration kUnreadCheckInterval = std::chrono::seconds(1);
 // How long a connection is still read after its last response. Closing it with
 // unread bytes would reset it, and the caller could lose the response.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
@@ -193,6 +195,7 @@
   }
   this->sending.swap(this->outgoing);
   this->last_write = MonotonicNow();
+  this->has_unacknowledged = true;
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->sending),
       [self = this->shared_from_this()](error_code failure, std::size_t) {
@@ -258,6 +261,13 @@
   if (this->closed) {
     return;
   }
+  if (this->has_unacknowledged &&
+      now - this->unread_checked_at >= kUnreadCheckInterval) {
+    this->unread_checked_at = now;
+    this->has_unacknowledged =
+        UpdateUserTimeout(this->socket, kUnacknowledgedTimeout) ||
+        !this->sending.empty();
+  }
   if (this->exchange) {
     if (!this->finishing) {
       this->exchange->Tick(now);
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -104,6 +104,9 @@
   TimePoint waiting_since;
   TimePoint last_read;
   TimePoint last_write;
+  // Bytes were written that the caller may not have acknowledged yet.
+  bool has_unacknowledged = false;
+  TimePoint unread_checked_at;
   // When a closing connection is closed, provided that all is sent; nullopt
   // before it closes.
   std::optional<TimePoint> close_at;
