--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -118,6 +118,9 @@
   // How long the caller may take to read a part of the response. A
   // configuration that comes later doesn't change it.
   Duration write_timeout{};
+  // Bytes were written that the caller may not have acknowledged yet.
+  bool has_unacknowledged = false;
+  TimePoint unread_checked_at;
   // When a closing connection is closed, provided that all is sent; nullopt
   // before it closes.
   std::optional<TimePoint> close_at;
