Take no fields between instances from a server's response

A server whose response has the fields by which an instance ends a relayed request could make the first instance believe that a request has not run, so that it is sent again. The instance that passes the response on now replaces them. Found by reading; test_relay_fields FieldsOfAServerAreReplaced shows the fields.

--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -820,8 +820,7 @@
     return;
   }
   ResponseHead told_head = head;
-  const HeaderField server = RelayedServerField(this->responding_server);
-  told_head.fields.Add(server.name, server.value);
+  SetRelayedServer(told_head, this->responding_server);
   this->sink.Write(
       WriteResponseHead(told_head, body_framing, this->DecideClose()));
 }
--- a/src/proxy/relay_fields.cc
+++ b/src/proxy/relay_fields.cc
@@ -140,8 +140,9 @@
   return relayed;
 }
 
-HeaderField RelayedServerField(const std::string& server) {
-  return {std::string(field::kServer), server};
+void SetRelayedServer(ResponseHead& head, const std::string& server) {
+  RemoveRelayFields(head.fields);
+  head.fields.Add(std::string(field::kServer), server);
 }
 
 std::vector<HeaderField> RelayedEndingFields(
--- a/src/proxy/relay_fields.h
+++ b/src/proxy/relay_fields.h
@@ -56,8 +56,11 @@
 // The most bytes by which these fields lengthen the head of a request.
 inline constexpr std::size_t kMaxRelayFieldBytes = 2048;
 
-// Returns the fields of a response to a relayed request.
-HeaderField RelayedServerField(const std::string& server);
+// Marks the head of a server's response for the instance that relayed the
+// request. Replaces such fields of the server's own.
+void SetRelayedServer(ResponseHead& head, const std::string& server);
+// Returns the fields of the response with which this instance itself ends a
+// relayed request.
 std::vector<HeaderField> RelayedEndingFields(
     const RelayedResponse::Ending& ending);
 // Reads what the response says and removes it from the head. Returns nullopt if
--- a/tests/test_relay_fields.cc
+++ b/tests/test_relay_fields.cc
@@ -104,3 +104,18 @@
   CHECK(response->ending->retry_after == std::chrono::milliseconds(150));
   CHECK(head.fields.all().empty());
 }
+
+// Guards against a server whose response has such fields, by which it could
+// make an instance believe that the request has not run.
+TEST(RelayFields, FieldsOfAServerAreReplaced) {
+  ResponseHead head;
+  for (const HeaderField& field : RelayedEndingFields(
+           {.cause = EndCause::kDraining, .not_executed = true})) {
+    head.fields.Add(field.name, field.value);
+  }
+  head.fields.Add("Relay-Server", "other");
+  SetRelayedServer(head, "s-1");
+  const auto response = TakeRelayedResponse(head);
+  CHECK(response->server == "s-1");
+  CHECK(!response->ending);
+}
