Cut requests off with their outcome also if the event loop is late

What callers saw in a trial: an instance whose event loop stands still across the cut-off of a drain (0.3 s suffice) closed connections without a response, among them one of a request that was sent and may not be repeated; the process exited with status 0.

Cause: since idle connections stay open after the cut-off, a first tick that comes 250 ms after it skipped the cut-off and ended the process. Class of fault: steps of a sequence that are derived from the time alone.

The flush time now counts from the tick that cut the requests off. 1004 is written after the connections were dropped, so it counts what has no outcome. A relayed request counts as arrived when it arrived here, so it can't pass the last moment with its age, and one that comes too late to be relayed again is refused as draining.

test_drain RequestsGetTheirOutcomeIfTheLoopIsLateAtTheCutOff failed before (no response) and passes now, as do the other ten. RequestThatArrivesAsIdle... takes the place of RequestThatArrivesJustBefore...: idle connections are no longer closed at the cut-off, so that test no longer met the fault that it guards against; the new one blocks the loop across the close of idle connections. RequestsThatWait... has a name that says what it tests now.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -220,10 +220,14 @@
 
 bool Gateway::Run() {
   this->io.run();
+  const std::size_t open_requests = this->proxy_server.active_request_count();
+  const std::size_t callers = this->proxy_server.connection_count();
+  // Reports what has no outcome, before the counts are logged.
+  this->proxy_server.Terminate();
   this->log.Write(LogEvent::kStopped,
                   {{"cut_off", this->requests_cut_off},
-                   {"open", this->proxy_server.active_request_count()},
-                   {"callers", this->proxy_server.connection_count()},
+                   {"open", open_requests},
+                   {"callers", callers},
                    {"read", this->request_counts().read},
                    {"ended", this->request_counts().ended},
                    {"unanswered", this->request_counts().unanswered}});
@@ -363,21 +367,27 @@
     return;
   }
   this->proxy_server.StopAccepting();
-  if (shutdown.IsOver(now - kFlushTime)) {
-    this->proxy_server.CloseIdle(true);
-  } else if (is_over) {
-    this->CutOffRequests();
+  if (is_over) {
+    this->CutOffRequests(now);
   } else {
     this->proxy_server.CloseIdle(!shutdown.AcceptsAt(now));
   }
-  if (this->proxy_server.connection_count() == 0 ||
-      shutdown.IsOver(now - kFlushTime)) {
+  // Counted from the cut-off itself, since the event loop may be late.
+  const bool has_flushed =
+      this->cut_off_at && now - *this->cut_off_at >= kFlushTime;
+  if (has_flushed) {
+    this->proxy_server.CloseIdle(true);
+  }
+  if (this->proxy_server.connection_count() == 0 || has_flushed) {
     this->stopped = true;
     this->io.stop();
   }
 }
 
-void Gateway::CutOffRequests() {
+void Gateway::CutOffRequests(TimePoint now) {
+  if (!this->cut_off_at) {
+    this->cut_off_at = now;
+  }
   const std::size_t open_requests = this->proxy_server.active_request_count();
   if (!this->requests_cut_off && open_requests > 0) {
     this->requests_cut_off = true;
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -138,7 +138,7 @@
   // connections are closed.
   void ContinueDrain(TimePoint now);
   // Ends the requests that are open at the end of the shutdown grace.
-  void CutOffRequests();
+  void CutOffRequests(TimePoint now);
   // Puts the configuration in force if its version is higher than that of the
   // current one: the store may come back from a copy that has an older one.
   // `from` is the source for the log: the store or an instance.
@@ -225,6 +225,8 @@
   std::uint64_t stream_origins_sent = 0;
   // When this instance last read the directory from the store itself.
   TimePoint own_directory_read_at;
+  // When open requests were first cut off; nullopt before.
+  std::optional<TimePoint> cut_off_at;
   // Requests were still open when the shutdown grace ended.
   bool requests_cut_off = false;
   bool stopped = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -130,6 +130,7 @@
       body(std::move(body)),
       sink(sink),
       arrival(arrival),
+      received_at(arrival),
       configuration(context.configuration) {
   if (from_instance) {
     this->relayed_from.emplace();
@@ -176,7 +177,7 @@
   if (!this->ResolveRoute()) {
     return;
   }
-  if (!this->context.shutdown.AcceptsAt(this->arrival)) {
+  if (!this->context.shutdown.AcceptsAt(this->received_at)) {
     this->RejectAsNotExecuted(EndCause::kDraining, kDrainingRetryAfter);
     return;
   }
@@ -357,7 +358,7 @@
                              ? this->context.durations.MedianTime(route)
                              : this->context.durations.LongTime(route);
   return !this->context.shutdown.HasTimeFor(
-      std::min(usual, this->Remaining(sent_at)), sent_at);
+      std::clamp(this->Remaining(sent_at), Duration{}, usual), sent_at);
 }
 
 bool Exchange::GiveUpIfTooLate(TimePoint now) {
@@ -691,7 +692,7 @@
                                     .may_have_executed = true,
                                     .reason = "no response of an instance"};
   } else if (relayed->ending) {
-    this->relayed_ending = std::move(relayed->ending);
+    this->relayed_ending = relayed->ending;
     this->pending_failure =
         Failure{.result = SendResult::kFull,
                 .may_have_executed = !this->relayed_ending->not_executed,
@@ -1111,11 +1112,12 @@
   } else {
     ++this->not_executed_attempts;
   }
+  const bool is_too_late = this->IsTooLate(now);
   std::string no_retry_reason = "may have run at the other instance";
   bool retry = false;
   if (ending && !IsEndingOfInstance(ending->cause)) {
     no_retry_reason = "other instances have the same servers";
-  } else if (this->IsTooLate(now)) {
+  } else if (is_too_late) {
     no_retry_reason = "the instance is about to exit";
   } else if (!failure.may_have_executed) {
     retry = this->MayRetry(no_retry_reason);
@@ -1140,6 +1142,8 @@
   }
   if (failure.may_have_executed) {
     this->GiveUp(EndCause::kAnswerLost);
+  } else if (is_too_late) {
+    this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
   } else if (!ending || IsEndingOfInstance(ending->cause)) {
     this->GiveUp(EndCause::kNoBackend);
   } else if (ending->retry_after > Duration{}) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -254,7 +254,11 @@
   RequestHead request;
   std::string body;
   ResponseSink& sink;
+  // When the request arrived from its caller; here, or at the instance that
+  // relays it.
   TimePoint arrival;
+  // When it arrived here.
+  TimePoint received_at;
   TimePoint deadline;
   // The request's id in the placement queue; nullopt while it does not wait.
   std::optional<RequestId> waiting_id;
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -16,10 +16,13 @@
       relay_entrance{.acceptor = boost::asio::ip::tcp::acceptor(context.io),
                      .kind = CallerKind::kInstance} {}
 
-ProxyServer::~ProxyServer() {
+ProxyServer::~ProxyServer() { this->Terminate(); }
+
+void ProxyServer::Terminate() {
   for (const auto& caller : this->callers) {
     caller->Terminate();
   }
+  this->callers.clear();
 }
 
 std::optional<std::string> ProxyServer::Start() {
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -48,6 +48,8 @@
   // Ends all requests with a true outcome and starts to close their
   // connections. Idle connections stay open until the process exits.
   void Shutdown();
+  // Closes all connections and drops their requests at once.
+  void Terminate();
   // Checks timeouts and removes closed connections; called periodically.
   void Tick(TimePoint now);
 
--- a/tests/test_drain.cc
+++ b/tests/test_drain.cc
@@ -275,18 +275,41 @@
   LONGS_EQUAL(0, counts.unanswered);
 }
 
+// Guards against requests that are dropped because the event loop is late: no
+// tick comes between the cut-off and the end of the process.
+TEST(Drain, RequestsGetTheirOutcomeIfTheLoopIsLateAtTheCutOff) {
+  DrainingGateway draining(milliseconds(1500));
+  const auto caller = draining.gateway->Connect();
+  caller->Send(PlatformFixture::Request("/once/hold", "r1"));
+  while (!draining.engines.HasReceived("r1")) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  draining.StartDrain();
+  draining.gateway->RunOnEventLoop([&](Gateway&) {
+    std::this_thread::sleep_until(draining.drain_started_at +
+                                  milliseconds(1400));
+  });
+  STRCMP_EQUAL("HTTP/1.1 502 Bad Gateway", ReadStatusLine(*caller).c_str());
+  CHECK_FALSE(draining.gateway->AwaitEnd());
+  const RequestCounts& counts = draining.gateway->request_counts();
+  LONGS_EQUAL(1, counts.read);
+  LONGS_EQUAL(1, counts.ended);
+}
+
 // Guards against a request that is lost without a reset: its bytes have been
 // received when its connection is closed as idle, and not yet been parsed.
-TEST(Drain, RequestThatArrivesJustBeforeTheEndOfTheGraceIsAnswered) {
-  DrainingGateway draining(milliseconds(1500));
+TEST(Drain, RequestThatArrivesAsIdleConnectionsAreClosedIsAnswered) {
+  DrainingGateway draining;
   draining.StartDrain();
   std::unique_ptr<RawConnection> caller;
-  // The event loop then accepts the connection and ends the drain at once.
+  // The event loop then accepts the connection, and closes idle ones at once.
   draining.gateway->RunOnEventLoop([&](Gateway&) {
+    std::this_thread::sleep_until(draining.drain_started_at +
+                                  milliseconds(2450));
     caller = draining.gateway->Connect();
     caller->Send(PlatformFixture::Request("/once/x", "r1"));
     std::this_thread::sleep_until(draining.drain_started_at +
-                                  milliseconds(1100));
+                                  milliseconds(3060));
   });
   STRCMP_EQUAL("HTTP/1.1 503 Service Unavailable",
                ReadStatusLine(*caller).c_str());
@@ -309,7 +332,7 @@
 
 // Guards against refusals at the end of the grace that are not true: requests
 // that wait for capacity have not been executed.
-TEST(Drain, RequestsThatWaitAtTheEndOfTheGraceAreRefusedAsNotRun) {
+TEST(Drain, RequestsThatWaitInADrainAreRefusedAsNotRun) {
   DrainingGateway draining(milliseconds(1500));
   // A few of these fill the engine's KV cache.
   constexpr int kRequests = 8;
