--- a/review/standin/stage.h
+++ b/review/standin/stage.h
@@ -587,6 +587,10 @@
   std::atomic<bool> draining = false;
   // Called with each request that the engine is about to run.
   std::function<void(const Message&)> on_run;
+  // The engine is full, says so, and rejects requests.
+  std::atomic<bool> full = false;
+  // While set, no run writes anything; it goes on afterwards.
+  std::atomic<bool> silent = false;
   std::atomic<int> running = 0;
 
  private:
@@ -615,6 +619,16 @@
           this->options.id + "\r\n" + this->Common(request) +
           "Content-Length: 0\r\n\r\n");
     }
+    if (this->full) {
+      record.Line("engine " + this->options.id + " is full and doesn't run " +
+                  id);
+      const string slots = std::to_string(this->options.slots);
+      return channel.Send(
+          "HTTP/1.1 503 Service Unavailable\r\nRosemarycove-Not-Executed: "
+          "1\r\nRosemarycove-Request-Id: " +
+          id + "\r\nRosemarycove-Engine-Load: " + slots + ",8," + slots +
+          "\r\nContent-Length: 0\r\n\r\n");
+    }
     const string last = request.Field("last-event-id");
     record.Line("engine " + this->options.id + " (" + this->options.service +
                 ", " + this->options.version + ") runs " + id + " " +
@@ -651,6 +665,9 @@
     const int first = std::atoi(request.Field("last-event-id").c_str()) + 1;
     for (int i = first; i <= this->options.events; ++i) {
       SleepMs(this->options.event_ms);
+      while (this->silent) {
+        SleepMs(1);
+      }
       // What is written names the version that wrote it.
       const string event = "id: " + std::to_string(i) +
                            "\ndata: " + this->options.version + "/" +
