Review, case 4: a silent engine is given up for one without room

KNOWN-RED entry 2, with processes: a gateway that stops in order gives a sound engine that is silent for 1.2 s up for another one before that one has taken the request. It has no room, and the streams are cut (LOST).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-timeout 115 target/review/same_id review/3/record.txt
+timeout 115 target/review/refused_watchers review/3/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/stage.h
+++ b/review/standin/stage.h
@@ -517,6 +517,7 @@
   string service;
   string version = "v1";
   int slots = 64;
+  int queue = -1;        // Requests that may wait; -1: any number.
   double work_ms = 60;   // Of requests that aren't streams.
   int events = 70;       // Of a stream.
   double event_ms = 20;  // Between two events.
@@ -587,8 +588,6 @@
   std::atomic<bool> draining = false;
   // Called with each request that the engine is about to run.
   std::function<void(const Message&)> on_run;
-  // The engine is full, says so, and rejects requests.
-  std::atomic<bool> full = false;
   // While set, no run writes anything; it goes on afterwards.
   std::atomic<bool> silent = false;
   std::atomic<int> running = 0;
@@ -619,14 +618,15 @@
           this->options.id + "\r\n" + this->Common(request) +
           "Content-Length: 0\r\n\r\n");
     }
-    if (this->full) {
+    if (this->options.queue >= 0 &&
+        this->running >= this->options.slots + this->options.queue) {
       record.Line("engine " + this->options.id + " is full and doesn't run " +
                   id);
       const string slots = std::to_string(this->options.slots);
       return channel.Send(
           "HTTP/1.1 503 Service Unavailable\r\nRosemarycove-Not-Executed: "
           "1\r\nRosemarycove-Request-Id: " +
-          id + "\r\nRosemarycove-Engine-Load: " + slots + ",8," + slots +
+          id + "\r\nRosemarycove-Engine-Load: " + slots + ",0," + slots +
           "\r\nContent-Length: 0\r\n\r\n");
     }
     const string last = request.Field("last-event-id");
