Read the configuration where the watchers have stopped to know

Cause: who waits for configurations follows from who lives, not from who reaches the store, and the others read the store once a minute.

Ruled out: the links between instances, the store's answers to the four (they read the directory from it), a relay that was lost (nobody had the document).

Change: who reads the directory waits for configurations too, and each instance keeps and reports the time up to which it knows all configurations; when that is too old it reads the store itself, also in place of a wait that hangs. The new field is missing from earlier releases, which counts as no knowledge. Metric rosemarycove_configuration_age_ms and event 4006 show it.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -39,6 +39,8 @@
     {LogEvent::kStoreUnavailable, "store_unavailable", LogLevel::kWarning},
     {LogEvent::kStoreAvailable, "store_available", LogLevel::kInfo},
     {LogEvent::kChangeAccepted, "change_accepted", LogLevel::kInfo},
+    {LogEvent::kConfigurationOverdue, "configuration_overdue",
+     LogLevel::kWarning},
     {LogEvent::kLoadReportMissing, "load_report_missing", LogLevel::kWarning},
     {LogEvent::kServerChanged, "server_changed", LogLevel::kInfo},
     {LogEvent::kServerEjected, "server_ejected", LogLevel::kWarning},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -47,6 +47,7 @@
   kStoreUnavailable = 4003,
   kStoreAvailable = 4004,
   kChangeAccepted = 4005,
+  kConfigurationOverdue = 4006,
   kLoadReportMissing = 5001,
   kServerChanged = 5002,
   kServerEjected = 5003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -75,6 +75,8 @@
 constexpr Duration kRelayPeersInterval = std::chrono::milliseconds(250);
 // Minimum time between two log events on dropped lines.
 constexpr Duration kDropLogInterval = std::chrono::seconds(5);
+// The source of documents that this instance has read itself, in the log.
+constexpr char kFromStore[] = "store";
 
 }  // namespace
 
@@ -83,11 +85,8 @@
   explicit ConfigurationListener(Gateway& gateway) : gateway(gateway) {}
 
   void OnRead(const ReadResult& reading, bool /*whole*/,
-              TimePoint /*read_at*/) override {
-    this->gateway.configuration_read_at = MonotonicNow();
-    for (const SharedDocument& document : reading.documents) {
-      this->gateway.ApplyConfiguration(document, "store");
-    }
+              TimePoint read_at) override {
+    this->gateway.OnConfigurationRead(reading, read_at);
   }
   void OnStoreUnavailable(const std::string& why) override {
     this->gateway.LogStoreLost("configuration", why,
@@ -303,18 +302,12 @@
 }
 
 void Gateway::Tick(TimePoint now) {
-  this->configuration_feed.SetMaxWait(this->IsDirectoryReader(now)
-                                          ? kReaderConfigurationWait
-                                          : kConfigurationWait);
   this->directory_feed.AdvanceTo(this->directory.revision());
   // One of them may be the first to see that the store has come back from a
   // copy, also if others read the directory for this instance.
   this->configuration_feed.NoteEra(this->directory_feed.era());
   this->directory_feed.NoteEra(this->configuration_feed.era());
-  this->configuration_feed.Tick(now, now - this->configuration_read_at,
-                                this->WatchesConfiguration(this->links.self())
-                                    ? Duration{}
-                                    : kUnwatchedReadInterval);
+  this->UpdateConfigurationFeed(now);
   this->directory_feed.Tick(
       now, now - this->directory.read_at(),
       kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
@@ -421,7 +414,7 @@
   this->context.configuration =
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
   this->links.ScheduleReport();
-  if (this->WatchesConfiguration(this->links.self())) {
+  if (from == kFromStore) {
     this->configuration_relay_at = MonotonicNow() + kConfigurationRelayDelay;
   }
   this->log.Write(LogEvent::kConfigurationInForce,
@@ -722,6 +715,7 @@
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
           .configuration_version = this->configuration_version(),
+          .configuration_age = this->configuration_freshness.Age(now),
           .directory_revision = this->directory.revision(),
           .directory_age = now - this->directory.read_at(),
           .directory_read_id = this->directory.last_read_id(),
@@ -772,6 +766,45 @@
   }
 }
 
+void Gateway::UpdateConfigurationFeed(TimePoint now) {
+  const int rank = this->links.Rank();
+  const bool is_overdue = this->configuration_freshness.MustRead(rank, now);
+  if (is_overdue != this->is_configuration_overdue) {
+    this->is_configuration_overdue = is_overdue;
+    const auto age = this->configuration_freshness.Age(now);
+    this->log.Write(LogEvent::kConfigurationOverdue,
+                    {{"reads", is_overdue},
+                     {"age_ms", age ? ToLogMilliseconds(*age) : -1},
+                     {"version", this->configuration_version()},
+                     {"rank", rank},
+                     {"peers", this->links.live_peer_count()}});
+  }
+  this->configuration_feed.SetOverdue(is_overdue);
+  // Who reads the directory is known to reach the store.
+  const bool reads_directory = this->IsDirectoryReader(now);
+  this->configuration_feed.SetMaxWait(reads_directory ? kReaderConfigurationWait
+                                                      : kConfigurationWait);
+  const bool waits_for_changes =
+      reads_directory || this->WatchesConfiguration(this->links.self());
+  this->configuration_feed.Tick(
+      now, now - this->configuration_read_at,
+      waits_for_changes ? Duration{} : kUnwatchedReadInterval);
+}
+
+void Gateway::OnConfigurationRead(const ReadResult& reading,
+                                  TimePoint read_at) {
+  this->configuration_read_at = MonotonicNow();
+  for (const SharedDocument& document : reading.documents) {
+    this->ApplyConfiguration(document, kFromStore);
+  }
+  this->configuration_freshness.RecordRead(
+      read_at,
+      this->rejected_revision <= this->configuration_document.revision);
+  if (this->is_configuration_overdue) {
+    this->links.ScheduleReport();
+  }
+}
+
 void Gateway::OnDirectoryRead(TimePoint now) {
   this->own_directory_read_at = now;
   this->configuration_feed.RestartStalledRead(
@@ -806,6 +839,10 @@
   if (report.configuration) {
     this->ApplyConfiguration(*report.configuration, peer.identity.instance);
   }
+  this->configuration_freshness.RecordReport(
+      {.version = report.configuration_version,
+       .age = report.configuration_age},
+      this->configuration_version(), now);
   this->HandleDirectoryChanges(
       this->directory.ApplyUpdate(
           report.directory_update, report.directory_revision,
@@ -874,6 +911,11 @@
   add("rosemarycove_peers",
       static_cast<std::uint64_t>(this->links.live_peer_count()));
   add("rosemarycove_configuration_version", this->configuration_version());
+  // An unknown age has no value.
+  if (const auto age = this->configuration_freshness.Age(MonotonicNow())) {
+    add("rosemarycove_configuration_age_ms",
+        static_cast<std::uint64_t>(ToLogMilliseconds(*age)));
+  }
   add("rosemarycove_store_readings_total",
       this->configuration_feed.call_count() +
           this->directory_feed.call_count());
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -16,6 +16,7 @@
 #include "app/gateway_observer.h"
 #include "app/metrics.h"
 #include "core/backend_directory.h"
+#include "core/configuration_freshness.h"
 #include "core/relay_selector.h"
 #include "core/relay_throttle.h"
 #include "net/fleet_links.h"
@@ -104,8 +105,8 @@
   // True while this instance is one of those that read the directory from the
   // store for the fleet.
   [[nodiscard]] bool IsDirectoryReader(TimePoint now) const;
-  // Returns whether the instance waits for changes of the configuration at the
-  // store; otherwise it gets them from those of its data centre that do.
+  // Returns whether the instance is one of those of its data centre that wait
+  // for changes of the configuration at the store and send them to the others.
   [[nodiscard]] bool WatchesConfiguration(
       const InstanceIdentity& instance) const;
   // Decides whether the report to this peer, which lacks the configuration,
@@ -125,6 +126,11 @@
                                   const FleetPeer& peer,
                                   std::uint64_t FleetPeer::*peer_revision,
                                   std::uint64_t revision, TimePoint now) const;
+  // Reads the configuration if this instance is one of those that wait for
+  // changes, reads the directory for the fleet, or can't tell otherwise whether
+  // its configuration is the latest one.
+  void UpdateConfigurationFeed(TimePoint now);
+  void OnConfigurationRead(const ReadResult& reading, TimePoint read_at);
   void OnDirectoryRead(TimePoint now);
   void OnRoundSent() override;
   void OnReport(const FleetPeer& peer, const FleetReport& report) override;
@@ -205,6 +211,8 @@
   std::optional<TimePoint> configuration_relay_at;
   // When this instance last read the configuration from the store.
   TimePoint configuration_read_at;
+  ConfigurationFreshness configuration_freshness;
+  bool is_configuration_overdue = false;
   DocumentFeed directory_feed;
   boost::asio::steady_timer timer;
   boost::asio::signal_set signals;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -55,6 +55,10 @@
   std::uint64_t configuration_revision = 0;
   // Its version, which orders configurations also after the store has lost one.
   std::uint64_t configuration_version = 0;
+  // The time since which the sender doesn't know whether the store has a later
+  // one; nullopt if that is unknown, or if the sender runs a release that
+  // doesn't send it. Whole milliseconds are sent.
+  std::optional<Duration> configuration_age;
   // The revision up to which the sender's directory is complete, the age of the
   // latest read of the store that it knows, and the id of that read.
   std::uint64_t directory_revision = 0;
--- a/src/store/document_feed.cc
+++ b/src/store/document_feed.cc
@@ -40,13 +40,21 @@
 
 void DocumentFeed::Tick(TimePoint now, Duration age, Duration delay) {
   this->store.Tick(now);
-  const bool is_due =
-      this->needs_all || age >= this->options.refresh_age + delay;
+  const bool is_due = this->needs_all || this->is_overdue ||
+                      age >= this->options.refresh_age + delay;
   if (!this->store.is_busy() && is_due && now >= this->next_read_at) {
     this->StartRead(now);
   }
 }
 
+void DocumentFeed::SetOverdue(bool overdue) {
+  if (overdue && !this->is_overdue && this->awaits_changes &&
+      this->store.is_busy()) {
+    this->store.Cancel();
+  }
+  this->is_overdue = overdue;
+}
+
 void DocumentFeed::RestartStalledRead(Duration max_duration, TimePoint now) {
   if (this->store.is_busy() && now - this->read_started_at > max_duration) {
     this->store.Cancel();
@@ -57,7 +65,9 @@
 void DocumentFeed::StartRead(TimePoint now) {
   this->read_started_at = now;
   ++this->started_calls;
-  if (this->needs_all || this->options.always_read_all) {
+  this->awaits_changes =
+      !this->needs_all && !this->is_overdue && !this->options.always_read_all;
+  if (!this->awaits_changes) {
     this->store.ReadAll([this, now](const auto& result) {
       this->HandleResult(result, true, now);
     });
--- a/src/store/document_feed.h
+++ b/src/store/document_feed.h
@@ -47,6 +47,9 @@
   void Tick(TimePoint now, Duration age, Duration delay);
   // Sets how long later reads wait for a change.
   void SetMaxWait(Duration max_wait) { this->options.max_wait = max_wait; }
+  // Sets whether the copy is too old to wait for changes. While it is, all
+  // documents are read at once, also in place of a wait that may never end.
+  void SetOverdue(bool overdue);
   // Restarts a read that has run for longer than `max_duration`, since its
   // response may be lost. To be called when the store is known to respond.
   void RestartStalledRead(Duration max_duration, TimePoint now);
@@ -82,6 +85,9 @@
   // Nothing has been read yet, or the store has dropped the history.
   bool needs_all = true;
   bool store_available = true;
+  bool is_overdue = false;
+  // The read that is under way waits for changes.
+  bool awaits_changes = false;
   TimePoint unavailable_since;
   TimePoint read_started_at;
   TimePoint next_read_at;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -75,6 +75,18 @@
       std::numeric_limits<std::uint32_t>::max()));
 }
 
+// 0 stands for an unknown age.
+std::uint32_t EncodeOptionalAge(std::optional<Duration> age) {
+  return age ? EncodeAge(*age + std::chrono::milliseconds(1)) : 0;
+}
+
+std::optional<Duration> DecodeOptionalAge(std::uint32_t field) {
+  if (field == 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(field - 1);
+}
+
 std::uint16_t EncodeShortTime(Duration time) {
   return Saturate<std::uint16_t>(static_cast<int>(EncodeAge(time)));
 }
@@ -271,6 +283,7 @@
     report.software = DecodeSoftware(*frame.software());
   }
   report.known_peer_count = frame.known_peers();
+  report.configuration_age = DecodeOptionalAge(frame.configuration_age_ms());
   report.stream_origins = DecodeOrigins(frame.begun_streams());
   if (frame.cached_parts() != nullptr) {
     report.cached_parts.assign(frame.cached_parts()->begin(),
@@ -393,7 +406,8 @@
       report.directory_update.is_snapshot, share_vector, division_vector,
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
-      report.known_peer_count, unreachable_services, brittle_vector));
+      report.known_peer_count, unreachable_services, brittle_vector,
+      EncodeOptionalAge(report.configuration_age)));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -731,7 +731,8 @@
     VT_CACHED_PARTS = 44,
     VT_KNOWN_PEERS = 46,
     VT_UNREACHABLE_SERVICES = 48,
-    VT_BRITTLE_SERVERS = 50
+    VT_BRITTLE_SERVERS = 50,
+    VT_CONFIGURATION_AGE_MS = 52
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -805,6 +806,9 @@
   const flatbuffers::Vector<const rosemarycove::wire::BrittleServer *> *brittle_servers() const {
     return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::BrittleServer *> *>(VT_BRITTLE_SERVERS);
   }
+  uint32_t configuration_age_ms() const {
+    return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -848,6 +852,7 @@
            verifier.VerifyVector(unreachable_services()) &&
            VerifyOffset(verifier, VT_BRITTLE_SERVERS) &&
            verifier.VerifyVector(brittle_servers()) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -928,6 +933,9 @@
   void add_brittle_servers(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers) {
     fbb_.AddOffset(FleetReport::VT_BRITTLE_SERVERS, brittle_servers);
   }
+  void add_configuration_age_ms(uint32_t configuration_age_ms) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -964,7 +972,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cached_parts = 0,
     uint32_t known_peers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0,
+    uint32_t configuration_age_ms = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -972,6 +981,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_brittle_servers(brittle_servers);
   builder_.add_unreachable_services(unreachable_services);
   builder_.add_known_peers(known_peers);
@@ -1018,7 +1028,8 @@
     const std::vector<uint64_t> *cached_parts = nullptr,
     uint32_t known_peers = 0,
     const std::vector<uint64_t> *unreachable_services = nullptr,
-    const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr) {
+    const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr,
+    uint32_t configuration_age_ms = 0) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1054,7 +1065,8 @@
       cached_parts__,
       known_peers,
       unreachable_services__,
-      brittle_servers__);
+      brittle_servers__,
+      configuration_age_ms);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
