--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -219,10 +219,11 @@
 
 void Exchange::RecordStreamOrigin() {
   const Route& route = *this->query.route;
-  if (!route.is_resumable || this->response_mode != ResponseMode::kStream) {
+  if (!route.is_resumable ||
+      this->current.response_mode != ResponseMode::kStream) {
     return;
   }
-  const std::uint64_t software = SoftwareHash(this->choice->server);
+  const std::uint64_t software = SoftwareHash(this->current.choice->server);
   this->query.required_software = software;
   this->context.stream_origins.Add(
       {.stream = this->stream_hash, .software = software}, MonotonicNow());
@@ -527,21 +528,21 @@
   }
   this->BeginAttempt(chosen, std::move(*acquired), now);
   this->context.placer.RecordSend(this->query, chosen, now);
-  this->is_quarantine_trial =
+  this->current.is_quarantine_trial =
       this->context.quarantine.RecordSend(this->suspects, now);
   this->context.observer.OnPlaced(
       {.request_id = this->request_info.request_id,
        .route = this->query.route->name,
        .customer = this->customer,
        .tier = this->query.tier,
-       .attempt = this->attempts,
+       .attempt = this->current.number,
        .choice = chosen,
        .resumed_request = this->request_info.resumed_request,
        .ledger_age = this->context.placer.ledger().MaxPeerAge(now),
        .directory_age = now - this->context.directory.read_at(),
        .directory_revision = this->context.directory.revision(),
        .configuration_version = this->configuration->version,
-       .reused_connection = this->connection_reused});
+       .reused_connection = this->current.connection_reused});
   std::string bytes =
       WriteRequestHead(this->request, this->body.size(), this->context.dialect,
                        this->request_info,
@@ -552,8 +553,8 @@
                         .max_tier = this->configuration->max_tier,
                         .last_event_id = this->ResumeFrom()});
   bytes.append(this->body);
-  this->connection->Send(std::move(bytes), this->request.method == "HEAD",
-                         *this);
+  this->current.connection->Send(std::move(bytes),
+                                 this->request.method == "HEAD", *this);
 }
 
 std::string Exchange::ResumeFrom() const {
@@ -588,19 +589,19 @@
     return;
   }
   this->BeginAttempt({.server = target}, std::move(*acquired), now);
-  this->relay = std::move(peer);
-  this->relayed_to = this->relay->instance;
+  this->current.relay = std::move(peer);
+  this->relayed_to = this->current.relay->instance;
   this->relayed_ending.reset();
-  this->context.relays.RecordSend(this->relay->instance, now);
+  this->context.relays.RecordSend(this->current.relay->instance, now);
   this->context.observer.OnRelayed(
       {.request_id = this->request_info.request_id,
        .route = this->query.route->name,
        .service = this->service_name,
-       .attempt = this->attempts,
-       .to_instance = this->relay->instance,
-       .to_data_centre = this->relay->data_centre,
+       .attempt = this->current.number,
+       .to_instance = this->current.relay->instance,
+       .to_data_centre = this->current.relay->data_centre,
        .failed_attempts = this->attempts - 1,
-       .reused_connection = this->connection_reused});
+       .reused_connection = this->current.connection_reused});
   std::string bytes = WriteRelayedRequestHead(
       this->request, this->body.size(), this->context.dialect,
       {.from_instance = this->context.instance,
@@ -608,51 +609,42 @@
        .last_event_id = this->ResumeFrom(),
        .possible_executions = this->possible_executions});
   bytes.append(this->body);
-  this->connection->Send(std::move(bytes), this->request.method == "HEAD",
-                         *this);
+  this->current.connection->Send(std::move(bytes),
+                                 this->request.method == "HEAD", *this);
 }
 
 void Exchange::BeginAttempt(const ServerChoice& chosen,
                             PooledConnection acquired, TimePoint now) {
-  this->choice = chosen;
-  this->connection_target = chosen.server;
-  this->relay.reset();
-  this->connection = std::move(acquired.connection);
-  this->connection_reused = acquired.reused;
-  this->is_quarantine_trial = false;
-  this->responding_server.clear();
-  this->stale_time = std::min(
-      kStaleRoundTrips * this->connection->connect_time() + kStaleMargin,
-      kMaxStaleTime);
-  this->send_started = false;
-  this->sent_at = now;
-  this->last_bytes_at = now;
-  this->first_event_received = false;
-  this->survival_recorded = false;
-  this->response_mode = ResponseMode::kNone;
-  this->pending_failure.reset();
-  this->buffered.clear();
-  this->discarded_bytes = 0;
+  const Duration connect_time = acquired.connection->connect_time();
+  this->current = {
+      .number = ++this->attempts,
+      .choice = chosen,
+      .connection_target = chosen.server,
+      .connection = std::move(acquired.connection),
+      .connection_reused = acquired.reused,
+      .stale_time = std::min(kStaleRoundTrips * connect_time + kStaleMargin,
+                             kMaxStaleTime),
+      .sent_at = now,
+      .last_bytes_at = now};
   this->splitter.DiscardPartialEvent();
-  ++this->attempts;
 }
 
 void Exchange::OnSendStarted() {
-  this->send_started = true;
+  this->current.send_started = true;
   // The other instance counts what it sends to servers.
-  if (!this->relay) {
+  if (!this->current.relay) {
     ++this->sent_attempts;
   }
 }
 
 bool Exchange::IsOwnResponse(const ResponseInfo& response_info) const {
-  if (this->relay) {
+  if (this->current.relay) {
     return true;
   }
   // On a kept connection, a response without an id may belong to an earlier
   // request: servers at fault write responses more than once.
   return response_info.request_id.empty()
-             ? !this->connection->has_received_response()
+             ? !this->current.connection->has_received_response()
              : response_info.request_id == this->request_info.request_id;
 }
 
@@ -661,14 +653,14 @@
   if (info.is_misdirected) {
     return;
   }
-  const RegisteredServer& server = this->choice->server;
+  const RegisteredServer& server = this->current.choice->server;
   ServerAvailability& availability = this->context.placer.availability();
   // A late response to another request says it as well.
   if (info.is_leaving) {
     availability.RecordLeaving(server, now);
   }
   // The rest is said to the instance that sent the request to the server.
-  if (this->relay || !this->IsOwnResponse(info) ||
+  if (this->current.relay || !this->IsOwnResponse(info) ||
       (!info.is_from_server && !info.not_executed)) {
     return;
   }
@@ -681,34 +673,35 @@
   if (info.pause > Duration{}) {
     availability.RecordPause(server, info.pause, now);
   } else if (!info.not_executed && head.status != http_status::kUnavailable) {
-    availability.RecordAnswer(server, this->sent_at, now);
+    availability.RecordAnswer(server, this->current.sent_at, now);
   }
 }
 
 bool Exchange::OnRelayedHead(ResponseHead& head) {
   std::optional<RelayedResponse> relayed = TakeRelayedResponse(head);
   if (!relayed) {
-    this->pending_failure = Failure{.result = SendResult::kMalformed,
-                                    .may_have_executed = true,
-                                    .reason = "no response of an instance"};
+    this->current.pending_failure =
+        Failure{.result = SendResult::kMalformed,
+                .may_have_executed = true,
+                .reason = "no response of an instance"};
   } else if (relayed->ending) {
     this->relayed_ending = relayed->ending;
-    this->pending_failure =
+    this->current.pending_failure =
         Failure{.result = SendResult::kFull,
                 .may_have_executed = !this->relayed_ending->not_executed,
                 .reason = "ended by the other instance, " +
                           std::string(ToString(this->relayed_ending->cause))};
   }
-  if (this->pending_failure) {
-    this->response_mode = ResponseMode::kDiscarded;
+  if (this->current.pending_failure) {
+    this->current.response_mode = ResponseMode::kDiscarded;
     return false;
   }
   const auto& servers = this->context.directory.servers();
   const auto found = servers.find(relayed->server);
   if (found != servers.end()) {
-    this->choice->server = found->second;
+    this->current.choice->server = found->second;
   } else {
-    this->choice->server.id = relayed->server;
+    this->current.choice->server.id = relayed->server;
   }
   return true;
 }
@@ -717,18 +710,19 @@
   if (!info.unreadable_brittleness.empty()) {
     this->context.observer.OnUnreadableBrittleness(
         {.request_id = this->request_info.request_id,
-         .server = this->choice->server.id,
+         .server = this->current.choice->server.id,
          .text = info.unreadable_brittleness});
   } else if (!info.is_misdirected &&
              (info.is_from_server || info.not_executed)) {
-    this->context.placer.ObserveBrittleness(
-        this->choice->server, info.rejections_tolerated, this->sent_at, now);
+    this->context.placer.ObserveBrittleness(this->current.choice->server,
+                                            info.rejections_tolerated,
+                                            this->current.sent_at, now);
   }
 }
 
 HeadDecision Exchange::OnHead(const ResponseHead& received_head) {
   ResponseHead head = received_head;
-  if (this->relay && !this->OnRelayedHead(head)) {
+  if (this->current.relay && !this->OnRelayedHead(head)) {
     return HeadDecision::kAccept;
   }
   const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
@@ -737,35 +731,36 @@
   if (!this->IsOwnResponse(response_info)) {
     return HeadDecision::kSkip;
   }
-  this->responding_server = this->choice->server.id;
-  if (!this->relay) {
-    this->context.placer.RecordResponseHead(*this->choice, now - this->sent_at,
-                                            now);
+  this->current.responding_server = this->current.choice->server.id;
+  if (!this->current.relay) {
+    this->context.placer.RecordResponseHead(*this->current.choice,
+                                            now - this->current.sent_at, now);
   }
-  this->last_bytes_at = now;
-  this->response = head;
+  this->current.last_bytes_at = now;
+  this->current.response = head;
   this->response_framing = head.framing;
   this->named_rate_limit = response_info.rate_limit;
   // An unreadable limit changes nothing.
   if (!response_info.unreadable_rate_limit.empty()) {
     this->context.observer.OnUnreadableRateLimit(
         {.request_id = this->request_info.request_id,
-         .server = this->choice->server.id,
+         .server = this->current.choice->server.id,
          .text = response_info.unreadable_rate_limit});
-  } else if (!this->relay && !response_info.is_misdirected &&
+  } else if (!this->current.relay && !response_info.is_misdirected &&
              (response_info.is_from_server || response_info.not_executed)) {
-    this->context.placer.ObserveRateLimit(
-        this->choice->server, response_info.rate_limit, this->sent_at, now);
+    this->context.placer.ObserveRateLimit(this->current.choice->server,
+                                          response_info.rate_limit,
+                                          this->current.sent_at, now);
   }
   this->RecordBrittleness(response_info, now);
   if (response_info.load) {
-    this->context.placer.ApplyLoadReport(this->choice->server.id,
+    this->context.placer.ApplyLoadReport(this->current.choice->server.id,
                                          response_info.load->running,
                                          response_info.load->waiting, now);
   }
   if (response_info.not_executed) {
-    this->response_mode = ResponseMode::kDiscarded;
-    this->pending_failure = Failure{
+    this->current.response_mode = ResponseMode::kDiscarded;
+    this->current.pending_failure = Failure{
         .result = response_info.is_misdirected ? SendResult::kUnreachable
                                                : SendResult::kFull,
         .may_have_executed = false,
@@ -777,12 +772,12 @@
   const bool failed = head.status >= kFirstServerError ||
                       ImpliesNotExecuted(head.status) || is_foreign;
   if (failed) {
-    this->pending_failure = Failure{
+    this->current.pending_failure = Failure{
         .result = is_foreign ? SendResult::kMalformed : SendResult::kError,
         .may_have_executed = true,
         .reason = "status " + std::to_string(head.status)};
     // Stored, to be forwarded if no further attempt is allowed.
-    this->response_mode = ResponseMode::kBuffered;
+    this->current.response_mode = ResponseMode::kBuffered;
     return HeadDecision::kAccept;
   }
   // What goes on with a stream has a type if the stream has one.
@@ -792,23 +787,23 @@
                          IsEventStream(*this->query.route, head) &&
                          !HasNoBody(this->request, head);
   if (this->head_forwarded && !is_stream) {
-    this->pending_failure =
+    this->current.pending_failure =
         Failure{.result = SendResult::kError,
                 .may_have_executed = true,
                 .reason = "status " + std::to_string(head.status) +
                           " instead of the rest of the stream"};
-    this->response_mode = ResponseMode::kDiscarded;
+    this->current.response_mode = ResponseMode::kDiscarded;
     return HeadDecision::kAccept;
   }
   if (is_stream) {
-    this->response_mode = ResponseMode::kStream;
+    this->current.response_mode = ResponseMode::kStream;
     if (!this->head_forwarded) {
       this->stream_has_type = !head.MediaType().empty();
       this->ForwardHead(head, this->FramingWithoutLength());
     }
     return HeadDecision::kAccept;
   }
-  this->response_mode = ResponseMode::kBuffered;
+  this->current.response_mode = ResponseMode::kBuffered;
   return HeadDecision::kAccept;
 }
 
@@ -821,7 +816,7 @@
     return;
   }
   ResponseHead told_head = head;
-  SetRelayedServer(told_head, this->responding_server);
+  SetRelayedServer(told_head, this->current.responding_server);
   this->sink.Write(
       WriteResponseHead(told_head, body_framing, this->DecideClose()));
 }
@@ -839,20 +834,20 @@
 }
 
 void Exchange::RecordFirstEvent() {
-  if (this->first_event_received) {
+  if (this->current.first_event_received) {
     return;
   }
   const TimePoint now = MonotonicNow();
-  this->first_event_received = true;
-  this->attempt_first_event_at = now;
-  this->last_software_version = this->choice->server.software_version;
-  if (this->relay) {
-    this->context.relays.RecordResult(this->relay->instance, true, now);
+  this->current.first_event_received = true;
+  this->current.first_event_at = now;
+  this->last_software_version = this->current.choice->server.software_version;
+  if (this->current.relay) {
+    this->context.relays.RecordResult(this->current.relay->instance, true, now);
   } else {
-    this->context.placer.RecordFirstEvent(this->query, *this->choice,
-                                          now - this->sent_at, now);
-    this->context.placer.RecordResult(*this->choice, SendResult::kAnswered,
-                                      now);
+    this->context.placer.RecordFirstEvent(this->query, *this->current.choice,
+                                          now - this->current.sent_at, now);
+    this->context.placer.RecordResult(*this->current.choice,
+                                      SendResult::kAnswered, now);
   }
   if (this->first_event_at == TimePoint{}) {
     this->RecordStreamOrigin();
@@ -863,65 +858,69 @@
 }
 
 void Exchange::RecordSurvival(TimePoint now) {
-  if (!this->survival_recorded) {
-    this->survival_recorded = true;
+  if (!this->current.survival_recorded) {
+    this->current.survival_recorded = true;
     this->context.quarantine.RecordSurvival(this->suspects, now);
   }
 }
 
 bool Exchange::HasJustBegun(TimePoint now) const {
-  return !this->survival_recorded &&
-         (!this->first_event_received ||
-          now - this->attempt_first_event_at < kSurvivalTime);
+  return !this->current.survival_recorded &&
+         (!this->current.first_event_received ||
+          now - this->current.first_event_at < kSurvivalTime);
 }
 
 void Exchange::RecordConnectionEnd() {
-  if (this->relay) {
+  if (this->current.relay) {
     return;
   }
   const TimePoint now = MonotonicNow();
   // A server that had closed an idle connection resets it at once when bytes
   // arrive.
-  const bool was_stale = this->connection_reused &&
-                         this->response.status == 0 &&
-                         now - this->sent_at < this->stale_time;
+  const bool was_stale = this->current.connection_reused &&
+                         this->current.response.status == 0 &&
+                         now - this->current.sent_at < this->current.stale_time;
   if (!was_stale && this->HasJustBegun(now)) {
-    this->context.quarantine.RecordCrash(this->choice->server.id,
-                                         this->suspects, this->sent_at, now);
+    this->context.quarantine.RecordCrash(this->current.choice->server.id,
+                                         this->suspects, this->current.sent_at,
+                                         now);
   }
 }
 
 void Exchange::OnBody(std::string bytes) {
-  this->last_bytes_at = MonotonicNow();
-  switch (this->response_mode) {
+  this->current.last_bytes_at = MonotonicNow();
+  switch (this->current.response_mode) {
     case ResponseMode::kNone:
       return;
     case ResponseMode::kDiscarded:
-      this->discarded_bytes += bytes.size();
-      if (this->discarded_bytes > kMaxFailureBytes) {
+      this->current.discarded_bytes += bytes.size();
+      if (this->current.discarded_bytes > kMaxFailureBytes) {
         this->AbandonResponse(
-            *std::exchange(this->pending_failure, std::nullopt));
+            *std::exchange(this->current.pending_failure, std::nullopt));
       }
       return;
     case ResponseMode::kBuffered:
-      this->buffered.append(bytes);
-      if (this->pending_failure && this->buffered.size() > kMaxFailureBytes) {
-        this->pending_failure.reset();
+      this->current.buffered.append(bytes);
+      if (this->current.pending_failure &&
+          this->current.buffered.size() > kMaxFailureBytes) {
+        this->current.pending_failure.reset();
         this->AbandonResponse({.result = SendResult::kMalformed,
                                .may_have_executed = true,
                                .reason = "endless error response"});
         return;
       }
-      if (this->buffered.size() > kMaxBufferedBytes && !this->pending_failure) {
-        this->response_mode = ResponseMode::kForwarded;
-        this->ForwardHead(this->response, this->response.length
-                                              ? BodyFraming::kLength
-                                              : this->FramingWithoutLength());
+      if (this->current.buffered.size() > kMaxBufferedBytes &&
+          !this->current.pending_failure) {
+        this->current.response_mode = ResponseMode::kForwarded;
+        this->ForwardHead(this->current.response,
+                          this->current.response.length
+                              ? BodyFraming::kLength
+                              : this->FramingWithoutLength());
         this->ForwardBuffered();
       }
       return;
     case ResponseMode::kForwarded:
-      this->buffered = std::move(bytes);
+      this->current.buffered = std::move(bytes);
       this->ForwardBuffered();
       return;
     case ResponseMode::kStream:
@@ -936,22 +935,22 @@
 }
 
 void Exchange::AbandonResponse(const Failure& failure) {
-  this->connection->Abort();
-  this->connection.reset();
+  this->current.connection->Abort();
+  this->current.connection.reset();
   this->ClearResponse();
   this->FailAttempt(failure);
 }
 
 void Exchange::ForwardBuffered() {
-  if (this->buffered.empty()) {
+  if (this->current.buffered.empty()) {
     return;
   }
   this->sink.Write(this->framing == BodyFraming::kChunked
-                       ? WriteChunk(this->buffered)
-                       : std::move(this->buffered));
-  this->buffered.clear();
-  if (this->connection && this->sink.unsent_bytes() > kMaxUnsentBytes) {
-    this->connection->PauseReading();
+                       ? WriteChunk(this->current.buffered)
+                       : std::move(this->current.buffered));
+  this->current.buffered.clear();
+  if (this->current.connection && this->sink.unsent_bytes() > kMaxUnsentBytes) {
+    this->current.connection->PauseReading();
   }
 }
 
@@ -961,30 +960,33 @@
   }
   this->RecordFirstEvent();
   const TimePoint now = MonotonicNow();
-  if (now - this->attempt_first_event_at >= kSurvivalTime) {
+  if (now - this->current.first_event_at >= kSurvivalTime) {
     this->RecordSurvival(now);
   }
   this->max_event_gap =
       std::max(this->max_event_gap, now - this->last_event_at);
   this->last_event_at = now;
-  this->buffered = std::move(events);
+  this->current.buffered = std::move(events);
   this->ForwardBuffered();
 }
 
 void Exchange::OnOutputSent() {
-  if (this->connection && this->sink.unsent_bytes() <= kMaxUnsentBytes) {
-    this->connection->ResumeReading();
+  if (this->current.connection &&
+      this->sink.unsent_bytes() <= kMaxUnsentBytes) {
+    this->current.connection->ResumeReading();
   }
 }
 
 void Exchange::OnComplete() {
-  const std::shared_ptr<BackendConnection> done = std::move(this->connection);
-  this->context.pool.Release(this->connection_target, done);
-  if (this->pending_failure) {
-    this->FailAttempt(*std::exchange(this->pending_failure, std::nullopt));
+  const std::shared_ptr<BackendConnection> done =
+      std::move(this->current.connection);
+  this->context.pool.Release(this->current.connection_target, done);
+  if (this->current.pending_failure) {
+    this->FailAttempt(
+        *std::exchange(this->current.pending_failure, std::nullopt));
     return;
   }
-  if (this->response_mode == ResponseMode::kStream) {
+  if (this->current.response_mode == ResponseMode::kStream) {
     const std::string_view reason = this->IncompleteStreamReason();
     if (!reason.empty()) {
       this->RecordConnectionEnd();
@@ -996,22 +998,22 @@
     }
   }
   this->RecordFirstEvent();
-  if (this->response.IsSuccess()) {
+  if (this->current.response.IsSuccess()) {
     this->RecordSurvival(MonotonicNow());
   }
-  switch (this->response_mode) {
+  switch (this->current.response_mode) {
     case ResponseMode::kNone:
     case ResponseMode::kDiscarded:
       return;
     case ResponseMode::kBuffered:
       // The body is complete, so its length is known even if the server did not
       // send it.
-      if (!HasNoBody(this->request, this->response)) {
-        this->response.length = this->buffered.size();
+      if (!HasNoBody(this->request, this->current.response)) {
+        this->current.response.length = this->current.buffered.size();
       }
-      this->ForwardHead(this->response, this->response.length
-                                            ? BodyFraming::kLength
-                                            : BodyFraming::kNone);
+      this->ForwardHead(this->current.response, this->current.response.length
+                                                    ? BodyFraming::kLength
+                                                    : BodyFraming::kNone);
       break;
     case ResponseMode::kForwarded:
     case ResponseMode::kStream:
@@ -1021,27 +1023,28 @@
   if (this->framing == BodyFraming::kChunked) {
     this->sink.Write(std::string(kLastChunk));
   }
-  const bool succeeded = this->response.IsSuccess();
+  const bool succeeded = this->current.response.IsSuccess();
   this->End(succeeded ? Outcome::kCompleted : Outcome::kFailed,
             succeeded ? EndCause::kAnswered : EndCause::kBackendError,
-            this->response.status);
+            this->current.response.status);
 }
 
 std::string_view Exchange::IncompleteStreamReason() const {
   if (!this->splitter.partial_event().empty()) {
     return "stream ended within an event";
   }
-  if (this->response.framing == BodyFraming::kUntilClose &&
-      !this->first_event_received) {
+  if (this->current.response.framing == BodyFraming::kUntilClose &&
+      !this->current.first_event_received) {
     return "connection closed before the first event";
   }
   return {};
 }
 
 void Exchange::OnFailed(FailureKind kind, const std::string& reason) {
-  this->connection.reset();
-  if (this->pending_failure) {
-    Failure failure = *std::exchange(this->pending_failure, std::nullopt);
+  this->current.connection.reset();
+  if (this->current.pending_failure) {
+    Failure failure =
+        *std::exchange(this->current.pending_failure, std::nullopt);
     this->ClearResponse();
     this->FailAttempt(failure);
     return;
@@ -1051,7 +1054,7 @@
     case FailureKind::kNotSent:
       // The server may close an idle connection, so a failure of a reused one
       // is no fault of the server.
-      failure.avoid_server = !this->connection_reused;
+      failure.avoid_server = !this->current.connection_reused;
       break;
     case FailureKind::kNoResponse:
       failure.may_have_executed = true;
@@ -1073,28 +1076,28 @@
 }
 
 void Exchange::ClearResponse() {
-  this->response = {};
-  this->buffered.clear();
+  this->current.response = {};
+  this->current.buffered.clear();
 }
 
 void Exchange::EndAttempt() {
-  if (this->connection) {
-    this->connection->Abort();
-    this->connection.reset();
+  if (this->current.connection) {
+    this->current.connection->Abort();
+    this->current.connection.reset();
   }
-  if (this->relay) {
-    this->context.relays.RecordEnd(this->relay->instance);
-    this->relay.reset();
-  } else if (this->choice) {
-    this->context.placer.RecordEnd(*this->choice,
-                                   MonotonicNow() - this->sent_at);
+  if (this->current.relay) {
+    this->context.relays.RecordEnd(this->current.relay->instance);
+    this->current.relay.reset();
+  } else if (this->current.choice) {
+    this->context.placer.RecordEnd(*this->current.choice,
+                                   MonotonicNow() - this->current.sent_at);
   }
-  this->choice.reset();
+  this->current.choice.reset();
 }
 
 void Exchange::FailRelayedAttempt(const Failure& failure) {
   const TimePoint now = MonotonicNow();
-  const std::string instance = this->relay->instance;
+  const std::string instance = this->current.relay->instance;
   const std::optional<RelayedResponse::Ending> ending =
       std::exchange(this->relayed_ending, std::nullopt);
   const bool is_stale_connection =
@@ -1124,13 +1127,13 @@
   }
   this->context.observer.OnAttemptFailed(
       {.request_id = this->request_info.request_id,
-       .attempt = this->attempts,
-       .server = this->connection_target.id,
+       .attempt = this->current.number,
+       .server = this->current.connection_target.id,
        .result = std::string(ToString(failure.result)),
        .reason = failure.reason,
-       .elapsed = now - this->sent_at,
+       .elapsed = now - this->current.sent_at,
        .may_have_executed = failure.may_have_executed,
-       .has_first_event = this->first_event_received,
+       .has_first_event = this->current.first_event_received,
        .shared_parts = SharedParts(this->query.parts),
        .request_hash = this->suspects.request_hash,
        .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
@@ -1155,14 +1158,14 @@
 
 void Exchange::FailAttempt(const Failure& failure) {
   // A response of a server fails as such, whoever passes it on.
-  const bool is_relayed = this->relay.has_value();
-  if (is_relayed &&
-      (failure.result != SendResult::kError || this->response.status == 0)) {
+  const bool is_relayed = this->current.relay.has_value();
+  if (is_relayed && (failure.result != SendResult::kError ||
+                     this->current.response.status == 0)) {
     this->FailRelayedAttempt(failure);
     return;
   }
   const TimePoint now = MonotonicNow();
-  const ServerChoice failed = *this->choice;
+  const ServerChoice failed = *this->current.choice;
   const bool is_stale_connection =
       failure.result == SendResult::kUnreachable && !failure.avoid_server;
   if (!is_relayed && !is_stale_connection &&
@@ -1194,14 +1197,14 @@
       (failure.next || (!is_too_late && this->MayRetry(no_retry_reason)));
   this->context.observer.OnAttemptFailed(
       {.request_id = this->request_info.request_id,
-       .attempt = this->attempts,
+       .attempt = this->current.number,
        .server = failed.server.id,
        .software_version = failed.server.software_version,
        .result = std::string(ToString(failure.result)),
        .reason = failure.reason,
-       .elapsed = now - this->sent_at,
+       .elapsed = now - this->current.sent_at,
        .may_have_executed = failure.may_have_executed,
-       .has_first_event = this->first_event_received,
+       .has_first_event = this->current.first_event_received,
        .shared_parts = SharedParts(this->query.parts),
        .request_hash = this->suspects.request_hash,
        .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
@@ -1215,12 +1218,14 @@
     }
     return;
   }
-  if (failure.result == SendResult::kError && this->response.status != 0 &&
-      !this->head_forwarded && !ImpliesNotExecuted(this->response.status)) {
-    this->response.length = this->buffered.size();
-    this->ForwardHead(this->response, BodyFraming::kLength);
+  if (failure.result == SendResult::kError &&
+      this->current.response.status != 0 && !this->head_forwarded &&
+      !ImpliesNotExecuted(this->current.response.status)) {
+    this->current.response.length = this->current.buffered.size();
+    this->ForwardHead(this->current.response, BodyFraming::kLength);
     this->ForwardBuffered();
-    this->End(Outcome::kFailed, EndCause::kBackendError, this->response.status);
+    this->End(Outcome::kFailed, EndCause::kBackendError,
+              this->current.response.status);
     return;
   }
   if (is_too_late && !failure.may_have_executed) {
@@ -1290,7 +1295,7 @@
 void Exchange::GiveUp(EndCause cause, std::optional<Duration> min_delay) {
   if (this->head_forwarded) {
     this->sink.Abort(this->framing == BodyFraming::kUntilClose);
-    this->End(Outcome::kFailed, cause, this->response.status);
+    this->End(Outcome::kFailed, cause, this->current.response.status);
     return;
   }
   if (this->possible_executions > 0) {
@@ -1339,8 +1344,9 @@
 }
 
 bool Exchange::IsServerSuspected() const {
-  return this->choice && this->context.placer.suspected_data_centres().contains(
-                             this->choice->server.data_centre);
+  return this->current.choice &&
+         this->context.placer.suspected_data_centres().contains(
+             this->current.choice->server.data_centre);
 }
 
 void Exchange::Tick(TimePoint now) {
@@ -1356,25 +1362,27 @@
   if (this->waiting_id && this->GiveUpIfTooLate(now)) {
     return;
   }
-  if (!this->choice) {
+  if (!this->current.choice) {
     return;
   }
   if (now >= this->deadline) {
-    if (this->send_started) {
+    if (this->current.send_started) {
       ++this->possible_executions;
     }
-    this->context.durations.Observe(*this->query.route, now - this->sent_at);
-    if (!this->relay) {
-      this->context.placer.ObserveSilence(this->query, *this->choice,
-                                          now - this->sent_at, now);
+    this->context.durations.Observe(*this->query.route,
+                                    now - this->current.sent_at);
+    if (!this->current.relay) {
+      this->context.placer.ObserveSilence(this->query, *this->current.choice,
+                                          now - this->current.sent_at, now);
     }
     this->EndAttempt();
     this->GiveUp(EndCause::kMaxWait);
     return;
   }
-  if (!this->connection->is_connected() && !this->send_started &&
-      now - this->sent_at > kConnectTimeout) {
-    this->connection->Abort();
+  if (!this->current.connection->is_connected() &&
+      !this->current.send_started &&
+      now - this->current.sent_at > kConnectTimeout) {
+    this->current.connection->Abort();
     this->OnFailed(FailureKind::kNotSent, "connection timed out");
     return;
   }
@@ -1385,11 +1393,12 @@
 }
 
 bool Exchange::StopIfPaused(TimePoint now) {
-  if (this->send_started || !this->context.placer.availability().IsPaused(
-                                this->choice->server, now)) {
+  if (this->current.send_started ||
+      !this->context.placer.availability().IsPaused(
+          this->current.choice->server, now)) {
     return false;
   }
-  this->connection->Abort();
+  this->current.connection->Abort();
   this->FailAttempt({.result = SendResult::kFull,
                      .may_have_executed = false,
                      .reason = "not sent, the server asked for a pause"});
@@ -1397,8 +1406,8 @@
 }
 
 bool Exchange::StopIfQuarantined(TimePoint now) {
-  if (this->is_quarantine_trial || !this->query.route->MayRepeat() ||
-      !this->send_started || !this->HasJustBegun(now) ||
+  if (this->current.is_quarantine_trial || !this->query.route->MayRepeat() ||
+      !this->current.send_started || !this->HasJustBegun(now) ||
       this->context.quarantine.quarantined_count() == 0) {
     return false;
   }
@@ -1418,30 +1427,31 @@
   const Route& route = *this->query.route;
   // While the caller does not read, the server is not read either.
   if (this->sink.unsent_bytes() > kMaxUnsentBytes) {
-    this->last_bytes_at = now;
+    this->current.last_bytes_at = now;
     return;
   }
   // The other instance looks for a silence itself.
-  if (this->relay || !route.MayRepeat() || !this->send_started ||
-      this->pending_failure ||
+  if (this->current.relay || !route.MayRepeat() ||
+      !this->current.send_started || this->current.pending_failure ||
       this->possible_executions + 1 >= route.max_attempts) {
     return;
   }
-  const Duration silence = now - this->last_bytes_at;
+  const Duration silence = now - this->current.last_bytes_at;
   Duration timeout{};
-  if (!this->first_event_received) {
-    timeout =
-        std::max({kSilenceTargets * route.target,
-                  kSilencePredictions * this->choice->predicted_first_event,
-                  kMinSilenceTimeout});
+  if (!this->current.first_event_received) {
+    timeout = std::max(
+        {kSilenceTargets * route.target,
+         kSilencePredictions * this->current.choice->predicted_first_event,
+         kMinSilenceTimeout});
   } else if (route.kind == RouteKind::kStream && route.gap_target) {
     timeout = std::max(kSilenceGaps * *route.gap_target, kMinSilenceTimeout);
   } else {
     return;
   }
   if (this->IsServerSuspected()) {
-    timeout = std::min(timeout, kSuspectedSilenceTimeout +
-                                    this->choice->predicted_first_event);
+    timeout =
+        std::min(timeout, kSuspectedSilenceTimeout +
+                              this->current.choice->predicted_first_event);
   }
   if (silence <= timeout ||
       now - this->silence_checked_at < kMinSilenceTimeout) {
@@ -1452,7 +1462,8 @@
   if (!next) {
     return;
   }
-  this->context.placer.ObserveSilence(this->query, *this->choice, silence, now);
+  this->context.placer.ObserveSilence(this->query, *this->current.choice,
+                                      silence, now);
   this->AbandonResponse({.result = SendResult::kSilent,
                          .may_have_executed = true,
                          .reason = "silent",
@@ -1463,7 +1474,7 @@
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
   this->query.withheld = this->context.placement_queues.WithheldOnArrival(
       this->service_name, this->RequestUrgency());
-  this->query.tried_servers.push_back(this->choice->server.id);
+  this->query.tried_servers.push_back(this->current.choice->server.id);
   std::optional<ServerChoice> next = this->ChooseServer(now, no_choice);
   this->query.tried_servers.pop_back();
   std::string no_retry_reason;
@@ -1477,9 +1488,9 @@
   if (this->ended) {
     return;
   }
-  const bool is_refused =
-      this->pending_failure && !this->pending_failure->may_have_executed;
-  if (this->choice && this->send_started && !is_refused) {
+  const bool is_refused = this->current.pending_failure &&
+                          !this->current.pending_failure->may_have_executed;
+  if (this->current.choice && this->current.send_started && !is_refused) {
     ++this->possible_executions;
   }
   this->StopWaiting(false);
@@ -1491,7 +1502,7 @@
   if (this->ended) {
     return;
   }
-  if (this->send_started) {
+  if (this->current.send_started) {
     ++this->possible_executions;
   }
   this->EndAttempt();
@@ -1505,7 +1516,8 @@
   this->ended = true;
   this->StopWaiting(false);
   const TimePoint now = MonotonicNow();
-  const std::string server = this->choice ? this->choice->server.id : "";
+  const std::string server =
+      this->current.choice ? this->current.choice->server.id : "";
   const Route* route = this->query.route;
   const bool has_first_event = this->first_event_at != TimePoint{};
   const bool on_target =
@@ -1552,7 +1564,7 @@
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
   if (outcome == Outcome::kCompleted) {
-    this->context.durations.Observe(*route, now - this->sent_at);
+    this->context.durations.Observe(*route, now - this->current.sent_at);
   }
   this->EndAttempt();
   if (outcome == Outcome::kCompleted) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -102,6 +102,48 @@
     std::optional<ServerChoice> next = {};
   };
 
+  // An attempt at a server, or at an instance that relays the request.
+  struct Attempt {
+    // From 1.
+    int number = 0;
+    // nullopt once the attempt has ended.
+    std::optional<ServerChoice> choice;
+    // The instance to which the request is relayed; the server of `choice` then
+    // only has what that instance says of it.
+    std::optional<RelayPeer> relay;
+    // The server at the other end of the connection; for relayed requests, the
+    // other instance.
+    RegisteredServer connection_target;
+    std::shared_ptr<BackendConnection> connection;
+    bool connection_reused = false;
+    // The connection had been closed before if it is reused and ends within
+    // this time.
+    Duration stale_time{};
+    bool send_started = false;
+    // When the attempt started.
+    TimePoint sent_at;
+    // When bytes of the response last arrived; at first, when the attempt
+    // started.
+    TimePoint last_bytes_at;
+    bool first_event_received = false;
+    // When it was received.
+    TimePoint first_event_at;
+    bool survival_recorded = false;
+    // The attempt tests whether a suspect still crashes servers.
+    bool is_quarantine_trial = false;
+    ResponseMode response_mode = ResponseMode::kNone;
+    // Set if the response makes the attempt fail, which happens once the
+    // response is complete; nullopt otherwise.
+    std::optional<Failure> pending_failure;
+    ResponseHead response;
+    // The id of the server that sent the last response.
+    std::string responding_server;
+    // Bytes of the body that were received and not yet forwarded.
+    std::string buffered;
+    // Bytes of the body that were received in mode kDiscarded.
+    std::size_t discarded_bytes = 0;
+  };
+
   // Reads what the instance that relays the request says of it. If that can't
   // be read, responds with an error and returns false.
   bool ReadRelayedRequest();
@@ -287,50 +329,15 @@
   // The instance to which it was relayed last; empty if none.
   std::string relayed_to;
 
-  // The current attempt.
-  std::optional<ServerChoice> choice;
-  // The instance to which the request is relayed; the server of `choice` then
-  // only has what that instance says of it.
-  std::optional<RelayPeer> relay;
+  Attempt current;
   // How the other instance ended the request, if it did.
   std::optional<RelayedResponse::Ending> relayed_ending;
-  // The server at the other end of the connection; for relayed requests, the
-  // other instance.
-  RegisteredServer connection_target;
-  std::shared_ptr<BackendConnection> connection;
-  bool connection_reused = false;
-  // The connection had been closed before if it is reused and ends within this
-  // time.
-  Duration stale_time{};
-  bool send_started = false;
-  // When the attempt started.
-  TimePoint sent_at;
-  // When bytes of the response last arrived; at first, when the attempt
-  // started.
-  TimePoint last_bytes_at;
   // When another server was last sought because of a silence.
   TimePoint silence_checked_at;
-  bool first_event_received = false;
-  // When it was received.
-  TimePoint attempt_first_event_at;
-  bool survival_recorded = false;
-  // The attempt tests whether a suspect still crashes servers.
-  bool is_quarantine_trial = false;
-  ResponseMode response_mode = ResponseMode::kNone;
-  // Set if the response makes the attempt fail, which happens once the response
-  // is complete; nullopt otherwise.
-  std::optional<Failure> pending_failure;
-  ResponseHead response;
-  // The id of the server that sent the last response.
-  std::string responding_server;
   // How the server marked the end of the last response.
   BodyFraming response_framing = BodyFraming::kNone;
   // The limit that the last response named.
   std::optional<double> named_rate_limit;
-  // Bytes of the body that were received and not yet forwarded.
-  std::string buffered;
-  // Bytes of the body that were received in mode kDiscarded.
-  std::size_t discarded_bytes = 0;
   EventSplitter splitter;
 
   // Over all attempts.
