Keep the attempt at a silent server until another server responds

Cause: the attempt at the silent server was ended before the other server was sure to respond, and that one rejected or was slower than the grace.

Change: the silent attempt is set aside and goes on beside the second one; whichever responds first, with an event or a complete response, stays, and the other one is ended at once. In a drain a stream moves only before its caller would leave.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -87,22 +87,20 @@
 }
 
 void GatewayObserver::OnAttemptFailed(const AttemptFailedRecord& record) {
-  this->log.Write(
-      LogEvent::kAttemptFailed,
-      {{"request", record.request_id},
-       {"attempt", record.attempt},
-       {"server", record.server},
-       {"software", record.software_version},
-       {"result", record.result},
-       {"why", record.reason},
-       {"elapsed_ms", ToLogMilliseconds(record.elapsed)},
-       {"may_have_run", record.may_have_executed},
-       {"first_event", record.has_first_event},
-       {"shared_parts", FormatParts(record.shared_parts)},
-       {"request_hash", FormatPartId(record.request_hash)},
-       {"next", record.next == NextStep::kAnotherServer ? "another_server"
-                                                        : "given_up"},
-       {"next_why", record.next_reason}});
+  this->log.Write(LogEvent::kAttemptFailed,
+                  {{"request", record.request_id},
+                   {"attempt", record.attempt},
+                   {"server", record.server},
+                   {"software", record.software_version},
+                   {"result", record.result},
+                   {"why", record.reason},
+                   {"elapsed_ms", ToLogMilliseconds(record.elapsed)},
+                   {"may_have_run", record.may_have_executed},
+                   {"first_event", record.has_first_event},
+                   {"shared_parts", FormatParts(record.shared_parts)},
+                   {"request_hash", FormatPartId(record.request_hash)},
+                   {"next", ToString(record.next)},
+                   {"next_why", record.next_reason}});
 }
 
 void GatewayObserver::OnEnded(const EndedRecord& record) {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -63,6 +63,10 @@
   // body.
   void Send(std::string request, bool is_head_request,
             ResponseListener& listener);
+  // Makes another listener receive the rest of the response.
+  void SetListener(ResponseListener& new_listener) {
+    this->listener = &new_listener;
+  }
   // Closes the connection without a further call to the listener.
   void Abort();
   // Stop and resume reading, so that a slow caller slows down the server.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -37,6 +37,13 @@
 // A resumable stream is resumed at another server after a silence of this many
 // times its gap target; callers give up at about eight times.
 constexpr int kSilenceGaps = 4;
+// Callers leave a stream, also before its first event, after a gap of this many
+// times its target or its gap target, or the minimum, whichever is longest.
+constexpr int kPatienceTargets = 4;
+constexpr int kPatienceGaps = 8;
+constexpr Duration kMinPatience = std::chrono::seconds(2);
+// Time in which another server begins to respond.
+constexpr Duration kSwitchTime = std::chrono::milliseconds(250);
 // When the server's whole data centre appears to be unreachable, both timeouts
 // are at most this plus the predicted time to the first event.
 constexpr Duration kSuspectedSilenceTimeout = std::chrono::milliseconds(250);
@@ -68,6 +75,7 @@
 // A server that sends events for this long after the first one has survived the
 // prompt.
 constexpr Duration kSurvivalTime = std::chrono::milliseconds(250);
+constexpr char kServerGoesOn[] = "the silent server goes on";
 constexpr int kFirstServerError = 500;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -123,6 +131,42 @@
 
 }  // namespace
 
+class Exchange::SilentAttempt : public ResponseListener {
+ public:
+  SilentAttempt(Exchange& exchange, Attempt set_aside, EventSplitter splitter)
+      : attempt(std::move(set_aside)),
+        splitter(std::move(splitter)),
+        exchange(exchange) {
+    this->attempt.connection->SetListener(*this);
+  }
+
+  void OnSendStarted() override {}
+  HeadDecision OnHead(const ResponseHead& head) override {
+    return this->exchange.OnSilentHead(head);
+  }
+  void OnBody(std::string bytes) override {
+    // Ends the life of this object.
+    Exchange& owner = this->exchange;
+    owner.WithdrawToSilentAttempt(kServerGoesOn);
+    owner.OnBody(std::move(bytes));
+  }
+  void OnComplete() override {
+    Exchange& owner = this->exchange;
+    owner.WithdrawToSilentAttempt(kServerGoesOn);
+    owner.OnComplete();
+  }
+  void OnFailed(FailureKind kind, const std::string& reason) override {
+    this->exchange.OnSilentFailed(kind, reason);
+  }
+
+  Attempt attempt;
+  // The state of the stream when the attempt was set aside.
+  EventSplitter splitter;
+
+ private:
+  Exchange& exchange;
+};
+
 Exchange::Exchange(ProxyContext& context, RequestHead head, std::string body,
                    ResponseSink& sink, TimePoint arrival, bool from_instance)
     : context(context),
@@ -140,7 +184,7 @@
 
 Exchange::~Exchange() {
   this->StopWaiting(false);
-  this->EndAttempt();
+  this->EndAllAttempts();
   this->context.buffered_body_bytes -= this->body.size();
 }
 
@@ -523,7 +567,11 @@
       chosen.server, this->request_info.request_id, now);
   if (!acquired) {
     this->query.tried_servers.push_back(chosen.server.id);
-    this->Place();
+    if (this->silent_attempt) {
+      this->ReturnToSilentAttempt();
+    } else {
+      this->Place();
+    }
     return;
   }
   this->BeginAttempt(chosen, std::move(*acquired), now);
@@ -637,14 +685,15 @@
   }
 }
 
-bool Exchange::IsOwnResponse(const ResponseInfo& response_info) const {
-  if (this->current.relay) {
+bool Exchange::IsOwnResponse(const Attempt& attempt,
+                             const ResponseInfo& response_info) const {
+  if (attempt.relay) {
     return true;
   }
   // On a kept connection, a response without an id may belong to an earlier
   // request: servers at fault write responses more than once.
   return response_info.request_id.empty()
-             ? !this->current.connection->has_received_response()
+             ? !attempt.connection->has_received_response()
              : response_info.request_id == this->request_info.request_id;
 }
 
@@ -660,7 +709,7 @@
     availability.RecordLeaving(server, now);
   }
   // The rest is said to the instance that sent the request to the server.
-  if (this->current.relay || !this->IsOwnResponse(info) ||
+  if (this->current.relay || !this->IsOwnResponse(this->current, info) ||
       (!info.is_from_server && !info.not_executed)) {
     return;
   }
@@ -720,64 +769,75 @@
   }
 }
 
-HeadDecision Exchange::OnHead(const ResponseHead& received_head) {
-  ResponseHead head = received_head;
-  if (this->current.relay && !this->OnRelayedHead(head)) {
-    return HeadDecision::kAccept;
-  }
-  const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
-  const TimePoint now = MonotonicNow();
-  this->RecordAvailability(head, response_info, now);
-  if (!this->IsOwnResponse(response_info)) {
-    return HeadDecision::kSkip;
-  }
+void Exchange::RecordHead(const ResponseInfo& info, TimePoint now) {
   this->current.responding_server = this->current.choice->server.id;
   if (!this->current.relay) {
     this->context.placer.RecordResponseHead(*this->current.choice,
                                             now - this->current.sent_at, now);
   }
-  this->current.last_bytes_at = now;
-  this->current.response = head;
-  this->response_framing = head.framing;
-  this->named_rate_limit = response_info.rate_limit;
+  this->named_rate_limit = info.rate_limit;
   // An unreadable limit changes nothing.
-  if (!response_info.unreadable_rate_limit.empty()) {
+  if (!info.unreadable_rate_limit.empty()) {
     this->context.observer.OnUnreadableRateLimit(
         {.request_id = this->request_info.request_id,
          .server = this->current.choice->server.id,
-         .text = response_info.unreadable_rate_limit});
-  } else if (!this->current.relay && !response_info.is_misdirected &&
-             (response_info.is_from_server || response_info.not_executed)) {
+         .text = info.unreadable_rate_limit});
+  } else if (!this->current.relay && !info.is_misdirected &&
+             (info.is_from_server || info.not_executed)) {
     this->context.placer.ObserveRateLimit(this->current.choice->server,
-                                          response_info.rate_limit,
+                                          info.rate_limit,
                                           this->current.sent_at, now);
   }
-  this->RecordBrittleness(response_info, now);
-  if (response_info.load) {
+  this->RecordBrittleness(info, now);
+  if (info.load) {
     this->context.placer.ApplyLoadReport(this->current.choice->server.id,
-                                         response_info.load->running,
-                                         response_info.load->waiting, now);
+                                         info.load->running, info.load->waiting,
+                                         now);
   }
-  if (response_info.not_executed) {
-    this->current.response_mode = ResponseMode::kDiscarded;
-    this->current.pending_failure = Failure{
-        .result = response_info.is_misdirected ? SendResult::kUnreachable
-                                               : SendResult::kFull,
+}
+
+std::optional<Exchange::Failure> Exchange::FailureOf(const ResponseHead& head,
+                                                     const ResponseInfo& info) {
+  if (info.not_executed) {
+    return Failure{
+        .result =
+            info.is_misdirected ? SendResult::kUnreachable : SendResult::kFull,
         .may_have_executed = false,
         .reason = "status " + std::to_string(head.status) + ", not run"};
-    return HeadDecision::kAccept;
   }
   // Another program may listen on the address and report success.
-  const bool is_foreign = head.IsSuccess() && !response_info.is_from_server;
-  const bool failed = head.status >= kFirstServerError ||
-                      ImpliesNotExecuted(head.status) || is_foreign;
-  if (failed) {
-    this->current.pending_failure = Failure{
+  const bool is_foreign = head.IsSuccess() && !info.is_from_server;
+  if (head.status >= kFirstServerError || ImpliesNotExecuted(head.status) ||
+      is_foreign) {
+    return Failure{
         .result = is_foreign ? SendResult::kMalformed : SendResult::kError,
         .may_have_executed = true,
         .reason = "status " + std::to_string(head.status)};
-    // Stored, to be forwarded if no further attempt is allowed.
-    this->current.response_mode = ResponseMode::kBuffered;
+  }
+  return std::nullopt;
+}
+
+HeadDecision Exchange::OnHead(const ResponseHead& received_head) {
+  ResponseHead head = received_head;
+  if (this->current.relay && !this->OnRelayedHead(head)) {
+    return HeadDecision::kAccept;
+  }
+  const ResponseInfo response_info = this->context.dialect.ReadResponse(head);
+  const TimePoint now = MonotonicNow();
+  this->RecordAvailability(head, response_info, now);
+  if (!this->IsOwnResponse(this->current, response_info)) {
+    return HeadDecision::kSkip;
+  }
+  this->RecordHead(response_info, now);
+  this->current.last_bytes_at = now;
+  this->current.response = head;
+  this->response_framing = head.framing;
+  this->current.pending_failure = FailureOf(head, response_info);
+  if (this->current.pending_failure) {
+    // An error is stored, to be forwarded if no further attempt is allowed.
+    this->current.response_mode = response_info.not_executed
+                                      ? ResponseMode::kDiscarded
+                                      : ResponseMode::kBuffered;
     return HeadDecision::kAccept;
   }
   // What goes on with a stream has a type if the stream has one.
@@ -797,9 +857,8 @@
   }
   if (is_stream) {
     this->current.response_mode = ResponseMode::kStream;
-    if (!this->head_forwarded) {
-      this->stream_has_type = !head.MediaType().empty();
-      this->ForwardHead(head, this->FramingWithoutLength());
+    if (!this->silent_attempt) {
+      this->ForwardStreamHead();
     }
     return HeadDecision::kAccept;
   }
@@ -807,6 +866,13 @@
   return HeadDecision::kAccept;
 }
 
+void Exchange::ForwardStreamHead() {
+  if (!this->head_forwarded) {
+    this->stream_has_type = !this->current.response.MediaType().empty();
+    this->ForwardHead(this->current.response, this->FramingWithoutLength());
+  }
+}
+
 void Exchange::ForwardHead(const ResponseHead& head, BodyFraming body_framing) {
   this->head_forwarded = true;
   this->framing = body_framing;
@@ -837,6 +903,9 @@
   if (this->current.first_event_received) {
     return;
   }
+  this->EndSilentAttempt({.result = SendResult::kSilent,
+                          .may_have_executed = true,
+                          .reason = "silent"});
   const TimePoint now = MonotonicNow();
   this->current.first_event_received = true;
   this->current.first_event_at = now;
@@ -911,6 +980,9 @@
       }
       if (this->current.buffered.size() > kMaxBufferedBytes &&
           !this->current.pending_failure) {
+        this->EndSilentAttempt({.result = SendResult::kSilent,
+                                .may_have_executed = true,
+                                .reason = "silent"});
         this->current.response_mode = ResponseMode::kForwarded;
         this->ForwardHead(this->current.response,
                           this->current.response.length
@@ -959,6 +1031,7 @@
     return;
   }
   this->RecordFirstEvent();
+  this->ForwardStreamHead();
   const TimePoint now = MonotonicNow();
   if (now - this->current.first_event_at >= kSurvivalTime) {
     this->RecordSurvival(now);
@@ -1016,7 +1089,9 @@
                                                     : BodyFraming::kNone);
       break;
     case ResponseMode::kForwarded:
+      break;
     case ResponseMode::kStream:
+      this->ForwardStreamHead();
       break;
   }
   this->ForwardBuffered();
@@ -1049,6 +1124,13 @@
     this->FailAttempt(failure);
     return;
   }
+  const Failure failure = this->MakeFailure(kind, reason);
+  this->ClearResponse();
+  this->FailAttempt(failure);
+}
+
+Exchange::Failure Exchange::MakeFailure(FailureKind kind,
+                                        const std::string& reason) {
   Failure failure{.reason = reason};
   switch (kind) {
     case FailureKind::kNotSent:
@@ -1071,8 +1153,7 @@
       failure.may_have_executed = true;
       break;
   }
-  this->ClearResponse();
-  this->FailAttempt(failure);
+  return failure;
 }
 
 void Exchange::ClearResponse() {
@@ -1080,19 +1161,150 @@
   this->current.buffered.clear();
 }
 
-void Exchange::EndAttempt() {
-  if (this->current.connection) {
-    this->current.connection->Abort();
-    this->current.connection.reset();
+void Exchange::EndAttempt(Attempt& attempt) {
+  if (attempt.connection) {
+    attempt.connection->Abort();
+    attempt.connection.reset();
   }
-  if (this->current.relay) {
-    this->context.relays.RecordEnd(this->current.relay->instance);
-    this->current.relay.reset();
-  } else if (this->current.choice) {
-    this->context.placer.RecordEnd(*this->current.choice,
-                                   MonotonicNow() - this->current.sent_at);
+  if (attempt.relay) {
+    this->context.relays.RecordEnd(attempt.relay->instance);
+    attempt.relay.reset();
+  } else if (attempt.choice) {
+    this->context.placer.RecordEnd(*attempt.choice,
+                                   MonotonicNow() - attempt.sent_at);
+  }
+  attempt.choice.reset();
+}
+
+void Exchange::EndAllAttempts() {
+  this->EndAttempt(this->current);
+  if (this->silent_attempt) {
+    this->EndAttempt(this->silent_attempt->attempt);
+    this->silent_attempt.reset();
+  }
+}
+
+int Exchange::CountRunningAttempts() const {
+  const bool is_refused = this->current.pending_failure &&
+                          !this->current.pending_failure->may_have_executed;
+  const bool may_run =
+      this->current.choice && this->current.send_started && !is_refused;
+  return (may_run ? 1 : 0) + (this->silent_attempt ? 1 : 0);
+}
+
+void Exchange::SendBesideSilent(const ServerChoice& next) {
+  this->silent_attempt = std::make_unique<SilentAttempt>(
+      *this, std::exchange(this->current, {}), this->splitter);
+  this->Send(next);
+}
+
+void Exchange::ReturnToSilentAttempt() {
+  const std::unique_ptr<SilentAttempt> returned =
+      std::move(this->silent_attempt);
+  this->current = std::move(returned->attempt);
+  this->splitter = std::move(returned->splitter);
+  this->current.connection->SetListener(*this);
+}
+
+void Exchange::WithdrawToSilentAttempt(const std::string& reason) {
+  const RegisteredServer server = this->current.choice->server;
+  // The silent attempt is one of these.
+  const bool may_have_executed = this->CountRunningAttempts() > 1;
+  if (may_have_executed) {
+    ++this->possible_executions;
+  }
+  this->EndAttempt(this->current);
+  this->ReportFailure(
+      this->current, server, "withdrawn",
+      {.may_have_executed = may_have_executed, .reason = reason},
+      NextStep::kSilentServer, "");
+  this->ReturnToSilentAttempt();
+}
+
+void Exchange::EndSilentAttempt(const Failure& failure) {
+  if (!this->silent_attempt) {
+    return;
   }
-  this->current.choice.reset();
+  const std::unique_ptr<SilentAttempt> ended = std::move(this->silent_attempt);
+  const ServerChoice failed = *ended->attempt.choice;
+  this->RecordFailure(failed, failure, MonotonicNow());
+  this->EndAttempt(ended->attempt);
+  this->ReportFailure(ended->attempt, failed.server,
+                      std::string(ToString(failure.result)), failure,
+                      NextStep::kAnotherServer, "");
+}
+
+HeadDecision Exchange::OnSilentHead(const ResponseHead& head) {
+  const ResponseInfo info = this->context.dialect.ReadResponse(head);
+  Attempt& attempt = this->silent_attempt->attempt;
+  if (!this->IsOwnResponse(attempt, info)) {
+    return HeadDecision::kSkip;
+  }
+  const std::optional<Failure> failure = FailureOf(head, info);
+  if (!failure) {
+    this->WithdrawToSilentAttempt(kServerGoesOn);
+    return this->OnHead(head);
+  }
+  // What it says of the server concerns this attempt, not the current one.
+  const TimePoint now = MonotonicNow();
+  std::swap(this->current, attempt);
+  this->RecordAvailability(head, info, now);
+  this->RecordHead(info, now);
+  std::swap(this->current, attempt);
+  this->EndSilentAttempt(*failure);
+  return HeadDecision::kAccept;
+}
+
+void Exchange::OnSilentFailed(FailureKind kind, const std::string& reason) {
+  Attempt& attempt = this->silent_attempt->attempt;
+  std::swap(this->current, attempt);
+  const Failure failure = this->MakeFailure(kind, reason);
+  std::swap(this->current, attempt);
+  this->EndSilentAttempt(failure);
+}
+
+void Exchange::RecordFailure(const ServerChoice& failed, const Failure& failure,
+                             TimePoint now) {
+  const bool is_stale_connection =
+      failure.result == SendResult::kUnreachable && !failure.avoid_server;
+  if (!is_stale_connection &&
+      this->context.placer.RecordResult(failed, failure.result, now)) {
+    this->context.observer.OnEjected(
+        {.server = failed.server.id,
+         .service = failed.server.service,
+         .result = std::string(ToString(failure.result)),
+         .duration =
+             this->context.placer.health().EjectedUntil(failed.server.id) -
+             now});
+  }
+  if (failure.avoid_server) {
+    this->query.tried_servers.push_back(failed.server.id);
+  }
+  if (failure.may_have_executed) {
+    ++this->possible_executions;
+  } else {
+    ++this->not_executed_attempts;
+  }
+}
+
+void Exchange::ReportFailure(const Attempt& attempt,
+                             const RegisteredServer& server,
+                             const std::string& result, const Failure& failure,
+                             NextStep next, const std::string& next_reason) {
+  this->context.observer.OnAttemptFailed(
+      {.request_id = this->request_info.request_id,
+       .attempt = attempt.number,
+       .server = server.id,
+       .software_version = server.software_version,
+       .result = result,
+       .reason = failure.reason,
+       .elapsed = MonotonicNow() - attempt.sent_at,
+       .may_have_executed = failure.may_have_executed,
+       .has_first_event = attempt.first_event_received,
+       .shared_parts = SharedParts(this->query.parts),
+       .request_hash = this->suspects.request_hash,
+       .next = next,
+       .next_reason = next_reason});
 }
 
 void Exchange::FailRelayedAttempt(const Failure& failure) {
@@ -1106,7 +1318,7 @@
     this->tried_instances.push_back(instance);
     this->context.relays.RecordResult(instance, ending.has_value(), now);
   }
-  this->EndAttempt();
+  this->EndAttempt(this->current);
   if (ending) {
     this->sent_attempts += ending->sent_attempts;
   }
@@ -1125,19 +1337,10 @@
   } else if (!failure.may_have_executed) {
     retry = this->MayRetry(no_retry_reason);
   }
-  this->context.observer.OnAttemptFailed(
-      {.request_id = this->request_info.request_id,
-       .attempt = this->current.number,
-       .server = this->current.connection_target.id,
-       .result = std::string(ToString(failure.result)),
-       .reason = failure.reason,
-       .elapsed = now - this->current.sent_at,
-       .may_have_executed = failure.may_have_executed,
-       .has_first_event = this->current.first_event_received,
-       .shared_parts = SharedParts(this->query.parts),
-       .request_hash = this->suspects.request_hash,
-       .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
-       .next_reason = retry ? "" : no_retry_reason});
+  this->ReportFailure(this->current, this->current.connection_target,
+                      std::string(ToString(failure.result)), failure,
+                      retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
+                      retry ? "" : no_retry_reason);
   this->ClearResponse();
   if (retry) {
     this->Place();
@@ -1166,26 +1369,19 @@
   }
   const TimePoint now = MonotonicNow();
   const ServerChoice failed = *this->current.choice;
-  const bool is_stale_connection =
-      failure.result == SendResult::kUnreachable && !failure.avoid_server;
-  if (!is_relayed && !is_stale_connection &&
-      this->context.placer.RecordResult(failed, failure.result, now)) {
-    this->context.observer.OnEjected(
-        {.server = failed.server.id,
-         .service = failed.server.service,
-         .result = std::string(ToString(failure.result)),
-         .duration =
-             this->context.placer.health().EjectedUntil(failed.server.id) -
-             now});
-  }
-  this->EndAttempt();
-  if (failure.avoid_server) {
+  if (is_relayed) {
     this->query.tried_servers.push_back(failed.server.id);
-  }
-  if (failure.may_have_executed) {
     ++this->possible_executions;
   } else {
-    ++this->not_executed_attempts;
+    this->RecordFailure(failed, failure, now);
+  }
+  this->EndAttempt(this->current);
+  if (this->silent_attempt && !failure.next) {
+    this->ReportFailure(this->current, failed.server,
+                        std::string(ToString(failure.result)), failure,
+                        NextStep::kSilentServer, "");
+    this->ReturnToSilentAttempt();
+    return;
   }
   std::string no_retry_reason = "the other instance has retried";
   const bool is_too_late = !failure.next && this->IsTooLate(now);
@@ -1195,20 +1391,10 @@
   const bool retry =
       !is_relayed &&
       (failure.next || (!is_too_late && this->MayRetry(no_retry_reason)));
-  this->context.observer.OnAttemptFailed(
-      {.request_id = this->request_info.request_id,
-       .attempt = this->current.number,
-       .server = failed.server.id,
-       .software_version = failed.server.software_version,
-       .result = std::string(ToString(failure.result)),
-       .reason = failure.reason,
-       .elapsed = now - this->current.sent_at,
-       .may_have_executed = failure.may_have_executed,
-       .has_first_event = this->current.first_event_received,
-       .shared_parts = SharedParts(this->query.parts),
-       .request_hash = this->suspects.request_hash,
-       .next = retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
-       .next_reason = retry ? "" : no_retry_reason});
+  this->ReportFailure(this->current, failed.server,
+                      std::string(ToString(failure.result)), failure,
+                      retry ? NextStep::kAnotherServer : NextStep::kGiveUp,
+                      retry ? "" : no_retry_reason);
   if (retry) {
     this->ClearResponse();
     if (failure.next) {
@@ -1366,16 +1552,14 @@
     return;
   }
   if (now >= this->deadline) {
-    if (this->current.send_started) {
-      ++this->possible_executions;
-    }
+    this->possible_executions += this->CountRunningAttempts();
     this->context.durations.Observe(*this->query.route,
                                     now - this->current.sent_at);
     if (!this->current.relay) {
       this->context.placer.ObserveSilence(this->query, *this->current.choice,
                                           now - this->current.sent_at, now);
     }
-    this->EndAttempt();
+    this->EndAllAttempts();
     this->GiveUp(EndCause::kMaxWait);
     return;
   }
@@ -1416,9 +1600,13 @@
   if (!found) {
     return false;
   }
+  if (this->silent_attempt) {
+    this->WithdrawToSilentAttempt("a part of the request is quarantined");
+    return true;
+  }
   this->quarantined_suspect = found->suspect;
   ++this->possible_executions;
-  this->EndAttempt();
+  this->EndAttempt(this->current);
   this->GiveUp(EndCause::kQuarantined);
   return true;
 }
@@ -1433,7 +1621,8 @@
   // The other instance looks for a silence itself.
   if (this->current.relay || !route.MayRepeat() ||
       !this->current.send_started || this->current.pending_failure ||
-      this->possible_executions + 1 >= route.max_attempts) {
+      this->possible_executions + this->CountRunningAttempts() >=
+          route.max_attempts) {
     return;
   }
   const Duration silence = now - this->current.last_bytes_at;
@@ -1448,6 +1637,15 @@
   } else {
     return;
   }
+  // A stream that moves in a drain may not end before the cut-off, while the
+  // rest of the silent one may be short. It moves when its caller would leave.
+  if (this->context.shutdown.has_started() &&
+      route.kind == RouteKind::kStream) {
+    const Duration patience = std::max(
+        {kPatienceTargets * route.target,
+         kPatienceGaps * route.gap_target.value_or(Duration{}), kMinPatience});
+    timeout = std::max(timeout, patience - kSwitchTime);
+  }
   if (this->IsServerSuspected()) {
     timeout =
         std::min(timeout, kSuspectedSilenceTimeout +
@@ -1458,25 +1656,39 @@
     return;
   }
   this->silence_checked_at = now;
-  const std::optional<ServerChoice> next = this->ChooseInsteadOfSilent(now);
+  const std::optional<ServerChoice> next = this->ChooseBesideSilent(now);
   if (!next) {
     return;
   }
   this->context.placer.ObserveSilence(this->query, *this->current.choice,
                                       silence, now);
+  if (!this->silent_attempt) {
+    this->SendBesideSilent(*next);
+    return;
+  }
+  // The first server may still go on, and of the second one the caller has got
+  // nothing.
   this->AbandonResponse({.result = SendResult::kSilent,
                          .may_have_executed = true,
                          .reason = "silent",
                          .next = next});
 }
 
-std::optional<ServerChoice> Exchange::ChooseInsteadOfSilent(TimePoint now) {
+std::optional<ServerChoice> Exchange::ChooseBesideSilent(TimePoint now) {
+  if (this->context.quarantine.FindQuarantined(this->suspects, now)) {
+    return std::nullopt;
+  }
   NoChoiceReason no_choice = NoChoiceReason::kNoServer;
   this->query.withheld = this->context.placement_queues.WithheldOnArrival(
       this->service_name, this->RequestUrgency());
+  const std::size_t tried_count = this->query.tried_servers.size();
   this->query.tried_servers.push_back(this->current.choice->server.id);
+  if (this->silent_attempt) {
+    this->query.tried_servers.push_back(
+        this->silent_attempt->attempt.choice->server.id);
+  }
   std::optional<ServerChoice> next = this->ChooseServer(now, no_choice);
-  this->query.tried_servers.pop_back();
+  this->query.tried_servers.resize(tried_count);
   std::string no_retry_reason;
   if (next && !this->MayRetry(no_retry_reason)) {
     next.reset();
@@ -1488,13 +1700,9 @@
   if (this->ended) {
     return;
   }
-  const bool is_refused = this->current.pending_failure &&
-                          !this->current.pending_failure->may_have_executed;
-  if (this->current.choice && this->current.send_started && !is_refused) {
-    ++this->possible_executions;
-  }
+  this->possible_executions += this->CountRunningAttempts();
   this->StopWaiting(false);
-  this->EndAttempt();
+  this->EndAllAttempts();
   this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
 }
 
@@ -1502,10 +1710,10 @@
   if (this->ended) {
     return;
   }
-  if (this->current.send_started) {
+  if (this->current.send_started || this->silent_attempt) {
     ++this->possible_executions;
   }
-  this->EndAttempt();
+  this->EndAllAttempts();
   this->End(Outcome::kCancelled, EndCause::kCallerLeft, 0);
 }
 
@@ -1566,7 +1774,7 @@
   if (outcome == Outcome::kCompleted) {
     this->context.durations.Observe(*route, now - this->current.sent_at);
   }
-  this->EndAttempt();
+  this->EndAllAttempts();
   if (outcome == Outcome::kCompleted) {
     this->context.stream_origins.RecordCompletion(this->stream_hash);
   }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -102,6 +102,9 @@
     std::optional<ServerChoice> next = {};
   };
 
+  // Receives the response of an attempt that was set aside.
+  class SilentAttempt;
+
   // An attempt at a server, or at an instance that relays the request.
   struct Attempt {
     // From 1.
@@ -202,6 +205,33 @@
   // Handles the head of the response to a relayed request. Returns whether a
   // server's response follows; otherwise the attempt has failed.
   bool OnRelayedHead(ResponseHead& head);
+  // Sets the current attempt aside, since its server is silent, and sends the
+  // request to another server. Whichever of the two responds first goes on, and
+  // only then the other attempt is ended.
+  void SendBesideSilent(const ServerChoice& next);
+  // Makes the attempt that was set aside the current one again. The current one
+  // must have ended.
+  void ReturnToSilentAttempt();
+  // Ends the current attempt, which is no longer needed, and returns to the one
+  // that was set aside.
+  void WithdrawToSilentAttempt(const std::string& reason);
+  // Ends the attempt that was set aside, if there is one, and records why.
+  void EndSilentAttempt(const Failure& failure);
+  // Ends the current attempt and the one that was set aside.
+  void EndAllAttempts();
+  // The number of attempts under way that may have been executed.
+  [[nodiscard]] int CountRunningAttempts() const;
+  // Handles the head of the response to the attempt that was set aside.
+  HeadDecision OnSilentHead(const ResponseHead& head);
+  // Handles a failure of its connection.
+  void OnSilentFailed(FailureKind kind, const std::string& reason);
+  // Records the failure of an attempt at this server.
+  void RecordFailure(const ServerChoice& failed, const Failure& failure,
+                     TimePoint now);
+  // Reports that an attempt gave no response for the caller.
+  void ReportFailure(const Attempt& attempt, const RegisteredServer& server,
+                     const std::string& result, const Failure& failure,
+                     NextStep next, const std::string& next_reason);
   // Ends the attempt at the other instance as failed, then relays the request
   // again or ends it.
   void FailRelayedAttempt(const Failure& failure);
@@ -215,8 +245,11 @@
   // if a request was sent before. `no_retry_reason` is set if it is not
   // allowed.
   [[nodiscard]] bool MayRetry(std::string& no_retry_reason);
-  // Aborts the current attempt, if any, and removes it from the server's load.
-  void EndAttempt();
+  // Aborts the attempt, if it hasn't ended, and removes it from the server's
+  // load.
+  void EndAttempt(Attempt& attempt);
+  // Forwards the head of the current stream unless one was forwarded.
+  void ForwardStreamHead();
   // Discards the head and the body received so far.
   void ClearResponse();
   // Ends the request without a server's response: aborts the response if its
@@ -240,9 +273,13 @@
   // Responds that the request was not executed. Retry-After is `min_delay` plus
   // jitter.
   void RejectAsNotExecuted(EndCause cause, Duration min_delay);
-  // Returns whether the response being received is certainly to the current
-  // attempt.
-  [[nodiscard]] bool IsOwnResponse(const ResponseInfo& response_info) const;
+  // Returns whether a response on the attempt's connection is certainly to it.
+  [[nodiscard]] bool IsOwnResponse(const Attempt& attempt,
+                                   const ResponseInfo& response_info) const;
+  // Returns why a response with this head makes the attempt fail; nullopt if it
+  // doesn't.
+  static std::optional<Failure> FailureOf(const ResponseHead& head,
+                                          const ResponseInfo& info);
   void ForwardHead(const ResponseHead& head, BodyFraming framing);
   // Returns how the end of a body of unknown length is marked for the caller.
   [[nodiscard]] BodyFraming FramingWithoutLength() const;
@@ -254,6 +291,11 @@
   // breaks it off may still close the connection in order. Empty if it is
   // complete.
   [[nodiscard]] std::string_view IncompleteStreamReason() const;
+  // Records what the head of an own response says of the server.
+  void RecordHead(const ResponseInfo& info, TimePoint now);
+  // Returns the failure of the current attempt, and records the end of its
+  // connection.
+  Failure MakeFailure(FailureKind kind, const std::string& reason);
   // Records what the server says about the requests that it takes: now, in the
   // next time, and at all.
   void RecordAvailability(const ResponseHead& head, const ResponseInfo& info,
@@ -274,13 +316,13 @@
   // Records that the server's connection ended, which shows a crash if it had
   // just begun to run the request.
   void RecordConnectionEnd();
-  // Fails the current attempt if its server has been silent for long and
-  // another server can take the request now. A silent server may go on, so the
-  // request is never ended for its silence.
+  // Sends the request to another server too if the current attempt's server has
+  // been silent for long and another one can take it now. A silent server may
+  // go on, so neither the request nor the attempt is ended for its silence.
   void CheckSilence(TimePoint now);
-  // Returns the server that can take the request instead of the current one,
+  // Returns a server that can take the request besides the current one,
   // and spends retry budget on it; nullopt if there is none.
-  std::optional<ServerChoice> ChooseInsteadOfSilent(TimePoint now);
+  std::optional<ServerChoice> ChooseBesideSilent(TimePoint now);
   // Reports the outcome and completes the response; only the first call has an
   // effect.
   void End(Outcome outcome, EndCause cause, int status);
@@ -339,6 +381,8 @@
   // The limit that the last response named.
   std::optional<double> named_rate_limit;
   EventSplitter splitter;
+  // The attempt that was set aside; null if there is none.
+  std::unique_ptr<SilentAttempt> silent_attempt;
 
   // Over all attempts.
   int attempts = 0;
--- a/src/proxy/proxy_observer.cc
+++ b/src/proxy/proxy_observer.cc
@@ -12,6 +12,18 @@
 
 }  // namespace
 
+std::string_view ToString(NextStep next) {
+  switch (next) {
+    case NextStep::kAnotherServer:
+      return "another_server";
+    case NextStep::kSilentServer:
+      return "silent_server";
+    case NextStep::kGiveUp:
+      return "given_up";
+  }
+  return "unknown";
+}
+
 std::string_view ToString(CloseCause cause) {
   return kCloseCauseNames.at(static_cast<std::size_t>(cause));
 }
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -53,7 +53,14 @@
 };
 
 // What follows a failed attempt.
-enum class NextStep : std::uint8_t { kAnotherServer, kGiveUp };
+enum class NextStep : std::uint8_t {
+  kAnotherServer,
+  kSilentServer,  // The server that was silent, whose attempt is not ended.
+  kGiveUp
+};
+
+// Returns the word that logs use.
+std::string_view ToString(NextStep next);
 
 // An attempt failed. Part of a stream may have been forwarded before, and an
 // error response may be forwarded after no further attempt is allowed.
@@ -64,7 +71,7 @@
   // The id of the server, and the version of its software.
   std::string server;
   std::string software_version;
-  // The word of the SendResult.
+  // The word of the SendResult, or "withdrawn" if the attempt was not needed.
   std::string result;
   // What happened, as text.
   std::string reason;
@@ -78,7 +85,7 @@
   // See RequestHash.
   std::uint64_t request_hash = 0;
   NextStep next = NextStep::kGiveUp;
-  // Why no further attempt is allowed; empty for kAnotherServer.
+  // Why no further attempt is allowed; only for kGiveUp.
   std::string next_reason;
 };
 
