--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <iterator>
 #include <set>
 #include <thread>
 #include <utility>
@@ -12,6 +14,7 @@
 namespace {
 
 using platform::StoreFault;
+using platform::StoreFront;
 using std::chrono::milliseconds;
 
 // How long a server that leaves goes on.
@@ -45,6 +48,7 @@
              this->options.program, this->options.folder, fmt::format("g{}", i),
              GatewayPorts{.first = first_port + i * GatewayPorts::kCount},
              own_links.Environment()),
+         .store_front = std::make_unique<StoreFront>(this->store),
          .grace = this->random.Between(1500, 8000)});
   }
   for (Instance& instance : this->instances) {
@@ -87,11 +91,16 @@
   for (const Instance& other : this->instances) {
     peer_ports.push_back(other.process->peer_port());
   }
-  instance.process->WriteSettings(this->store.address(), peer_ports,
+  instance.process->WriteSettings(instance.store_front->address(), peer_ports,
                                   instance.grace);
 }
 
 void Fleet::StartProcess(Instance& instance) {
+  const auto round =
+      static_cast<int>(this->NumberOf(instance)) + instance.start_count;
+  const bool is_other = !this->options.other_program.empty() && round % 2 == 1;
+  instance.process->SetProgram(is_other ? this->options.other_program
+                                        : this->options.program);
   instance.process->Start();
   instance.is_alive = true;
   ++instance.start_count;
@@ -338,6 +347,12 @@
 void Fleet::Advance() {
   const auto now = Clock::now();
   this->AdvanceStore(now);
+  if (this->options.has_silences && !this->is_ending) {
+    this->AdvanceSilences(now);
+  }
+  if (this->options.has_refusals && !this->is_ending) {
+    this->AdvanceRefusals(now);
+  }
   for (Instance& instance : this->instances) {
     this->AdvanceInstance(instance, now);
   }
@@ -375,6 +390,66 @@
   }
 }
 
+void Fleet::AdvanceSilences(Clock::time_point now) {
+  if (now < this->next_silence_at) {
+    return;
+  }
+  const int target =
+      this->silence_random.Below(static_cast<int>(this->servers.size()));
+  SoakServer& server = **std::next(this->servers.begin(), target);
+  const Times length = this->silence_random.Between(800, 1500);
+  server.FallSilent(length);
+  this->next_silence_at = now + this->silence_random.Between(500, 3000);
+  this->Log(fmt::format("{} is silent for {} ms", server.id, length.count()));
+}
+
+bool Fleet::ServesAnInstance() const {
+  return std::any_of(this->instances.begin(), this->instances.end(),
+                     [](const Instance& instance) {
+                       return !instance.store_front->is_disturbed() &&
+                              instance.is_alive && !instance.paused_at &&
+                              !instance.end_of_grace;
+                     });
+}
+
+void Fleet::AdvanceRefusals(Clock::time_point now) {
+  constexpr std::array kFaults{StoreFault::kUnavailable, StoreFault::kReset,
+                               StoreFault::kSilent};
+  if (this->is_refusing) {
+    if (this->ServesAnInstance()) {
+      this->promises.OnStoreRefusal();
+    } else {
+      this->promises.OnStoreDisturbance();
+    }
+  }
+  if (now < this->next_refusal_at) {
+    return;
+  }
+  this->is_refusing = !this->is_refusing;
+  if (!this->is_refusing) {
+    for (const Instance& instance : this->instances) {
+      instance.store_front->SetFault(StoreFault::kNone);
+    }
+    this->next_refusal_at = now + this->refusal_random.Between(1000, 4000);
+    this->Log("the store serves all instances");
+    return;
+  }
+  const int served = this->refusal_random.Below(this->options.instances);
+  const StoreFault fault =
+      kFaults[static_cast<std::size_t>(this->refusal_random.Below(3))];
+  std::string names;
+  for (int i = 0; i < this->options.instances; ++i) {
+    if (i != served && !this->refusal_random.OneIn(3)) {
+      const Instance& instance = this->instances[static_cast<std::size_t>(i)];
+      instance.store_front->SetFault(fault);
+      names += " " + instance.process->name();
+    }
+  }
+  this->next_refusal_at = now + this->refusal_random.Between(2000, 12000);
+  this->Log(fmt::format("the store turns away, fault {}:{}",
+                        static_cast<int>(fault), names));
+}
+
 void Fleet::AdvanceInstance(Instance& instance, Clock::time_point now) {
   GatewayProcess& process = *instance.process;
   if (instance.cut_until && now >= *instance.cut_until) {
@@ -425,6 +500,9 @@
 
 void Fleet::StopAll() {
   this->is_ending = true;
+  for (const Instance& instance : this->instances) {
+    instance.store_front->SetFault(StoreFault::kNone);
+  }
   this->store.SetFault(StoreFault::kNone);
   this->store_disturbed_until.reset();
   for (Instance& instance : this->instances) {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -23,6 +23,13 @@
   std::uint64_t seed = 1;
   int instances = 3;
   std::filesystem::path program;
+  // Another build, which runs side by side: each instance changes the build at
+  // each start, and neighbours run different ones. Empty if there is none.
+  std::filesystem::path other_program;
+  // Servers fall silent for about a second and go on.
+  bool has_silences = false;
+  // The store turns some instances away.
+  bool has_refusals = false;
   std::filesystem::path folder;
 };
 
@@ -47,6 +54,7 @@
   using Times = std::chrono::milliseconds;
   struct Instance {
     std::unique_ptr<GatewayProcess> process;
+    std::unique_ptr<platform::StoreFront> store_front;
     bool is_alive = false;
     int start_count = 0;
     // Processes that ended before they handled signals.
@@ -67,6 +75,12 @@
   };
 
   void StartProcess(Instance& instance);
+  // Lets a server fall silent, or ends the silence of its own accord.
+  void AdvanceSilences(Clock::time_point now);
+  // Lets the store turn instances away, or serve them again.
+  void AdvanceRefusals(Clock::time_point now);
+  // Returns whether the store serves an instance that is not disturbed.
+  [[nodiscard]] bool ServesAnInstance() const;
   void WriteSettings(const Instance& instance) const;
   void PutConfiguration();
   void AddServer(const std::string& service);
@@ -102,6 +116,14 @@
   int version = 0;
   int server_count = 0;
   bool is_ending = false;
+  // With random numbers of their own, so that the other events of a seed stay
+  // the same.
+  Random silence_random{this->options.seed + 1'000'000};
+  Random refusal_random{this->options.seed + 2'000'000};
+  Clock::time_point next_silence_at = Clock::now();
+  Clock::time_point next_refusal_at =
+      Clock::now() + std::chrono::milliseconds(2000);
+  bool is_refusing = false;
   std::string configuration;
   std::optional<Clock::time_point> store_disturbed_until;
   std::optional<Clock::time_point> restore_at;
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -50,6 +50,10 @@
                      std::chrono::milliseconds grace) const;
   // Returns false if there is no process.
   bool Start();
+  // Sets the program of the next start.
+  void SetProgram(std::filesystem::path next) {
+    this->program = std::move(next);
+  }
   void Signal(int number) const;
   // Waits for the end of the process. Returns its exit status, or minus the
   // number of the signal that ended it; nullopt if it still runs.
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -19,6 +19,8 @@
 // The time within which a write to the store must have its effect, and a margin
 // for a busy machine.
 constexpr auto kApplyTime = milliseconds(3000);
+// What is added while the store turns some instances away.
+constexpr auto kRefusalTime = milliseconds(5000);
 // The versions that accept a key.
 constexpr int kVersionsOfKey = 4;
 // The part of the grace in which open requests are cut off.
@@ -50,6 +52,11 @@
   this->written_at.resize(static_cast<std::size_t>(version), Clock::now());
 }
 
+void Promises::OnStoreRefusal() {
+  const std::lock_guard lock(this->mutex);
+  this->store_refused_until = Clock::now();
+}
+
 void Promises::OnStoreDisturbance() {
   const std::lock_guard lock(this->mutex);
   this->store_disturbed_until = Clock::now();
@@ -387,9 +394,10 @@
   const Clock::time_point disturbed_until = found == this->instances.end()
                                                 ? Clock::time_point()
                                                 : found->second.disturbed_until;
-  return at >
-         std::max({written, this->store_disturbed_until, disturbed_until}) +
-             kApplyTime;
+  const Clock::time_point start =
+      std::max({written, this->store_disturbed_until, disturbed_until});
+  return at > std::max(start, this->store_refused_until) + kApplyTime ||
+         at > start + kApplyTime + kRefusalTime;
 }
 
 void Promises::Break(const std::string& what, const std::string& request) {
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -37,6 +37,8 @@
   // The store holds a configuration with a key for each customer that it and
   // the next three versions accept.
   void OnConfiguration(int version);
+  // The store turns some instances away and serves the others.
+  void OnStoreRefusal();
   // The store was disturbed up to now: what depends on writes to it needs not
   // hold until some time later.
   void OnStoreDisturbance();
@@ -135,6 +137,7 @@
   std::mutex mutex;
   // When each version was written, from version 1.
   std::vector<Clock::time_point> written_at;
+  Clock::time_point store_refused_until;
   Clock::time_point store_disturbed_until;
   std::map<std::string, Instance> instances;
   std::map<std::string, Clock::time_point> left_at;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -33,6 +33,9 @@
   bool checks_served = false;
   bool keeps_logs = false;
   std::string program = "build/rosemarycove";
+  std::string other_program;
+  bool has_silences = false;
+  bool has_refusals = false;
   std::string folder = std::filesystem::temp_directory_path();
 };
 
@@ -50,6 +53,9 @@
         fleet({.seed = run_seed,
                .instances = soak_options.instances,
                .program = soak_options.program,
+               .other_program = soak_options.other_program,
+               .has_silences = soak_options.has_silences,
+               .has_refusals = soak_options.has_refusals,
                .folder = folder},
               this->promises) {}
 
@@ -180,6 +186,13 @@
   app.add_flag("--keep", options.keeps_logs, "Keep the logs of good runs");
   app.add_option("--program", options.program, "The gateway's program")
       ->check(CLI::ExistingFile);
+  app.add_option("--other-program", options.other_program,
+                 "Another build, with which instances run side by side")
+      ->check(CLI::ExistingFile);
+  app.add_flag("--silences", options.has_silences,
+               "Servers fall silent for about a second and go on");
+  app.add_flag("--refusals", options.has_refusals,
+               "The store turns some instances away");
   app.add_option("--folder", options.folder,
                  "Folder for the folders with settings and logs");
   CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_server.cc
+++ b/tests/soak/soak_server.cc
@@ -167,6 +167,9 @@
 
 bool SoakServer::Send(RawConnection& connection, const InstanceLinks* from,
                       const std::string& bytes) {
+  while (!this->is_stopping && Clock::now() < this->silent_until.load()) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
   return this->AwaitLink(from) && connection.Send(bytes);
 }
 
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -27,6 +27,10 @@
   // The value of its entry in the store.
   [[nodiscard]] std::string Entry(const std::string& state) const;
   [[nodiscard]] int port() const { return this->server.port(); }
+  // Sends nothing for this time and then goes on.
+  void FallSilent(std::chrono::milliseconds time) {
+    this->silent_until = Clock::now() + time;
+  }
   // Resets the connections from this address.
   void ResetFrom(const std::string& address);
 
@@ -72,6 +76,7 @@
   Promises& promises;
   std::atomic<bool> is_stopping = false;
   std::atomic<int> running = 0;
+  std::atomic<Clock::time_point> silent_until = Clock::time_point();
   // Guards the members up to `server`.
   std::mutex mutex;
   Random random;
