Bound the responses to serve's own requests

Reported by operators of a similar system: a server sent bytes without end, the instance kept them all and ran out of memory.

Cause here: load polls and calls to the key-value service used cpp-httplib's client alone, which keeps a body or fields of any size while each read is in time. gateway bounds all that it reads (read in the code; servers are tested).

Change: both use the strict client, with a limit of the body's size and time.

--- a/src/app/load_poller.cc
+++ b/src/app/load_poller.cc
@@ -1,10 +1,9 @@
 #include "app/load_poller.h"
 
-#include <httplib.h>
-
 #include <chrono>
 #include <vector>
 
+#include "http/bounded_response.h"
 #include "net/clock.h"
 #include "wire/json_decoder.h"
 
@@ -15,6 +14,8 @@
 // For connecting to a server and for reading its response, each.
 constexpr auto kTimeout = std::chrono::milliseconds(500);
 constexpr int kOk = 200;
+constexpr ResponseBounds kBounds{.max_body_bytes = std::size_t{64} << 10U,
+                                 .max_time = kTimeout};
 // A report out of these ranges is not valid.
 constexpr double kMaxAgeMs = 1e9;
 constexpr int kMaxRunning = 1'000'000;
@@ -54,10 +55,14 @@
 }
 
 void LoadPoller::Poll(const Backend& backend) {
-  httplib::Client client("http://" + backend.address);
+  BackendClient client(backend.address);
   client.set_connection_timeout(kTimeout);
   client.set_read_timeout(kTimeout);
-  const httplib::Result result = client.Get("/load");
+  httplib::Request request;
+  request.method = "GET";
+  request.path = "/load";
+  const httplib::Result result =
+      SendBounded(client, std::move(request), kBounds);
   const TimePoint now = MonotonicNow();
   bool is_valid = false;
   if (result && result->status == kOk) {
--- a/src/store/http_key_value_store.cc
+++ b/src/store/http_key_value_store.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http/bounded_response.h"
 #include "wire/json_decoder.h"
 
 namespace rosemarycove {
@@ -12,6 +13,9 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
+// How many of the timeouts of a read a whole response may take.
+constexpr int kReadTimeouts = 4;
+constexpr std::size_t kMaxBodyBytes = std::size_t{16} << 20U;
 
 StoreError ToStoreError(const httplib::Result& result) {
   if (!result) {
@@ -26,14 +30,11 @@
                      std::to_string(result->status)};
 }
 
-httplib::Client MakeClient(const std::string& host, int port,
-                           Duration timeout) {
-  httplib::Client client(host, port);
+void SetTimeouts(BackendClient& client, Duration timeout) {
   client.set_connection_timeout(timeout);
   client.set_read_timeout(timeout);
   client.set_write_timeout(timeout);
   client.set_tcp_nodelay(true);
-  return client;
 }
 
 // Returns the version in a JSON response; 0 if it has none.
@@ -46,13 +47,18 @@
 
 }  // namespace
 
-HttpKeyValueStore::HttpKeyValueStore(std::string host, int port,
+HttpKeyValueStore::HttpKeyValueStore(const std::string& host, int port,
                                      Duration timeout)
-    : host(std::move(host)), port(port), timeout(timeout) {}
+    : address(host + ":" + std::to_string(port)), timeout(timeout) {}
 
 tl::expected<StoreValue, StoreError> HttpKeyValueStore::Read(
-    httplib::Client& client, const std::string& path) {
-  const httplib::Result result = client.Get(path);
+    BackendClient& client, const std::string& path, Duration max_time) {
+  httplib::Request request;
+  request.method = "GET";
+  request.path = path;
+  const httplib::Result result =
+      SendBounded(client, std::move(request),
+                  {.max_body_bytes = kMaxBodyBytes, .max_time = max_time});
   if (!result || result->status != kOk) {
     return tl::unexpected(ToStoreError(result));
   }
@@ -68,14 +74,15 @@
 
 tl::expected<StoreValue, StoreError> HttpKeyValueStore::Get(
     const std::string& key) {
-  httplib::Client client = MakeClient(this->host, this->port, this->timeout);
-  return Read(client, "/kv/" + key);
+  BackendClient client(this->address);
+  SetTimeouts(client, this->timeout);
+  return Read(client, "/kv/" + key, kReadTimeouts * this->timeout);
 }
 
 tl::expected<StoreValue, StoreError> HttpKeyValueStore::Watch(
     const std::string& key, StoreVersion known_version, Duration max_wait) {
-  httplib::Client client =
-      MakeClient(this->host, this->port, max_wait + this->timeout);
+  BackendClient client(this->address);
+  SetTimeouts(client, max_wait + this->timeout);
   client.set_connection_timeout(this->timeout);
   {
     const std::lock_guard lock(this->mutex);
@@ -86,9 +93,10 @@
   }
   const auto wait =
       std::chrono::duration_cast<std::chrono::milliseconds>(max_wait);
-  auto value =
-      Read(client, "/kv/" + key + "?above=" + std::to_string(known_version) +
-                       "&wait_ms=" + std::to_string(wait.count()));
+  auto value = Read(client,
+                    "/kv/" + key + "?above=" + std::to_string(known_version) +
+                        "&wait_ms=" + std::to_string(wait.count()),
+                    max_wait + kReadTimeouts * this->timeout);
   const std::lock_guard lock(this->mutex);
   this->watch_client = nullptr;
   return value;
@@ -104,10 +112,17 @@
 
 tl::expected<StoreVersion, StoreError> HttpKeyValueStore::CompareAndSwap(
     const std::string& key, StoreVersion expected, const std::string& value) {
-  httplib::Client client = MakeClient(this->host, this->port, this->timeout);
+  BackendClient client(this->address);
+  SetTimeouts(client, this->timeout);
+  httplib::Request request;
+  request.method = "PUT";
+  request.path = "/kv/" + key + "?version=" + std::to_string(expected);
+  request.set_header("Content-Type", "application/octet-stream");
+  request.body = value;
   const httplib::Result result =
-      client.Put("/kv/" + key + "?version=" + std::to_string(expected), value,
-                 "application/octet-stream");
+      SendBounded(client, std::move(request),
+                  {.max_body_bytes = kMaxBodyBytes,
+                   .max_time = kReadTimeouts * this->timeout});
   if (!result || (result->status != kOk && result->status != kConflict)) {
     return tl::unexpected(ToStoreError(result));
   }
--- a/src/store/http_key_value_store.h
+++ b/src/store/http_key_value_store.h
@@ -1,11 +1,10 @@
 // The key-value service as JSON over HTTP, as docs/PLATFORM.md describes it.
 #pragma once
 
-#include <httplib.h>
-
 #include <mutex>
 #include <string>
 
+#include "http/backend_client.h"
 #include "store/key_value_store.h"
 
 namespace rosemarycove {
@@ -13,7 +12,7 @@
 // Calls the service at one address, with a new connection for each call.
 class HttpKeyValueStore : public KeyValueStore {
  public:
-  HttpKeyValueStore(std::string host, int port, Duration timeout);
+  HttpKeyValueStore(const std::string& host, int port, Duration timeout);
 
   tl::expected<StoreValue, StoreError> Get(const std::string& key) override;
   tl::expected<StoreVersion, StoreError> CompareAndSwap(
@@ -25,17 +24,18 @@
   void CancelWatches() override;
 
  private:
-  static tl::expected<StoreValue, StoreError> Read(httplib::Client& client,
-                                                   const std::string& path);
+  // Reads a value; the whole response may take `max_time`.
+  static tl::expected<StoreValue, StoreError> Read(BackendClient& client,
+                                                   const std::string& path,
+                                                   Duration max_time);
 
-  std::string host;
-  int port;
+  std::string address;
   Duration timeout;
   // Guards the members below.
   std::mutex mutex;
   bool watches_cancelled = false;
   // The client of the watch in progress. There is at most one.
-  httplib::Client* watch_client = nullptr;
+  BackendClient* watch_client = nullptr;
 };
 
 }  // namespace rosemarycove
