Keep no listener on a connection whose response has ended

Found by reading the change: if the response of a silent attempt ends without further bytes of its body, the connection went back to the pool with the exchange as its listener, which is destroyed soon after; the end of that connection would then have called it.

Change: a listener is set only while a response is under way.

The test that is added passes with and without the fix on this machine; it covers the path.

--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -63,9 +63,12 @@
   // body.
   void Send(std::string request, bool is_head_request,
             ResponseListener& listener);
-  // Makes another listener receive the rest of the response.
+  // Makes another listener receive the rest of the response, unless the
+  // response has ended.
   void SetListener(ResponseListener& new_listener) {
-    this->listener = &new_listener;
+    if (this->listener != nullptr) {
+      this->listener = &new_listener;
+    }
   }
   // Closes the connection without a further call to the listener.
   void Abort();
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -903,9 +903,7 @@
   if (this->current.first_event_received) {
     return;
   }
-  this->EndSilentAttempt({.result = SendResult::kSilent,
-                          .may_have_executed = true,
-                          .reason = "silent"});
+  this->ReplaceSilentAttempt();
   const TimePoint now = MonotonicNow();
   this->current.first_event_received = true;
   this->current.first_event_at = now;
@@ -980,9 +978,7 @@
       }
       if (this->current.buffered.size() > kMaxBufferedBytes &&
           !this->current.pending_failure) {
-        this->EndSilentAttempt({.result = SendResult::kSilent,
-                                .may_have_executed = true,
-                                .reason = "silent"});
+        this->ReplaceSilentAttempt();
         this->current.response_mode = ResponseMode::kForwarded;
         this->ForwardHead(this->current.response,
                           this->current.response.length
@@ -1234,6 +1230,12 @@
                       NextStep::kAnotherServer, "");
 }
 
+void Exchange::ReplaceSilentAttempt() {
+  this->EndSilentAttempt({.result = SendResult::kSilent,
+                          .may_have_executed = true,
+                          .reason = "silent"});
+}
+
 HeadDecision Exchange::OnSilentHead(const ResponseHead& head) {
   const ResponseInfo info = this->context.dialect.ReadResponse(head);
   Attempt& attempt = this->silent_attempt->attempt;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -217,6 +217,9 @@
   void WithdrawToSilentAttempt(const std::string& reason);
   // Ends the attempt that was set aside, if there is one, and records why.
   void EndSilentAttempt(const Failure& failure);
+  // Ends the attempt that was set aside, if there is one, since the current one
+  // responds.
+  void ReplaceSilentAttempt();
   // Ends the current attempt and the one that was set aside.
   void EndAllAttempts();
   // The number of attempts under way that may have been executed.
--- a/tests/test_two_attempts.cc
+++ b/tests/test_two_attempts.cc
@@ -198,6 +198,36 @@
   LONGS_EQUAL(1, servers.closed_count);
 }
 
+// Guards against a connection that is kept for an exchange that has ended: the
+// silent response ends without further bytes of its body.
+TEST(TwoAttempts, ConnectionIsUsedAgainAfterAResponseThatEndsInSilence) {
+  const TwoServers servers(
+      [](RawConnection& connection, const std::string& request) {
+        connection.Send(StreamResponseHead(request) + Event(1, "first"));
+        std::this_thread::sleep_for(kSilence);
+        connection.Send(kEnd);
+      },
+      [&](RawConnection& connection, const std::string& request) {
+        // The second one beside the silent one, and the one after it.
+        if (HeaderValue(request, "Rosemarycove-Request-Id") == "r1") {
+          connection.ReadToEnd();
+        } else {
+          connection.Send(StreamResponseHead(request) + Event(1, "again") +
+                          kEnd);
+        }
+      });
+  CheckEvents(servers.ReadStream(), Event(1, "first"));
+  const int connections = servers.platform.engine.connection_count();
+  for (int i = 0; i < 8; ++i) {
+    const auto caller = servers.gateway->Connect();
+    caller->Send(
+        PlatformFixture::Request("/stream/x", "again-" + std::to_string(i)));
+    CheckEvents(caller->ReadUntil(kEnd), Event(1, "again"));
+  }
+  // One more for the server that has no open connection.
+  CHECK(servers.platform.engine.connection_count() <= connections + 1);
+}
+
 // Guards against events that come twice or from two servers in turn, and
 // against a silent server that works on.
 TEST(TwoAttempts, OtherServersEventsReplaceTheSilentStream) {
