--- a/src/core/configuration_freshness.cc
+++ b/src/core/configuration_freshness.cc
@@ -5,13 +5,10 @@
 namespace rosemarycove {
 namespace {
 
-// A reader that waits for changes for a second at a time knows what was
-// acknowledged when its last wait began, up to two seconds ago, and reports it
-// about twice per second.
+// The age at which the first instance reads the store itself.
 constexpr Duration kMaxAge = std::chrono::milliseconds(3000);
 // Added for each rank, so that the read of one instance and its report spare
-// the others theirs. All together leave half of the time within which a
-// configuration must be in force while the store turns instances away.
+// the others theirs.
 constexpr Duration kRankDelay = std::chrono::milliseconds(150);
 constexpr int kSpacedRanks = 3;
 constexpr Duration kLaterRankDelay = std::chrono::milliseconds(10);
