Keep repeated stop signals from ending a process that exits

The signal handlers are removed before the process exits, so a second SIGTERM in between ended it by default.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <csignal>
 #include <utility>
 
 namespace rosemarycove {
@@ -125,8 +126,14 @@
 EventLog::EventLog(std::string instance, LogFormat format,
                    const std::string& level)
     : instance(std::move(instance)), format(format) {
+  // The writer thread leaves signals to the other threads, which decide what
+  // they do.
   this->thread_pool =
-      std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines, 1);
+      std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines, 1, [] {
+        sigset_t all;
+        sigfillset(&all);
+        pthread_sigmask(SIG_BLOCK, &all, nullptr);
+      });
   this->logger = std::make_shared<spdlog::async_logger>(
       "rosemarycove", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
       this->thread_pool, spdlog::async_overflow_policy::overrun_oldest);
