--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -59,6 +59,11 @@
     {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
     {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kDutyTaken, "duty_taken", LogLevel::kInfo},
+    {LogEvent::kDutyLost, "duty_lost", LogLevel::kWarning},
+    {LogEvent::kDutyHandedOver, "duty_handed_over", LogLevel::kInfo},
+    {LogEvent::kDutyClaimRefused, "duty_claim_refused", LogLevel::kWarning},
+    {LogEvent::kDutyCallFailed, "duty_call_failed", LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -62,6 +62,11 @@
   kServiceReach = 5015,
   kServerBrittle = 5016,
   kServerBrittleUnreadable = 5017,
+  kDutyTaken = 7001,
+  kDutyLost = 7002,
+  kDutyHandedOver = 7003,
+  kDutyClaimRefused = 7004,
+  kDutyCallFailed = 7005,
 };
 
 // Severity of an event.
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -46,15 +46,12 @@
 // for this long means that the network is partitioned.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
 
-// The key by which instances are ranked for work that one of them does for all.
-// The key is a hash, so that the instances of one data centre, which tend to
-// fail together, are not adjacent in the order.
+}  // namespace
+
 std::uint64_t RankHash(const std::string& instance) {
   return RendezvousScore(0, instance);
 }
 
-}  // namespace
-
 std::string_view ToString(PeerStatus status) {
   switch (status) {
     case PeerStatus::kUp:
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -58,6 +58,11 @@
 // Returns the word that logs use.
 std::string_view ToString(PeerStatus status);
 
+// Returns the key by which instances are ranked for work that one of them does
+// for all, the lowest first. The key is a hash, so that the instances of one
+// data centre, which tend to fail together, are not adjacent in the order.
+std::uint64_t RankHash(const std::string& instance);
+
 // Makes the reports that are sent, and handles received reports and changes of
 // the peers' status. Called on the event loop's thread only.
 class FleetReportHandler {
--- a/src/proxy/http_client.cc
+++ b/src/proxy/http_client.cc
@@ -29,7 +29,18 @@
     this->connection =
         std::make_shared<BackendConnection>(this->io, this->endpoint);
   }
+  this->is_starting = true;
   this->connection->Send(std::move(request), false, *this);
+  this->is_starting = false;
+}
+
+void HttpClient::OnSendStarted() {
+  if (!this->is_starting && MonotonicNow() >= this->deadline) {
+    this->connection->Abort();
+    this->connection.reset();
+    this->End(tl::unexpected(HttpError{
+        .not_sent = true, .message = "timed out before it was sent"}));
+  }
 }
 
 void HttpClient::Cancel() {
--- a/src/proxy/http_client.h
+++ b/src/proxy/http_client.h
@@ -52,7 +52,9 @@
   [[nodiscard]] bool is_busy() const { return this->done != nullptr; }
 
  private:
-  void OnSendStarted() override {}
+  // Ends the request unsent if its timeout passed while the connection was
+  // established, such as in a frozen process.
+  void OnSendStarted() override;
   HeadDecision OnHead(const ResponseHead& head) override;
   void OnBody(std::string bytes) override;
   void OnComplete() override;
@@ -64,6 +66,8 @@
   std::shared_ptr<BackendConnection> connection;
   Done done;
   TimePoint deadline;
+  // Send has not returned yet.
+  bool is_starting = false;
   int status = 0;
   HeaderFields fields;
   std::string body;
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -2,7 +2,7 @@
 #include "platform/boot_settings.h"
 #include "platform/call_dialect.h"
 #include "platform/documents.h"
-#include "platform/store_client.h"
+#include "platform/store_protocol.h"
 
 // The test library's macros come last.
 #include <CppUTest/TestHarness.h>
