Usage reports: counts, records, the reporter, and the wiring into the gateway

Each window's requests per customer are to be reported once. Instances count them and tell the holder and three candidates; the holder writes a window's counts to the store before it sends them, so that every holder sends the same. Without a [cloud] table, gateways make no calls and add no field.

--- a/src/app/duty_service.cc
+++ b/src/app/duty_service.cc
@@ -12,9 +12,8 @@
 namespace rosemarycove {
 namespace {
 
-// The instances that get what a holder needs to know: the first to claim may
-// fail together with the holder.
-constexpr std::size_t kCandidateCount = 3;
+// How long a planned stop waits for the tasks, of a shutdown grace of 8 s.
+constexpr Duration kMaxStopWait = std::chrono::seconds(3);
 
 std::string_view ToString(DutyStep step) {
   switch (step) {
@@ -73,7 +72,7 @@
     if (ranked[rank].second == this->options.instance) {
       this->lease.SetRank(static_cast<int>(rank));
     }
-    if (rank < kCandidateCount) {
+    if (rank < kDutyCandidates) {
       this->candidates.push_back(ranked[rank].second);
     }
   }
@@ -82,6 +81,10 @@
 void DutyService::OnHolderReport(const std::string& instance,
                                  std::uint64_t token, Duration lease_age,
                                  TimePoint now) {
+  if (token == 0 && instance == this->holder) {
+    this->holder.clear();
+    this->lease.OnHolderLeft(now);
+  }
   if (token == 0 || token < this->holder_token) {
     return;
   }
@@ -112,12 +115,11 @@
 
 void DutyService::Tick(TimePoint now) {
   this->store.Tick(now);
-  if (this->is_stopping) {
-    this->lease.SetMayClaim(false);
+  if (this->stop_started_at) {
     const bool all_idle =
         std::all_of(this->tasks.begin(), this->tasks.end(),
                     [](const DutyTask* task) { return task->is_idle(); });
-    if (all_idle) {
+    if (all_idle || now - *this->stop_started_at >= kMaxStopWait) {
       this->lease.HandOver(now);
     }
   }
@@ -128,6 +130,13 @@
   this->LogChanges();
 }
 
+void DutyService::StartStop(TimePoint now) {
+  if (!this->stop_started_at) {
+    this->stop_started_at = now;
+    this->lease.SetMayClaim(false);
+  }
+}
+
 void DutyService::RunLease(TimePoint now) {
   if (this->store.is_busy()) {
     return;
@@ -241,7 +250,7 @@
 }
 
 bool DutyService::IsStopped(TimePoint now) const {
-  return this->is_stopping && !this->lease.IsHolder(now) &&
+  return this->stop_started_at && !this->lease.IsHolder(now) &&
          this->lease.IsSettled();
 }
 
--- a/src/app/duty_service.h
+++ b/src/app/duty_service.h
@@ -33,8 +33,8 @@
   // Sets the other instances that may hold the duty: those that report, are not
   // draining and run a release that can.
   void SetPeers(std::vector<std::string> instances);
-  // Another instance reports that it holds the duty with this token, and
-  // renewed its lease this long ago.
+  // Another instance reports that it holds the duty with this token, or does
+  // not (0), and renewed its lease this long ago.
   void OnHolderReport(const std::string& instance, std::uint64_t token,
                       Duration lease_age, TimePoint now);
   // Another client of the store has seen this era.
@@ -42,8 +42,9 @@
   // Advances the lease, then the tasks.
   void Tick(TimePoint now);
   // Starts a planned stop: claims no more, and hands the duty over as soon as
-  // all tasks are idle.
-  void StartStop() { this->is_stopping = true; }
+  // all tasks are idle, or after a few seconds: tasks can't be idle while the
+  // platform doesn't respond.
+  void StartStop(TimePoint now);
   // Returns whether a planned stop has nothing left to do.
   [[nodiscard]] bool IsStopped(TimePoint now) const;
   // Gives the duty up, so that another instance may try what this one can't.
@@ -90,7 +91,8 @@
   std::string holder;
   std::uint64_t holder_token = 0;
   TimePoint heard_at;
-  bool is_stopping = false;
+  // When a planned stop started.
+  std::optional<TimePoint> stop_started_at;
   // The last call of the lease failed; later failures are not logged again.
   bool failure_logged = false;
   std::uint64_t takings = 0;
--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -64,6 +64,9 @@
     {LogEvent::kDutyHandedOver, "duty_handed_over", LogLevel::kInfo},
     {LogEvent::kDutyClaimRefused, "duty_claim_refused", LogLevel::kWarning},
     {LogEvent::kDutyCallFailed, "duty_call_failed", LogLevel::kWarning},
+    {LogEvent::kUsageReported, "usage_reported", LogLevel::kInfo},
+    {LogEvent::kUsageMissed, "usage_missed", LogLevel::kError},
+    {LogEvent::kUsageIncomplete, "usage_incomplete", LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -67,6 +67,9 @@
   kDutyHandedOver = 7003,
   kDutyClaimRefused = 7004,
   kDutyCallFailed = 7005,
+  kUsageReported = 7011,
+  kUsageMissed = 7012,
+  kUsageIncomplete = 7013,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -179,7 +179,15 @@
       directory_feed({.refresh_age = kDirectoryMaxAge, .always_read_all = true},
                      this->platform.server_store, *this->directory_listener),
       timer(io),
-      signals(io) {}
+      signals(io) {
+  if (this->platform.duties) {
+    this->duties = std::make_unique<FleetDuties>(this->options.instance,
+                                                 *this->platform.duties, log);
+    this->observer.set_run_counter([this](const std::string& customer) {
+      this->duties->CountRequest(customer);
+    });
+  }
+}
 
 Gateway::~Gateway() = default;
 
@@ -284,6 +292,9 @@
                                MonotonicNow());
   this->context.is_draining = true;
   this->links.ScheduleReport();
+  if (this->duties) {
+    this->duties->StartStop(MonotonicNow());
+  }
   this->log.Write(LogEvent::kDrainStarted,
                   {{"open", this->proxy_server.active_request_count()}});
 }
@@ -324,6 +335,9 @@
     this->links.ScheduleReport();
   }
   this->UpdateReach(now);
+  if (this->duties) {
+    this->duties->Tick(this->links, this->directory_feed.era(), now);
+  }
   this->links.Tick(now);
   this->UpdateRelayPeers(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
@@ -371,7 +385,9 @@
   if (has_flushed) {
     this->proxy_server.CloseIdle(true);
   }
-  if (this->proxy_server.connection_count() == 0 || has_flushed) {
+  const bool has_ended = this->proxy_server.connection_count() == 0 &&
+                         (!this->duties || this->duties->IsStopped(now));
+  if (has_ended || has_flushed) {
     this->stopped = true;
     this->io.stop();
   }
@@ -712,6 +728,10 @@
        this->placer.reach().ServicesOutOfReach(now)) {
     unreachable_services.push_back(IdHash(service));
   }
+  std::optional<DutyState> duty_state;
+  if (this->duties) {
+    duty_state = this->duties->MakeState(now);
+  }
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
           .configuration_version = this->configuration_version(),
@@ -725,6 +745,7 @@
           .cached_parts = this->placer.caches().untold(),
           .unreachable_services = std::move(unreachable_services),
           .brittle_servers = this->placer.brittle_servers().Reports(false, now),
+          .duties = std::move(duty_state),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -753,6 +774,9 @@
     told_streams = this->stream_origins.added_count();
     this->stream_origins_sent += report.stream_origins.size();
   }
+  if (this->duties && this->duties->NeedsHolderData(peer, now)) {
+    this->duties->AddHolderData(peer, report);
+  }
   if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->ShouldSendConfiguration(peer, now)) {
@@ -840,6 +864,9 @@
                                    report.identity.has_value(), now);
   this->placer.brittle_servers().Merge(peer.identity.instance,
                                        report.brittle_servers, now);
+  if (this->duties) {
+    this->duties->OnReport(peer, report, now);
+  }
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
@@ -863,6 +890,9 @@
     this->told_streams.erase(peer.identity.address);
   }
   this->relay_peers_updated_at = {};
+  if (this->duties) {
+    this->duties->OnPeerStatusChange(peer, status);
+  }
   if (status != PeerStatus::kUp) {
     this->placer.RemovePeer(peer.identity.instance);
   }
@@ -934,6 +964,9 @@
       static_cast<std::uint64_t>(
           ToLogMilliseconds(this->placer.ledger().MaxPeerAge(MonotonicNow()))));
   add("rosemarycove_log_lines_dropped_total", this->log.dropped());
+  if (this->duties) {
+    text += this->duties->MetricsText(MonotonicNow());
+  }
   return text;
 }
 
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "app/event_log.h"
+#include "app/fleet_duties.h"
 #include "app/gateway_observer.h"
 #include "app/metrics.h"
 #include "core/backend_directory.h"
@@ -65,6 +66,8 @@
   const ConfigurationDecoder& configuration_decoder;
   DocumentStore& configuration_store;
   DocumentStore& server_store;
+  // Nullopt if the instance has no duties.
+  std::optional<DutyParts> duties;
   // Reads the settings again after SIGHUP. Returns the new options or an error
   // message.
   std::function<tl::expected<GatewayOptions, std::string>()> reload_options;
@@ -203,6 +206,8 @@
   ProxyServer proxy_server;
   StatusServer status_server;
   FleetLinks links;
+  // Null if the instance has no duties.
+  std::unique_ptr<FleetDuties> duties;
   std::unique_ptr<ConfigurationListener> configuration_listener;
   std::unique_ptr<DirectoryListener> directory_listener;
   DocumentFeed configuration_feed;
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -1,6 +1,10 @@
 // Converts the data path's records to log lines and metrics.
 #pragma once
 
+#include <functional>
+#include <string>
+#include <utility>
+
 #include "app/event_log.h"
 #include "app/metrics.h"
 #include "proxy/proxy_observer.h"
@@ -27,6 +31,11 @@
       : log(log), metrics(metrics) {}
 
   void OnRequestRead() override { ++this->request_counts.read; }
+  void OnRequestRan(const std::string& customer) override {
+    if (this->run_counter) {
+      this->run_counter(customer);
+    }
+  }
   void OnUnanswered(const UnansweredRecord& record) override;
   void OnPlaced(const PlacedRecord& record) override;
   void OnRelayed(const RelayedRecord& record) override;
@@ -38,6 +47,10 @@
   void OnUnreadableBrittleness(
       const UnreadableBrittlenessRecord& record) override;
 
+  // Sets what counts the customers' requests that ran.
+  void set_run_counter(std::function<void(const std::string&)> counter) {
+    this->run_counter = std::move(counter);
+  }
   [[nodiscard]] const RequestCounts& counts() const {
     return this->request_counts;
   }
@@ -46,6 +59,7 @@
   EventLog& log;
   Metrics& metrics;
   RequestCounts request_counts;
+  std::function<void(const std::string&)> run_counter;
 };
 
 // The id of a prompt's part in hexadecimal, as written in log lines.
--- a/src/core/duty_lease.cc
+++ b/src/core/duty_lease.cc
@@ -104,6 +104,21 @@
   }
 }
 
+void DutyLease::OnHolderLeft(TimePoint now) {
+  if (this->state == State::kWaiting) {
+    this->read_at = std::min(this->read_at, now);
+  }
+}
+
+Duration DutyLease::RankDelay() const {
+  // The candidates read the key again after the time between two renewals, and
+  // know what a holder needs to.
+  const Duration extra = this->rank < kDutyCandidates
+                             ? Duration{}
+                             : this->options.lease / kRenewalsPerLease;
+  return this->rank * kRankDelay + extra;
+}
+
 void DutyLease::NoteEra(std::uint64_t stated_era, TimePoint now) {
   if (stated_era <= this->era) {
     return;
@@ -157,7 +172,7 @@
     case State::kWaiting:
       if (this->may_claim &&
           now >= std::max(this->read_at, this->claim_not_before) +
-                     this->rank * kRankDelay + this->read_jitter) {
+                     this->RankDelay() + this->read_jitter) {
         this->step = DutyStep::kRead;
       }
       break;
--- a/src/core/duty_lease.h
+++ b/src/core/duty_lease.h
@@ -26,6 +26,10 @@
 // The key that names the holder.
 inline constexpr std::string_view kDutyClaimKey = "duties/holder";
 
+// The instances that claim first. They get what a holder needs to know; more
+// than one, since some may fail together with the holder.
+inline constexpr int kDutyCandidates = 3;
+
 struct DutyLeaseOptions {
   std::string instance;
   // A random number that tells this process from its predecessor.
@@ -98,6 +102,8 @@
   // Another instance reports that it holds the duty, and renewed its lease this
   // long ago.
   void OnHolderReport(std::uint64_t token, Duration lease_age, TimePoint now);
+  // The instance that was the holder reports that it is no more.
+  void OnHolderLeft(TimePoint now);
   // A response of the store stated this era.
   void NoteEra(std::uint64_t era, TimePoint now);
   // The platform rejected a call with this token.
@@ -161,6 +167,8 @@
   void BackOff(TimePoint now);
   void LoseIfExpired(TimePoint now);
   [[nodiscard]] Duration Jitter(Duration max);
+  // How long this instance leaves the claim to those that precede it.
+  [[nodiscard]] Duration RankDelay() const;
 
   DutyLeaseOptions options;
   std::mt19937_64 random;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -16,6 +16,7 @@
 #include "core/software_history.h"
 #include "core/stream_origins.h"
 #include "core/types.h"
+#include "core/usage_ledger.h"
 
 namespace rosemarycove {
 
@@ -82,6 +83,8 @@
   // IdHash of the services that are out of the sender's reach.
   std::vector<std::uint64_t> unreachable_services;
   std::vector<BrittlenessReport> brittle_servers;
+  // Nullopt if the sender has no duties, or runs a release that has none.
+  std::optional<DutyState> duties;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/net/clock.cc
+++ b/src/net/clock.cc
@@ -11,4 +11,8 @@
                    std::chrono::nanoseconds(time.tv_nsec));
 }
 
+Duration WallClockNow() {
+  return std::chrono::system_clock::now().time_since_epoch();
+}
+
 }  // namespace rosemarycove
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -11,4 +11,8 @@
 // suspended.
 TimePoint MonotonicNow();
 
+// Returns what the wall clock says, which may step: the time since the start of
+// 1970.
+Duration WallClockNow();
+
 }  // namespace rosemarycove
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -917,6 +917,10 @@
                                       SendResult::kAnswered, now);
   }
   if (this->first_event_at == TimePoint{}) {
+    if (!this->current.relay) {
+      // Otherwise the other instance reports it.
+      this->context.observer.OnRequestRan(this->customer);
+    }
     this->RecordStreamOrigin();
     this->first_software_version = this->last_software_version;
     this->first_event_at = now;
@@ -1739,6 +1743,8 @@
                                   : ExecutionStatus::kNotExecuted;
   if (has_first_event) {
     execution = ExecutionStatus::kExecuted;
+  } else if (this->possible_executions > 0 && this->relayed_to.empty()) {
+    this->context.observer.OnRequestRan(this->customer);
   }
   this->context.observer.OnEnded(
       {.request_id = this->request_info.request_id,
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -208,6 +208,10 @@
   virtual ~ProxyObserver() = default;
   // A whole request was read. Its outcome is reported by OnEnded.
   virtual void OnRequestRead() = 0;
+  // A request of the customer began to run at a server, or may have. Reported
+  // once per request, by the instance that sent it to the server: for a stream
+  // at its first event, otherwise at the response or the end.
+  virtual void OnRequestRan(const std::string& customer) = 0;
   virtual void OnUnanswered(const UnansweredRecord& record) = 0;
   virtual void OnPlaced(const PlacedRecord& record) = 0;
   virtual void OnRelayed(const RelayedRecord& record) = 0;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -22,6 +22,8 @@
 constexpr float kMaxWork = 1e12F;
 // The value of a limit that has ended.
 constexpr double kNoRateLimit = -1;
+// A fencing token fits the 52 bits that a JSON number keeps exact.
+constexpr std::uint64_t kMaxFencingToken = (std::uint64_t{1} << 52U) - 1;
 // The value of the tolerated rejections of a server that is not brittle.
 constexpr std::uint16_t kNotBrittle = 65535;
 
@@ -87,6 +89,19 @@
   return std::chrono::milliseconds(field - 1);
 }
 
+// Wall times are whole microseconds since the start of 1970.
+std::int64_t EncodeWallTime(Duration wall) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(wall).count();
+}
+
+// Returns at most the time in 200 years, which fits a Duration.
+Duration DecodeWallTime(std::int64_t field) {
+  constexpr std::int64_t kMaxWallTime =
+      std::chrono::microseconds(std::chrono::years(200)).count();
+  return std::chrono::microseconds(
+      std::clamp<std::int64_t>(field, 0, kMaxWallTime));
+}
+
 std::uint16_t EncodeShortTime(Duration time) {
   return Saturate<std::uint16_t>(static_cast<int>(EncodeAge(time)));
 }
@@ -225,6 +240,57 @@
   return origins;
 }
 
+Offset<wire::DutyState> EncodeDuties(FlatBufferBuilder& builder,
+                                     const DutyState& state) {
+  Offset<wire::UsageUpdate> usage;
+  if (state.usage) {
+    std::vector<wire::UsageCount> counts;
+    counts.reserve(state.usage->counts.size());
+    for (const UsageCount& count : state.usage->counts) {
+      counts.emplace_back(count.customer_hash, count.window, count.requests);
+    }
+    const auto customers =
+        builder.CreateVectorOfStrings(state.usage->customers);
+    const auto count_vector = builder.CreateVectorOfStructs(counts);
+    usage = wire::CreateUsageUpdate(builder,
+                                    EncodeWallTime(state.usage->complete_to),
+                                    customers, count_vector);
+  }
+  return wire::CreateDutyState(
+      builder, state.process, EncodeWallTime(state.wall_time), state.token,
+      EncodeAge(state.lease_age), state.reported_through.has_value(),
+      state.reported_through.value_or(0), usage);
+}
+
+DutyState DecodeDuties(const wire::DutyState& frame) {
+  DutyState state{.process = frame.process(),
+                  .wall_time = DecodeWallTime(frame.wall_us()),
+                  .token = frame.token() > kMaxFencingToken ? 0 : frame.token(),
+                  .lease_age = std::chrono::milliseconds(frame.lease_age_ms())};
+  if (frame.knows_reported()) {
+    state.reported_through = frame.reported_through();
+  }
+  const wire::UsageUpdate* usage = frame.usage();
+  if (usage == nullptr) {
+    return state;
+  }
+  state.usage.emplace();
+  state.usage->complete_to = DecodeWallTime(usage->complete_to_us());
+  if (usage->customers() != nullptr) {
+    for (const flatbuffers::String* customer : *usage->customers()) {
+      state.usage->customers.push_back(ToString(customer));
+    }
+  }
+  if (usage->counts() != nullptr) {
+    for (const wire::UsageCount* count : *usage->counts()) {
+      state.usage->counts.push_back({.customer_hash = count->customer(),
+                                     .window = count->window(),
+                                     .requests = count->requests()});
+    }
+  }
+  return state;
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -282,6 +348,9 @@
   if (frame.software() != nullptr) {
     report.software = DecodeSoftware(*frame.software());
   }
+  if (frame.duties() != nullptr) {
+    report.duties = DecodeDuties(*frame.duties());
+  }
   report.known_peer_count = frame.known_peers();
   report.configuration_age = DecodeOptionalAge(frame.configuration_age_ms());
   report.stream_origins = DecodeOrigins(frame.begun_streams());
@@ -398,6 +467,10 @@
   if (!report.unreachable_services.empty()) {
     unreachable_services = builder.CreateVector(report.unreachable_services);
   }
+  Offset<wire::DutyState> duties;
+  if (report.duties) {
+    duties = EncodeDuties(builder, *report.duties);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -407,7 +480,7 @@
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
       report.known_peer_count, unreachable_services, brittle_vector,
-      EncodeOptionalAge(report.configuration_age)));
+      EncodeOptionalAge(report.configuration_age), duties));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -37,6 +37,14 @@
 struct BegunStreams;
 struct BegunStreamsBuilder;
 
+struct UsageCount;
+
+struct UsageUpdate;
+struct UsageUpdateBuilder;
+
+struct DutyState;
+struct DutyStateBuilder;
+
 struct Identity;
 struct IdentityBuilder;
 
@@ -310,6 +318,40 @@
 };
 FLATBUFFERS_STRUCT_END(SoftwareUse, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UsageCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t customer_;
+  int64_t window_;
+  uint32_t requests_;
+  int32_t padding0__;
+
+ public:
+  UsageCount()
+      : customer_(0),
+        window_(0),
+        requests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  UsageCount(uint64_t _customer, int64_t _window, uint32_t _requests)
+      : customer_(flatbuffers::EndianScalar(_customer)),
+        window_(flatbuffers::EndianScalar(_window)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t customer() const {
+    return flatbuffers::EndianScalar(customer_);
+  }
+  int64_t window() const {
+    return flatbuffers::EndianScalar(window_);
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UsageCount, 24);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -523,6 +565,186 @@
       streams__);
 }
 
+struct UsageUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageUpdateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMPLETE_TO_US = 4,
+    VT_CUSTOMERS = 6,
+    VT_COUNTS = 8
+  };
+  int64_t complete_to_us() const {
+    return GetField<int64_t>(VT_COMPLETE_TO_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *customers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CUSTOMERS);
+  }
+  const flatbuffers::Vector<const rosemarycove::wire::UsageCount *> *counts() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::UsageCount *> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_COMPLETE_TO_US, 8) &&
+           VerifyOffset(verifier, VT_CUSTOMERS) &&
+           verifier.VerifyVector(customers()) &&
+           verifier.VerifyVectorOfStrings(customers()) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageUpdateBuilder {
+  typedef UsageUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_complete_to_us(int64_t complete_to_us) {
+    fbb_.AddElement<int64_t>(UsageUpdate::VT_COMPLETE_TO_US, complete_to_us, 0);
+  }
+  void add_customers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> customers) {
+    fbb_.AddOffset(UsageUpdate::VT_CUSTOMERS, customers);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::UsageCount *>> counts) {
+    fbb_.AddOffset(UsageUpdate::VT_COUNTS, counts);
+  }
+  explicit UsageUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageUpdate> CreateUsageUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t complete_to_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> customers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::UsageCount *>> counts = 0) {
+  UsageUpdateBuilder builder_(_fbb);
+  builder_.add_complete_to_us(complete_to_us);
+  builder_.add_counts(counts);
+  builder_.add_customers(customers);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UsageUpdate> CreateUsageUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t complete_to_us = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *customers = nullptr,
+    const std::vector<rosemarycove::wire::UsageCount> *counts = nullptr) {
+  auto customers__ = customers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*customers) : 0;
+  auto counts__ = counts ? _fbb.CreateVectorOfStructs<rosemarycove::wire::UsageCount>(*counts) : 0;
+  return rosemarycove::wire::CreateUsageUpdate(
+      _fbb,
+      complete_to_us,
+      customers__,
+      counts__);
+}
+
+struct DutyState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DutyStateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROCESS = 4,
+    VT_WALL_US = 6,
+    VT_TOKEN = 8,
+    VT_LEASE_AGE_MS = 10,
+    VT_KNOWS_REPORTED = 12,
+    VT_REPORTED_THROUGH = 14,
+    VT_USAGE = 16
+  };
+  uint64_t process() const {
+    return GetField<uint64_t>(VT_PROCESS, 0);
+  }
+  int64_t wall_us() const {
+    return GetField<int64_t>(VT_WALL_US, 0);
+  }
+  uint64_t token() const {
+    return GetField<uint64_t>(VT_TOKEN, 0);
+  }
+  uint32_t lease_age_ms() const {
+    return GetField<uint32_t>(VT_LEASE_AGE_MS, 0);
+  }
+  bool knows_reported() const {
+    return GetField<uint8_t>(VT_KNOWS_REPORTED, 0) != 0;
+  }
+  int64_t reported_through() const {
+    return GetField<int64_t>(VT_REPORTED_THROUGH, 0);
+  }
+  const rosemarycove::wire::UsageUpdate *usage() const {
+    return GetPointer<const rosemarycove::wire::UsageUpdate *>(VT_USAGE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PROCESS, 8) &&
+           VerifyField<int64_t>(verifier, VT_WALL_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOKEN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LEASE_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_KNOWS_REPORTED, 1) &&
+           VerifyField<int64_t>(verifier, VT_REPORTED_THROUGH, 8) &&
+           VerifyOffset(verifier, VT_USAGE) &&
+           verifier.VerifyTable(usage()) &&
+           verifier.EndTable();
+  }
+};
+
+struct DutyStateBuilder {
+  typedef DutyState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_process(uint64_t process) {
+    fbb_.AddElement<uint64_t>(DutyState::VT_PROCESS, process, 0);
+  }
+  void add_wall_us(int64_t wall_us) {
+    fbb_.AddElement<int64_t>(DutyState::VT_WALL_US, wall_us, 0);
+  }
+  void add_token(uint64_t token) {
+    fbb_.AddElement<uint64_t>(DutyState::VT_TOKEN, token, 0);
+  }
+  void add_lease_age_ms(uint32_t lease_age_ms) {
+    fbb_.AddElement<uint32_t>(DutyState::VT_LEASE_AGE_MS, lease_age_ms, 0);
+  }
+  void add_knows_reported(bool knows_reported) {
+    fbb_.AddElement<uint8_t>(DutyState::VT_KNOWS_REPORTED, static_cast<uint8_t>(knows_reported), 0);
+  }
+  void add_reported_through(int64_t reported_through) {
+    fbb_.AddElement<int64_t>(DutyState::VT_REPORTED_THROUGH, reported_through, 0);
+  }
+  void add_usage(flatbuffers::Offset<rosemarycove::wire::UsageUpdate> usage) {
+    fbb_.AddOffset(DutyState::VT_USAGE, usage);
+  }
+  explicit DutyStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DutyState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DutyState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DutyState> CreateDutyState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t process = 0,
+    int64_t wall_us = 0,
+    uint64_t token = 0,
+    uint32_t lease_age_ms = 0,
+    bool knows_reported = false,
+    int64_t reported_through = 0,
+    flatbuffers::Offset<rosemarycove::wire::UsageUpdate> usage = 0) {
+  DutyStateBuilder builder_(_fbb);
+  builder_.add_reported_through(reported_through);
+  builder_.add_token(token);
+  builder_.add_wall_us(wall_us);
+  builder_.add_process(process);
+  builder_.add_usage(usage);
+  builder_.add_lease_age_ms(lease_age_ms);
+  builder_.add_knows_reported(knows_reported);
+  return builder_.Finish();
+}
+
 struct Identity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef IdentityBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -732,7 +954,8 @@
     VT_KNOWN_PEERS = 46,
     VT_UNREACHABLE_SERVICES = 48,
     VT_BRITTLE_SERVERS = 50,
-    VT_CONFIGURATION_AGE_MS = 52
+    VT_CONFIGURATION_AGE_MS = 52,
+    VT_DUTIES = 54
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -809,6 +1032,9 @@
   uint32_t configuration_age_ms() const {
     return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 0);
   }
+  const rosemarycove::wire::DutyState *duties() const {
+    return GetPointer<const rosemarycove::wire::DutyState *>(VT_DUTIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -853,6 +1079,8 @@
            VerifyOffset(verifier, VT_BRITTLE_SERVERS) &&
            verifier.VerifyVector(brittle_servers()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_DUTIES) &&
+           verifier.VerifyTable(duties()) &&
            verifier.EndTable();
   }
 };
@@ -936,6 +1164,9 @@
   void add_configuration_age_ms(uint32_t configuration_age_ms) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 0);
   }
+  void add_duties(flatbuffers::Offset<rosemarycove::wire::DutyState> duties) {
+    fbb_.AddOffset(FleetReport::VT_DUTIES, duties);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -973,7 +1204,8 @@
     uint32_t known_peers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    flatbuffers::Offset<rosemarycove::wire::DutyState> duties = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -981,6 +1213,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_duties(duties);
   builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_brittle_servers(brittle_servers);
   builder_.add_unreachable_services(unreachable_services);
@@ -1029,7 +1262,8 @@
     uint32_t known_peers = 0,
     const std::vector<uint64_t> *unreachable_services = nullptr,
     const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    flatbuffers::Offset<rosemarycove::wire::DutyState> duties = 0) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1066,7 +1300,8 @@
       known_peers,
       unreachable_services__,
       brittle_servers__,
-      configuration_age_ms);
+      configuration_age_ms,
+      duties);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/duty_platform.h
+++ b/tests/duty_platform.h
@@ -84,6 +84,8 @@
   std::set<std::uint64_t> fenced_tokens;
   // Notes that an instance sends a call, and checks the rules.
   void NoteSent(const std::string& instance, std::uint64_t token);
+  // The calls of the API that were sent.
+  [[nodiscard]] std::size_t sent_count() const { return this->senders.size(); }
   [[nodiscard]] bool HasKey(const std::string& key) {
     this->ExpireLeases();
     return this->contents.items.contains(key);
--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -45,10 +45,10 @@
   return server;
 }
 
-RunningGateway::RunningGateway(const std::string& instance,
-                               const std::string& store_address,
-                               std::vector<std::string> seeds,
-                               Duration shutdown_grace, AddressMap address_map)
+RunningGateway::RunningGateway(
+    const std::string& instance, const std::string& store_address,
+    std::vector<std::string> seeds, Duration shutdown_grace,
+    AddressMap address_map, const std::optional<platform::DutySettings>& duties)
     : log(std::make_unique<EventLog>(instance, LogFormat::kJson, "off")),
       server_decoder(std::move(address_map)),
       configuration_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
@@ -57,12 +57,18 @@
       server_store(io, {.endpoint = *ParseTcpEndpoint(store_address),
                         .prefix = "servers/",
                         .max_value_bytes = platform::kMaxEntryBytes}),
+      duty_clients(
+          duties ? std::make_unique<platform::DutyClients>(
+                       io, *duties, *ParseTcpEndpoint(store_address), instance)
+                 : nullptr),
       gateway(io, MakeOptions(instance, std::move(seeds), shutdown_grace),
               {.dialect = dialect,
                .server_decoder = server_decoder,
                .configuration_decoder = configuration_decoder,
                .configuration_store = configuration_store,
                .server_store = server_store,
+               .duties = duty_clients ? std::optional(duty_clients->parts())
+                                      : std::nullopt,
                .reload_options =
                    [this]() -> tl::expected<GatewayOptions, std::string> {
                  if (!this->grace_in_file) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -9,6 +9,7 @@
 
 #include "platform/call_dialect.h"
 #include "platform/documents.h"
+#include "platform/duty_clients.h"
 #include "platform/standins/raw_server.h"
 #include "platform/standins/store_standin.h"
 #include "platform/store_client.h"
@@ -39,7 +40,8 @@
   RunningGateway(const std::string& instance, const std::string& store_address,
                  std::vector<std::string> seeds = {},
                  Duration shutdown_grace = std::chrono::seconds(8),
-                 AddressMap address_map = {});
+                 AddressMap address_map = {},
+                 const std::optional<platform::DutySettings>& duties = {});
   ~RunningGateway();
 
   // The callers' port.
@@ -85,6 +87,7 @@
   platform::PlatformConfigurationDecoder configuration_decoder;
   platform::StoreClient configuration_store;
   platform::StoreClient server_store;
+  std::unique_ptr<platform::DutyClients> duty_clients;
   // The grace that the settings have on a reload; without it, they can't be
   // read.
   std::optional<Duration> grace_in_file;
--- a/tests/test_duty_lease.cc
+++ b/tests/test_duty_lease.cc
@@ -329,7 +329,7 @@
   Fleet fleet(5);
   fleet.AwaitHolder();
   Instance* const former = fleet.holder();
-  former->service.StartStop();
+  former->service.StartStop(fleet.platform.now());
   fleet.Run(milliseconds(300));
   CHECK(former->service.IsStopped(fleet.platform.now()));
   CHECK(!fleet.platform.HasKey("duties/holder"));
--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -20,6 +20,7 @@
 #include "platform/documents.h"
 #include "platform/standins/raw_server.h"
 #include "platform/store_client.h"
+#include "platform/store_protocol.h"
 #include "proxy/endpoint.h"
 #include "proxy/event_splitter.h"
 #include "proxy/http_reader.h"
