--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -60,6 +60,14 @@
     {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
     {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kDutyTaken, "duty_taken", LogLevel::kInfo},
+    {LogEvent::kDutyLost, "duty_lost", LogLevel::kWarning},
+    {LogEvent::kDutyHandedOver, "duty_handed_over", LogLevel::kInfo},
+    {LogEvent::kDutyClaimRefused, "duty_claim_refused", LogLevel::kWarning},
+    {LogEvent::kDutyCallFailed, "duty_call_failed", LogLevel::kWarning},
+    {LogEvent::kUsageReported, "usage_reported", LogLevel::kInfo},
+    {LogEvent::kUsageMissed, "usage_missed", LogLevel::kError},
+    {LogEvent::kUsageIncomplete, "usage_incomplete", LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
