Read which engines may be ordered and which may be taken away

The decoders read `scaling`, `spot` and `leaves_ms`; all are optional, and an invalid one refuses the document as other fields do. Nothing uses them yet.

--- a/src/core/backend_directory.h
+++ b/src/core/backend_directory.h
@@ -32,6 +32,11 @@
   // The version of the server's software; empty if unknown. Streams of
   // different versions don't fit together.
   std::string software_version;
+  // The engine is of the cheaper kind, which the platform may take away.
+  bool is_reclaimable = false;
+  // The time from the write of the entry until the server is gone; nullopt if
+  // the entry doesn't state it.
+  std::optional<Duration> leaves_in = {};
 
   bool operator==(const RegisteredServer&) const = default;
 };
--- a/src/core/routing_configuration.cc
+++ b/src/core/routing_configuration.cc
@@ -56,6 +56,11 @@
     const Route& route = this->routes[i];
     this->max_tier = std::max(this->max_tier, route.tier);
     this->routes_by_host[LowerCase(route.host)].push_back(i);
+    for (const WeightedService& weighted : route.services) {
+      int& tier = this->most_urgent_tiers.emplace(weighted.service, route.tier)
+                      .first->second;
+      tier = std::min(tier, route.tier);
+    }
     if (route.kind != RouteKind::kStream) {
       continue;
     }
@@ -101,6 +106,11 @@
                                               : &this->services[found->second];
 }
 
+int RoutingConfiguration::MostUrgentTier(const std::string& service) const {
+  const auto found = this->most_urgent_tiers.find(service);
+  return found == this->most_urgent_tiers.end() ? 0 : found->second;
+}
+
 bool RoutingConfiguration::ToleratesPauses(const Route& route,
                                            const std::string& service,
                                            int typical_prompt_tokens) const {
--- a/src/core/routing_configuration.h
+++ b/src/core/routing_configuration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,6 +71,23 @@
   }
 };
 
+// How many engines of a service may be ordered, and what they cost.
+struct EngineScaling {
+  // Engines per data centre, of both kinds together.
+  int min_engines = 0;
+  int max_engines = 0;
+  // Time from an order until the new engine serves.
+  Duration boot_time = std::chrono::seconds(4);
+  // The price of an engine that the platform may take away, relative to one
+  // that stays; nullopt if there is no such kind.
+  std::optional<double> reclaimable_price;
+  // The price of an engine's second. Engines can be ordered in other data
+  // centres too if they have some; the price there is 1.
+  std::map<std::string, double> price_by_data_centre;
+
+  bool operator==(const EngineScaling&) const = default;
+};
+
 // A service: a set of equivalent backend servers.
 struct RoutedService {
   std::string name;
@@ -84,6 +102,8 @@
   int kv_capacity_tokens = 0;
   // Tokens in one event of a stream; 0 if unknown.
   int tokens_per_event = 0;
+  // nullopt if no engines can be ordered.
+  std::optional<EngineScaling> scaling = {};
 
   [[nodiscard]] bool IsModel() const { return this->batch_slots > 0; }
 };
@@ -138,6 +158,8 @@
   // no streams.
   [[nodiscard]] std::optional<Duration> ShortestTarget(
       const std::string& service) const;
+  // Returns the smallest tier number of the service's routes; 0 if it has none.
+  [[nodiscard]] int MostUrgentTier(const std::string& service) const;
   // Returns whether the route's streams tolerate pauses that would make other
   // streams of the service late: its gap target is at least twice the shortest
   // one of the service, or it is longer than that one and the route's prompts
@@ -152,6 +174,7 @@
   std::unordered_map<std::string, std::size_t> service_indices;
   // The shortest target and gap target of each service's streams.
   std::unordered_map<std::string, Duration> shortest_targets;
+  std::unordered_map<std::string, int> most_urgent_tiers;
   std::unordered_map<std::string, Duration> shortest_gap_targets;
 };
 
--- a/src/wire/json_decoder.cc
+++ b/src/wire/json_decoder.cc
@@ -245,6 +245,16 @@
   return number;
 }
 
+std::map<std::string, double> JsonFields::Numbers(const char* name, double min,
+                                                  double max) const {
+  const JsonFields members = this->Object(name);
+  std::map<std::string, double> numbers;
+  for (const auto& [key, value] : members.object.items()) {
+    numbers[key] = members.Number(key.c_str(), min, max);
+  }
+  return numbers;
+}
+
 bool JsonFields::BooleanOr(const char* name, bool default_value) const {
   if (!this->Has(name)) {
     return default_value;
--- a/src/wire/json_decoder.h
+++ b/src/wire/json_decoder.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
                            : default_value;
   }
   [[nodiscard]] double Number(const char* name, double min, double max) const;
+  // The members of an object whose values are all numbers within the range.
+  [[nodiscard]] std::map<std::string, double> Numbers(const char* name,
+                                                      double min,
+                                                      double max) const;
   [[nodiscard]] bool BooleanOr(const char* name, bool default_value) const;
   [[nodiscard]] JsonFields Object(const char* name) const;
   [[nodiscard]] const nlohmann::json& Array(const char* name) const;
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -176,6 +176,60 @@
   }
 }
 
+// Guards against engines that are ordered by numbers that were not given, and
+// against entries of former deployments that are refused.
+TEST(Platform, ReadsWhatEnginesMayBeOrdered) {
+  const PlatformConfigurationDecoder decoder;
+  const auto decode = [&](const std::string& service) {
+    return decoder.Decode(
+        R"({"version":1,"routes":[],"services":[{"name":"m")" + service +
+        "}]}");
+  };
+  CHECK(!decode("")->services[0].scaling.has_value());
+  const auto scaling =
+      decode(R"(,"scaling":{"min":2,"max":60,"boot_s":4.5,"spot_price":0.22,)"
+             R"("zone_prices":{"a":1,"b":1.3},"new":[]})")
+          ->services[0]
+          .scaling;
+  CHECK(scaling ==
+        (EngineScaling{.min_engines = 2,
+                       .max_engines = 60,
+                       .boot_time = std::chrono::milliseconds(4500),
+                       .reclaimable_price = 0.22,
+                       .price_by_data_centre = {{"a", 1}, {"b", 1.3}}}));
+  CHECK(decode(R"(,"scaling":{"max":3})")->services[0].scaling ==
+        EngineScaling{.max_engines = 3});
+  for (const char* odd :
+       {"7", "[]", "null", "{}", R"({"max":-1})", R"({"max":"9"})",
+        R"({"min":5,"max":4})", R"({"min":0.5,"max":4})", R"({"max":1e9})",
+        R"({"max":4,"boot_s":-1})", R"({"max":4,"boot_s":1e300})",
+        R"({"max":4,"spot_price":"cheap"})", R"({"max":4,"spot_price":-0.1})",
+        R"({"max":4,"zone_prices":[1]})",
+        R"({"max":4,"zone_prices":{"a":"1"}})",
+        R"({"max":4,"zone_prices":{"a":-1}})"}) {
+    CHECK_TEXT(!decode(std::string(",\"scaling\":") + odd).has_value(), odd);
+  }
+}
+
+// Guards against engines that leave and are taken for ones that stay.
+TEST(Platform, ReadsWhichEnginesMayBeTakenAway) {
+  const PlatformServerDecoder decoder;
+  const auto decode = [&](const std::string& fields) {
+    return decoder.Decode(
+        {.key = "i-1",
+         .value = R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                  R"("slots":4,"state":"draining")" +
+                  fields + "}"});
+  };
+  CHECK(!decode("")->is_reclaimable);
+  CHECK(!decode("")->leaves_in.has_value());
+  const auto leaving = decode(R"(,"spot":true,"leaves_ms":2500)");
+  CHECK(leaving->is_reclaimable);
+  CHECK(leaving->leaves_in == std::chrono::milliseconds(2500));
+  CHECK(!decode(R"(,"spot":"yes")").has_value());
+  CHECK(!decode(R"(,"leaves_ms":-5)").has_value());
+}
+
 TEST(Platform, ConfigurationErrorsContainTheField) {
   const PlatformConfigurationDecoder decoder;
   const auto configuration = decoder.Decode(
