Measure the demand for engines

Orders of engines need the demand by data centre and tier, refused and waiting requests included. Only services with `scaling` are measured. No report has the field yet.

--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -8,6 +8,7 @@
 
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
+#include "core/engine_demand.h"
 #include "core/load_ledger.h"
 #include "core/prompt_cache_map.h"
 #include "core/request_quarantine.h"
@@ -89,6 +90,10 @@
   // Makes the receiver's directory complete up to `directory_revision`. Without
   // documents, it only reports the age of the sender's directory.
   DirectoryUpdate directory_update;
+  // For the instance that orders engines and those that may be the next to do
+  // so; nullopt for others, or if the sender runs a release that doesn't send
+  // it.
+  std::optional<std::vector<EngineDemand>> engine_demand = {};
 };
 
 }  // namespace rosemarycove
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -7,6 +7,7 @@
 #include "http/http_status.h"
 #include "http/sse_parser.h"
 #include "net/clock.h"
+#include "proxy/demand_meter.h"
 
 namespace rosemarycove {
 namespace {
@@ -1166,8 +1167,20 @@
     this->context.relays.RecordEnd(attempt.relay->instance);
     attempt.relay.reset();
   } else if (attempt.choice) {
-    this->context.placer.RecordEnd(*attempt.choice,
-                                   MonotonicNow() - attempt.sent_at);
+    const TimePoint now = MonotonicNow();
+    this->context.placer.RecordEnd(*attempt.choice, now - attempt.sent_at);
+    if (attempt.send_started) {
+      RecordAttemptDemand(
+          this->context, *this->configuration,
+          {.query = this->query,
+           .choice = *attempt.choice,
+           .running = now - attempt.sent_at,
+           .first_event =
+               attempt.first_event_received
+                   ? std::optional(attempt.first_event_at - attempt.sent_at)
+                   : std::nullopt},
+          now);
+    }
   }
   attempt.choice.reset();
 }
@@ -1503,6 +1516,10 @@
 }
 
 void Exchange::RejectAsNotExecuted(EndCause cause, Duration min_delay) {
+  if (cause == EndCause::kQueueFull) {
+    RecordRefusedDemand(this->context, *this->configuration, this->query,
+                        MonotonicNow());
+  }
   // Jitter, so that callers rejected together do not retry together.
   std::uniform_real_distribution<double> jitter(1.0, 1.6);
   this->retry_after =
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "core/backend_directory.h"
+#include "core/capacity_demand.h"
 #include "core/fleet_retry_budget.h"
 #include "core/placement_queues.h"
 #include "core/placer.h"
@@ -53,6 +54,8 @@
   std::shared_ptr<const RoutingConfiguration> configuration;
   PromptSizes prompt_sizes = {};
   RequestDurations durations = {};
+  // For the services whose engines can be ordered.
+  CapacityDemand demand = {};
   // Requests that wait for capacity, and their exchanges by id.
   PlacementQueues placement_queues = {};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kInitialBufferBytes = 512;
 // More prompt tokens than any service reads.
 constexpr float kMaxWork = 1e12F;
+// More engines than the requests of one instance keep busy.
+constexpr float kMaxEngines = 1e4F;
 // The value of a limit that has ended.
 constexpr double kNoRateLimit = -1;
 // The value of the tolerated rejections of a server that is not brittle.
@@ -225,6 +227,23 @@
   return origins;
 }
 
+wire::EngineDemand EncodeDemand(const EngineDemand& demand) {
+  return {demand.service_hash, static_cast<float>(demand.urgent.busy),
+          static_cast<float>(demand.urgent.unserved),
+          static_cast<float>(demand.other.busy),
+          static_cast<float>(demand.other.unserved)};
+}
+
+EngineDemand DecodeDemand(const wire::EngineDemand& frame) {
+  return {
+      .service_hash = frame.service(),
+      .urgent = {.busy = DecodeNumber(frame.urgent_busy(), kMaxEngines),
+                 .unserved =
+                     DecodeNumber(frame.urgent_unserved(), kMaxEngines)},
+      .other = {.busy = DecodeNumber(frame.other_busy(), kMaxEngines),
+                .unserved = DecodeNumber(frame.other_unserved(), kMaxEngines)}};
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -293,6 +312,12 @@
     report.unreachable_services.assign(frame.unreachable_services()->begin(),
                                        frame.unreachable_services()->end());
   }
+  if (frame.engine_demand() != nullptr) {
+    report.engine_demand.emplace();
+    for (const wire::EngineDemand* demand : *frame.engine_demand()) {
+      report.engine_demand->push_back(DecodeDemand(*demand));
+    }
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -398,6 +423,14 @@
   if (!report.unreachable_services.empty()) {
     unreachable_services = builder.CreateVector(report.unreachable_services);
   }
+  Offset<flatbuffers::Vector<const wire::EngineDemand*>> demand_vector;
+  if (report.engine_demand) {
+    std::vector<wire::EngineDemand> demand;
+    for (const EngineDemand& item : *report.engine_demand) {
+      demand.push_back(EncodeDemand(item));
+    }
+    demand_vector = builder.CreateVectorOfStructs(demand);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -407,7 +440,7 @@
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
       report.known_peer_count, unreachable_services, brittle_vector,
-      EncodeOptionalAge(report.configuration_age)));
+      EncodeOptionalAge(report.configuration_age), demand_vector));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -34,6 +34,8 @@
 struct SoftwareHistory;
 struct SoftwareHistoryBuilder;
 
+struct EngineDemand;
+
 struct BegunStreams;
 struct BegunStreamsBuilder;
 
@@ -310,6 +312,47 @@
 };
 FLATBUFFERS_STRUCT_END(SoftwareUse, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EngineDemand FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  float urgent_busy_;
+  float urgent_unserved_;
+  float other_busy_;
+  float other_unserved_;
+
+ public:
+  EngineDemand()
+      : service_(0),
+        urgent_busy_(0),
+        urgent_unserved_(0),
+        other_busy_(0),
+        other_unserved_(0) {
+  }
+  EngineDemand(uint64_t _service, float _urgent_busy, float _urgent_unserved, float _other_busy, float _other_unserved)
+      : service_(flatbuffers::EndianScalar(_service)),
+        urgent_busy_(flatbuffers::EndianScalar(_urgent_busy)),
+        urgent_unserved_(flatbuffers::EndianScalar(_urgent_unserved)),
+        other_busy_(flatbuffers::EndianScalar(_other_busy)),
+        other_unserved_(flatbuffers::EndianScalar(_other_unserved)) {
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  float urgent_busy() const {
+    return flatbuffers::EndianScalar(urgent_busy_);
+  }
+  float urgent_unserved() const {
+    return flatbuffers::EndianScalar(urgent_unserved_);
+  }
+  float other_busy() const {
+    return flatbuffers::EndianScalar(other_busy_);
+  }
+  float other_unserved() const {
+    return flatbuffers::EndianScalar(other_unserved_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EngineDemand, 24);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -732,7 +775,8 @@
     VT_KNOWN_PEERS = 46,
     VT_UNREACHABLE_SERVICES = 48,
     VT_BRITTLE_SERVERS = 50,
-    VT_CONFIGURATION_AGE_MS = 52
+    VT_CONFIGURATION_AGE_MS = 52,
+    VT_ENGINE_DEMAND = 54
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -809,6 +853,9 @@
   uint32_t configuration_age_ms() const {
     return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 0);
   }
+  const flatbuffers::Vector<const rosemarycove::wire::EngineDemand *> *engine_demand() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::EngineDemand *> *>(VT_ENGINE_DEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -853,6 +900,8 @@
            VerifyOffset(verifier, VT_BRITTLE_SERVERS) &&
            verifier.VerifyVector(brittle_servers()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_ENGINE_DEMAND) &&
+           verifier.VerifyVector(engine_demand()) &&
            verifier.EndTable();
   }
 };
@@ -936,6 +985,9 @@
   void add_configuration_age_ms(uint32_t configuration_age_ms) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 0);
   }
+  void add_engine_demand(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::EngineDemand *>> engine_demand) {
+    fbb_.AddOffset(FleetReport::VT_ENGINE_DEMAND, engine_demand);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -973,7 +1025,8 @@
     uint32_t known_peers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::EngineDemand *>> engine_demand = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -981,6 +1034,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_engine_demand(engine_demand);
   builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_brittle_servers(brittle_servers);
   builder_.add_unreachable_services(unreachable_services);
@@ -1029,7 +1083,8 @@
     uint32_t known_peers = 0,
     const std::vector<uint64_t> *unreachable_services = nullptr,
     const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    const std::vector<rosemarycove::wire::EngineDemand> *engine_demand = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1040,6 +1095,7 @@
   auto cached_parts__ = cached_parts ? _fbb.CreateVector<uint64_t>(*cached_parts) : 0;
   auto unreachable_services__ = unreachable_services ? _fbb.CreateVector<uint64_t>(*unreachable_services) : 0;
   auto brittle_servers__ = brittle_servers ? _fbb.CreateVectorOfStructs<rosemarycove::wire::BrittleServer>(*brittle_servers) : 0;
+  auto engine_demand__ = engine_demand ? _fbb.CreateVectorOfStructs<rosemarycove::wire::EngineDemand>(*engine_demand) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -1066,7 +1122,8 @@
       known_peers,
       unreachable_services__,
       brittle_servers__,
-      configuration_age_ms);
+      configuration_age_ms,
+      engine_demand__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -191,8 +191,9 @@
       .unreachable_services = {9, 10},
       .peer_addresses = {"1.2.3.4:6"},
       .configuration = SharedDocument{.key = "config", .value = "{}"},
-      .directory_update = {
-          .documents = {{.key = "s", .revision = 2, .value = "{}"}}}};
+      .directory_update =
+          {.documents = {{.key = "s", .revision = 2, .value = "{}"}}},
+      .engine_demand = {{{.service_hash = 8, .urgent = {.busy = 1.5}}}}};
 }
 
 std::vector<std::string> PeerFrames() {
