Order engines while holding the duty

The gateway reports demand to two instances of each data centre, for services with `scaling` only, and feeds EngineOrders if it has one; nothing constructs it until the duty service exists.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -59,6 +59,8 @@
     {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
     {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kEnginesOrdered, "engines_ordered", LogLevel::kInfo},
+    {LogEvent::kEngineOrderEnded, "engine_order_ended", LogLevel::kInfo},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -62,6 +62,8 @@
   kServiceReach = 5015,
   kServerBrittle = 5016,
   kServerBrittleUnreadable = 5017,
+  kEnginesOrdered = 7101,
+  kEngineOrderEnded = 7102,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -9,6 +9,7 @@
 #include "core/store_revision.h"
 #include "http/http_status.h"
 #include "net/clock.h"
+#include "proxy/demand_meter.h"
 #include "proxy/endpoint.h"
 
 namespace rosemarycove {
@@ -52,6 +53,9 @@
 // longer than RelayThrottle's first delay, within which the instances learn who
 // has it.
 constexpr Duration kConfigurationRelayDelay = std::chrono::milliseconds(300);
+// The instances of each data centre that get the demand for engines. The first
+// ones of the whole fleet, which order engines, are among them.
+constexpr int kOrderingCandidates = 2;
 // The other instances read the configuration this long after the last time, in
 // case that no watcher reaches them.
 constexpr Duration kUnwatchedReadInterval = std::chrono::seconds(60);
@@ -336,6 +340,7 @@
   this->UpdateSuspectedDataCentres();
   this->UpdateQuarantine(now);
   this->LogPartitionChanges();
+  this->UpdateEngineOrders(now);
   AdmitWaiting(this->context);
   this->proxy_server.Tick(now);
   this->pool.CloseExpired(now);
@@ -639,6 +644,27 @@
   return fmt::format("unregistered:{:x}", lifetime_hash);
 }
 
+void Gateway::UpdateEngineOrders(TimePoint now) {
+  if (!this->engine_orders || !this->engine_orders->IsObservationDue(now)) {
+    return;
+  }
+  FleetView fleet{.configuration = this->context.configuration,
+                  .own_demand = MeasureDemand(this->context, now)};
+  if (this->directory.revision() != 0) {
+    fleet.servers = &this->directory.servers();
+  }
+  for (const std::string& name : this->links.SendingPeers()) {
+    fleet.other_instances.emplace_back(
+        name, this->links.peers().at(name).identity.data_centre);
+  }
+  this->engine_orders->Observe(std::move(fleet), now);
+}
+
+bool Gateway::MayOrderEngines(const FleetPeer& peer) const {
+  return !peer.identity.instance.empty() &&
+         this->links.RankInDataCentre(peer.identity) < kOrderingCandidates;
+}
+
 void Gateway::LogDroppedLines(TimePoint now) {
   const std::uint64_t dropped = this->log.dropped();
   if (dropped == this->logged_drops ||
@@ -753,6 +779,9 @@
     told_streams = this->stream_origins.added_count();
     this->stream_origins_sent += report.stream_origins.size();
   }
+  if (HasOrderableEngines(this->context) && this->MayOrderEngines(peer)) {
+    report.engine_demand = MeasureDemand(this->context, now);
+  }
   if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->ShouldSendConfiguration(peer, now)) {
@@ -840,6 +869,11 @@
                                    report.identity.has_value(), now);
   this->placer.brittle_servers().Merge(peer.identity.instance,
                                        report.brittle_servers, now);
+  if (this->engine_orders && report.engine_demand) {
+    this->engine_orders->RecordReport(peer.identity.instance,
+                                      peer.identity.data_centre,
+                                      *report.engine_demand, now);
+  }
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
@@ -861,6 +895,9 @@
   if (status == PeerStatus::kGone) {
     this->told_suspects.erase(peer.identity.address);
     this->told_streams.erase(peer.identity.address);
+    if (this->engine_orders) {
+      this->engine_orders->RemoveInstance(peer.identity.instance);
+    }
   }
   this->relay_peers_updated_at = {};
   if (status != PeerStatus::kUp) {
@@ -934,6 +971,9 @@
       static_cast<std::uint64_t>(
           ToLogMilliseconds(this->placer.ledger().MaxPeerAge(MonotonicNow()))));
   add("rosemarycove_log_lines_dropped_total", this->log.dropped());
+  if (this->engine_orders) {
+    this->engine_orders->AppendMetrics(text, MonotonicNow());
+  }
   return text;
 }
 
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "app/engine_orders.h"
 #include "app/event_log.h"
 #include "app/gateway_observer.h"
 #include "app/metrics.h"
@@ -180,6 +181,11 @@
   void UpdateReach(TimePoint now);
   // Sets the peers that take relayed requests.
   void UpdateRelayPeers(TimePoint now);
+  // Passes the demand for engines and the registered ones on to EngineOrders.
+  void UpdateEngineOrders(TimePoint now);
+  // Returns whether the peer orders engines for the fleet, or may be the next
+  // to do so.
+  [[nodiscard]] bool MayOrderEngines(const FleetPeer& peer) const;
   void LogDroppedLines(TimePoint now);
   // The version of the configuration in force; 0 if there is none.
   [[nodiscard]] std::uint64_t configuration_version() const;
@@ -203,6 +209,8 @@
   ProxyServer proxy_server;
   StatusServer status_server;
   FleetLinks links;
+  // Null unless the instance may order engines.
+  std::unique_ptr<EngineOrders> engine_orders;
   std::unique_ptr<ConfigurationListener> configuration_listener;
   std::unique_ptr<DirectoryListener> directory_listener;
   DocumentFeed configuration_feed;
