--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -971,6 +971,7 @@
       static_cast<std::uint64_t>(
           ToLogMilliseconds(this->placer.ledger().MaxPeerAge(MonotonicNow()))));
   add("rosemarycove_log_lines_dropped_total", this->log.dropped());
+  AppendDemandMetrics(text, this->context, MonotonicNow());
   if (this->engine_orders) {
     this->engine_orders->AppendMetrics(text, MonotonicNow());
   }
--- a/src/proxy/demand_meter.cc
+++ b/src/proxy/demand_meter.cc
@@ -1,5 +1,7 @@
 #include "proxy/demand_meter.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -57,6 +59,31 @@
                      });
 }
 
+namespace {
+
+WaitingRequests CountWaiting(const ProxyContext& context,
+                             const std::string& service) {
+  constexpr int kAnyTier = std::numeric_limits<int>::max();
+  WaitingRequests waiting;
+  const auto queues = context.placement_queues.all().find(service);
+  if (queues == context.placement_queues.all().end()) {
+    return waiting;
+  }
+  const Urgency least_urgent{
+      .tier = context.configuration->MostUrgentTier(service),
+      .route_tier = kAnyTier};
+  for (const PlacementQueue* queue :
+       {&queues->second.reserved, &queues->second.unreserved}) {
+    const int urgent = queue->CountAhead(least_urgent);
+    waiting.urgent += urgent;
+    waiting.other +=
+        queue->CountAhead({.tier = kAnyTier, .route_tier = kAnyTier}) - urgent;
+  }
+  return waiting;
+}
+
+}  // namespace
+
 std::vector<EngineDemand> MeasureDemand(const ProxyContext& context,
                                         TimePoint now) {
   std::vector<EngineDemand> all;
@@ -64,27 +91,37 @@
     return all;
   }
   for (const RoutedService& service : context.configuration->services) {
-    if (!service.scaling) {
-      continue;
+    if (service.scaling) {
+      all.push_back(context.demand.Measure(
+          service.name, CountWaiting(context, service.name), now));
     }
-    WaitingRequests waiting;
-    const auto queues = context.placement_queues.all().find(service.name);
-    if (queues != context.placement_queues.all().end()) {
-      const Urgency least{
-          .tier = context.configuration->MostUrgentTier(service.name),
-          .route_tier = std::numeric_limits<int>::max()};
-      const Urgency any{.tier = std::numeric_limits<int>::max(),
-                        .route_tier = std::numeric_limits<int>::max()};
-      for (const PlacementQueue* queue :
-           {&queues->second.reserved, &queues->second.unreserved}) {
-        const int urgent = queue->CountAhead(least);
-        waiting.urgent += urgent;
-        waiting.other += queue->CountAhead(any) - urgent;
-      }
-    }
-    all.push_back(context.demand.Measure(service.name, waiting, now));
   }
   return all;
 }
 
+void AppendDemandMetrics(std::string& text, const ProxyContext& context,
+                         TimePoint now) {
+  if (!HasOrderableEngines(context)) {
+    return;
+  }
+  text += "# TYPE rosemarycove_engine_demand gauge\n";
+  const auto add = [&](const std::string& service, const char* tier,
+                       const DemandPart& part) {
+    text += fmt::format(
+        "rosemarycove_engine_demand{{service=\"{0}\",tier=\"{1}\","
+        "part=\"busy\"}} {2:.6f}\n"
+        "rosemarycove_engine_demand{{service=\"{0}\",tier=\"{1}\","
+        "part=\"unserved\"}} {3:.6f}\n",
+        service, tier, part.busy, part.unserved);
+  };
+  for (const RoutedService& service : context.configuration->services) {
+    if (service.scaling) {
+      const EngineDemand demand = context.demand.Measure(
+          service.name, CountWaiting(context, service.name), now);
+      add(service.name, "urgent", demand.urgent);
+      add(service.name, "other", demand.other);
+    }
+  }
+}
+
 }  // namespace rosemarycove
--- a/src/proxy/demand_meter.h
+++ b/src/proxy/demand_meter.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/engine_demand.h"
@@ -36,5 +37,8 @@
 // Returns the demand for each service whose engines can be ordered.
 std::vector<EngineDemand> MeasureDemand(const ProxyContext& context,
                                         TimePoint now);
+// Appends it in the Prometheus text format.
+void AppendDemandMetrics(std::string& text, const ProxyContext& context,
+                         TimePoint now);
 
 }  // namespace rosemarycove
--- a/tests/test_capacity_planner.cc
+++ b/tests/test_capacity_planner.cc
@@ -8,7 +8,7 @@
 
 #include "core/capacity_planner.h"
 #include "core/fleet_demand.h"
-#include "engine_platform.h"
+#include "tests/engine_platform.h"
 
 // The test library's macros come last.
 #include <CppUTest/TestHarness.h>
