--- a/tests/test_capacity_planner.cc
+++ b/tests/test_capacity_planner.cc
@@ -141,6 +141,25 @@
   CHECK(this->fleet.platform.rejected <= 3 * 16);
 }
 
+// Guards against plain engines that leave as soon as cheaper ones register:
+// these have cold caches, and may fail at once.
+TEST(CapacityPlanner, CheaperEnginesServeForAWhileFirst) {
+  for (const std::string& zone : kZones) {
+    this->fleet.platform.unavailable[{zone, true}] = true;
+  }
+  this->SetSteady(3, 10);
+  this->fleet.Run(seconds(80));
+  this->fleet.platform.unavailable.clear();
+  while (this->fleet.platform.CountAll(true) == 0) {
+    this->fleet.Run(seconds(1));
+    CHECK(this->fleet.elapsed() < seconds(100));
+  }
+  this->fleet.Run(seconds(8));
+  LONGS_EQUAL(3 * kPlain, this->fleet.platform.CountAll(false));
+  this->fleet.Run(seconds(30));
+  CHECK(this->fleet.platform.CountAll(false) < 3 * kPlain);
+}
+
 // Guards against missing engines when the platform is without cheaper ones and
 // the demand exceeds what is there.
 TEST(CapacityPlanner, PlainEnginesAreOrderedIfNoOthersAreToBeHad) {
