--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -68,6 +68,8 @@
     {LogEvent::kUsageReported, "usage_reported", LogLevel::kInfo},
     {LogEvent::kUsageMissed, "usage_missed", LogLevel::kError},
     {LogEvent::kUsageIncomplete, "usage_incomplete", LogLevel::kWarning},
+    {LogEvent::kEnginesOrdered, "engines_ordered", LogLevel::kInfo},
+    {LogEvent::kEngineOrderEnded, "engine_order_ended", LogLevel::kInfo},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -70,6 +70,8 @@
   kUsageReported = 7011,
   kUsageMissed = 7012,
   kUsageIncomplete = 7013,
+  kEnginesOrdered = 7101,
+  kEngineOrderEnded = 7102,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -9,6 +9,7 @@
 #include "core/store_revision.h"
 #include "http/http_status.h"
 #include "net/clock.h"
+#include "proxy/demand_meter.h"
 #include "proxy/endpoint.h"
 
 namespace rosemarycove {
@@ -186,6 +187,7 @@
     this->observer.set_run_counter([this](const std::string& customer) {
       this->duties->CountRequest(customer);
     });
+    this->StartOrderingEngines();
   }
 }
 
@@ -350,6 +352,7 @@
   this->UpdateSuspectedDataCentres();
   this->UpdateQuarantine(now);
   this->LogPartitionChanges();
+  this->UpdateEngineOrders(now);
   AdmitWaiting(this->context);
   this->proxy_server.Tick(now);
   this->pool.CloseExpired(now);
@@ -655,6 +658,35 @@
   return fmt::format("unregistered:{:x}", lifetime_hash);
 }
 
+void Gateway::StartOrderingEngines() {
+  const DutyOptions& duty_options = this->platform.duties->options;
+  if (!duty_options.orders_engines) {
+    return;
+  }
+  this->engine_orders = std::make_unique<EngineOrders>(
+      EngineOrdersOptions{.instance = this->options.instance,
+                          .data_centre = this->options.data_centre,
+                          .calls_per_second = duty_options.calls_per_second},
+      this->duties->calls(), this->duties->task_store(), this->log);
+  this->duties->AddTask(*this->engine_orders);
+}
+
+void Gateway::UpdateEngineOrders(TimePoint now) {
+  if (!this->engine_orders || !this->engine_orders->IsObservationDue(now)) {
+    return;
+  }
+  FleetView fleet{.configuration = this->context.configuration,
+                  .own_demand = MeasureDemand(this->context, now)};
+  if (this->directory.revision() != 0) {
+    fleet.servers = &this->directory.servers();
+  }
+  for (const std::string& name : this->links.SendingPeers()) {
+    fleet.other_instances.emplace_back(
+        name, this->links.peers().at(name).identity.data_centre);
+  }
+  this->engine_orders->Observe(std::move(fleet), now);
+}
+
 void Gateway::LogDroppedLines(TimePoint now) {
   const std::uint64_t dropped = this->log.dropped();
   if (dropped == this->logged_drops ||
@@ -776,6 +808,9 @@
   }
   if (this->duties && this->duties->NeedsHolderData(peer, now)) {
     this->duties->AddHolderData(peer, report);
+    if (this->engine_orders) {
+      report.engine_demand = MeasureDemand(this->context, now);
+    }
   }
   if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
@@ -867,6 +902,11 @@
   if (this->duties) {
     this->duties->OnReport(peer, report, now);
   }
+  if (this->engine_orders && report.engine_demand) {
+    this->engine_orders->RecordReport(peer.identity.instance,
+                                      peer.identity.data_centre,
+                                      *report.engine_demand, now);
+  }
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
@@ -888,6 +928,9 @@
   if (status == PeerStatus::kGone) {
     this->told_suspects.erase(peer.identity.address);
     this->told_streams.erase(peer.identity.address);
+    if (this->engine_orders) {
+      this->engine_orders->RemoveInstance(peer.identity.instance);
+    }
   }
   this->relay_peers_updated_at = {};
   if (this->duties) {
@@ -967,6 +1010,10 @@
   if (this->duties) {
     text += this->duties->MetricsText(MonotonicNow());
   }
+  AppendDemandMetrics(text, this->context, MonotonicNow());
+  if (this->engine_orders) {
+    this->engine_orders->AppendMetrics(text, MonotonicNow());
+  }
   return text;
 }
 
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "app/engine_orders.h"
 #include "app/event_log.h"
 #include "app/fleet_duties.h"
 #include "app/gateway_observer.h"
@@ -183,6 +184,10 @@
   void UpdateReach(TimePoint now);
   // Sets the peers that take relayed requests.
   void UpdateRelayPeers(TimePoint now);
+  // Adds the orders of engines to the duties if the settings ask for them.
+  void StartOrderingEngines();
+  // Passes the demand for engines and the registered ones on to EngineOrders.
+  void UpdateEngineOrders(TimePoint now);
   void LogDroppedLines(TimePoint now);
   // The version of the configuration in force; 0 if there is none.
   [[nodiscard]] std::uint64_t configuration_version() const;
@@ -208,6 +213,8 @@
   FleetLinks links;
   // Null if the instance has no duties.
   std::unique_ptr<FleetDuties> duties;
+  // Null unless the instance may order engines.
+  std::unique_ptr<EngineOrders> engine_orders;
   std::unique_ptr<ConfigurationListener> configuration_listener;
   std::unique_ptr<DirectoryListener> directory_listener;
   DocumentFeed configuration_feed;
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kInitialBufferBytes = 512;
 // More prompt tokens than any service reads.
 constexpr float kMaxWork = 1e12F;
+// More engines than the requests of one instance keep busy.
+constexpr float kMaxEngines = 1e4F;
 // The value of a limit that has ended.
 constexpr double kNoRateLimit = -1;
 // A fencing token fits the 52 bits that a JSON number keeps exact.
@@ -291,6 +293,23 @@
   return state;
 }
 
+wire::EngineDemand EncodeDemand(const EngineDemand& demand) {
+  return {demand.service_hash, static_cast<float>(demand.urgent.busy),
+          static_cast<float>(demand.urgent.unserved),
+          static_cast<float>(demand.other.busy),
+          static_cast<float>(demand.other.unserved)};
+}
+
+EngineDemand DecodeDemand(const wire::EngineDemand& frame) {
+  return {
+      .service_hash = frame.service(),
+      .urgent = {.busy = DecodeNumber(frame.urgent_busy(), kMaxEngines),
+                 .unserved =
+                     DecodeNumber(frame.urgent_unserved(), kMaxEngines)},
+      .other = {.busy = DecodeNumber(frame.other_busy(), kMaxEngines),
+                .unserved = DecodeNumber(frame.other_unserved(), kMaxEngines)}};
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -362,6 +381,12 @@
     report.unreachable_services.assign(frame.unreachable_services()->begin(),
                                        frame.unreachable_services()->end());
   }
+  if (frame.engine_demand() != nullptr) {
+    report.engine_demand.emplace();
+    for (const wire::EngineDemand* demand : *frame.engine_demand()) {
+      report.engine_demand->push_back(DecodeDemand(*demand));
+    }
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -471,6 +496,14 @@
   if (report.duties) {
     duties = EncodeDuties(builder, *report.duties);
   }
+  Offset<flatbuffers::Vector<const wire::EngineDemand*>> demand_vector;
+  if (report.engine_demand) {
+    std::vector<wire::EngineDemand> demand;
+    for (const EngineDemand& item : *report.engine_demand) {
+      demand.push_back(EncodeDemand(item));
+    }
+    demand_vector = builder.CreateVectorOfStructs(demand);
+  }
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -480,7 +513,7 @@
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
       report.known_peer_count, unreachable_services, brittle_vector,
-      EncodeOptionalAge(report.configuration_age), duties));
+      EncodeOptionalAge(report.configuration_age), duties, demand_vector));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
