Duties in few reports; settings, notes and tests of their fields

In a fleet of 91, the fields of the duties in every report would have cost some 70 bytes for each pair of instances and round. Now the holder and the candidates send them to all, all send them to these, and others only in the first report of a connection. A receiver whose process is new gets all counts again. Requests that were relayed and then served here count here; streams that continue here after a relay count where they began.

--- a/src/app/duty_service.cc
+++ b/src/app/duty_service.cc
@@ -15,6 +15,9 @@
 // How long a planned stop waits for the tasks, of a shutdown grace of 8 s.
 constexpr Duration kMaxStopWait = std::chrono::seconds(3);
 
+// For this long a former holder tells the others that it is none.
+constexpr Duration kLateHolderTime = std::chrono::seconds(3);
+
 std::string_view ToString(DutyStep step) {
   switch (step) {
     case DutyStep::kRead:
@@ -113,7 +116,15 @@
   this->LogChanges();
 }
 
+bool DutyService::TellsAll(TimePoint now) const {
+  return now - this->held_at <= kLateHolderTime ||
+         this->IsHolderOrCandidate(this->options.instance, now);
+}
+
 void DutyService::Tick(TimePoint now) {
+  if (this->lease.IsHolder(now)) {
+    this->held_at = now;
+  }
   this->store.Tick(now);
   if (this->stop_started_at) {
     const bool all_idle =
--- a/src/app/duty_service.h
+++ b/src/app/duty_service.h
@@ -57,6 +57,9 @@
   // that are the first to claim. They get what a holder needs to know.
   [[nodiscard]] bool IsHolderOrCandidate(const std::string& instance,
                                          TimePoint now) const;
+  // Returns whether this instance is the holder, a candidate, or was the holder
+  // just before. Their reports tell all instances about the duties.
+  [[nodiscard]] bool TellsAll(TimePoint now) const;
   // The token while this instance holds the duty, 0 otherwise.
   [[nodiscard]] std::uint64_t token(TimePoint now) const {
     return this->lease.token(now);
@@ -91,6 +94,8 @@
   std::string holder;
   std::uint64_t holder_token = 0;
   TimePoint heard_at;
+  // When this instance was the holder last.
+  TimePoint held_at;
   // When a planned stop started.
   std::optional<TimePoint> stop_started_at;
   // The last call of the lease failed; later failures are not logged again.
--- a/src/app/fleet_duties.cc
+++ b/src/app/fleet_duties.cc
@@ -82,21 +82,37 @@
   return this->service.IsHolderOrCandidate(peer.identity.instance, now);
 }
 
-void FleetDuties::AddHolderData(const FleetPeer& peer, FleetReport& report) {
-  if (this->usage && report.duties) {
-    report.duties->usage = this->usage->MakeUpdate(peer.identity.address,
-                                                   report.identity.has_value());
+void FleetDuties::CompleteReport(const FleetPeer& peer, FleetReport& report,
+                                 TimePoint now) {
+  const bool is_first = report.identity.has_value();
+  if (this->usage && is_first) {
+    this->usage->ForgetReceiver(peer.identity.address);
+  }
+  const bool needs_holder_data = this->NeedsHolderData(peer, now);
+  if (!is_first && !needs_holder_data && !this->service.TellsAll(now)) {
+    return;
+  }
+  report.duties = this->MakeState(now);
+  if (this->usage && needs_holder_data) {
+    report.duties->usage = this->usage->MakeUpdate(peer.identity.address);
   }
 }
 
 void FleetDuties::OnReport(const FleetPeer& peer, const FleetReport& report,
                            TimePoint now) {
   const std::string& instance = peer.identity.instance;
-  if (!report.duties) {
+  if (report.duties) {
+    this->capable_peers[instance] = report.duties->process;
+  } else if (report.identity) {
     this->capable_peers.erase(instance);
+  }
+  const auto found = this->capable_peers.find(instance);
+  if (this->usage && found != this->capable_peers.end()) {
+    this->usage->OnPeerHeard(instance, found->second, now);
+  }
+  if (!report.duties) {
     return;
   }
-  this->capable_peers.insert(instance);
   this->service.OnHolderReport(instance, report.duties->token,
                                report.duties->lease_age, now);
   if (this->usage) {
--- a/src/app/fleet_duties.h
+++ b/src/app/fleet_duties.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -52,14 +52,15 @@
 
   // Counts a request that began to run at a server.
   void CountRequest(const std::string& customer);
-  // Returns the part of a report that is the same for all receivers.
-  [[nodiscard]] DutyState MakeState(TimePoint now);
   // Returns whether the peer is the holder or one of the first candidates,
   // which get what a holder needs to know.
   [[nodiscard]] bool NeedsHolderData(const FleetPeer& peer,
                                      TimePoint now) const;
-  // Adds what such a peer needs and was not told yet.
-  void AddHolderData(const FleetPeer& peer, FleetReport& report);
+  // Adds what this peer is told about the duties: all are told by the holder
+  // and the candidates, and by each other instance in its first report on a
+  // connection; the holder and the candidates are told by all.
+  void CompleteReport(const FleetPeer& peer, FleetReport& report,
+                      TimePoint now);
   void OnReport(const FleetPeer& peer, const FleetReport& report,
                 TimePoint now);
   void OnPeerStatusChange(const FleetPeer& peer, PeerStatus status);
@@ -72,6 +73,7 @@
   [[nodiscard]] std::string MetricsText(TimePoint now) const;
 
  private:
+  [[nodiscard]] DutyState MakeState(TimePoint now);
   void NoteEra(std::uint64_t era, TimePoint now);
 
   DutyParts parts;
@@ -81,8 +83,8 @@
   DutyService service;
   // Null if no usage is reported.
   std::unique_ptr<UsageReporter> usage;
-  // The peers whose release has duties.
-  std::set<std::string> capable_peers;
+  // The process numbers of the peers whose release has duties.
+  std::map<std::string, std::uint64_t> capable_peers;
   TimePoint peers_updated_at;
   // Until then, a fleet that starts has no holder.
   TimePoint first_term_at;
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -728,10 +728,6 @@
        this->placer.reach().ServicesOutOfReach(now)) {
     unreachable_services.push_back(IdHash(service));
   }
-  std::optional<DutyState> duty_state;
-  if (this->duties) {
-    duty_state = this->duties->MakeState(now);
-  }
   return {.is_draining = this->context.is_draining,
           .configuration_revision = this->configuration_document.revision,
           .configuration_version = this->configuration_version(),
@@ -745,7 +741,6 @@
           .cached_parts = this->placer.caches().untold(),
           .unreachable_services = std::move(unreachable_services),
           .brittle_servers = this->placer.brittle_servers().Reports(false, now),
-          .duties = std::move(duty_state),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -774,8 +769,8 @@
     told_streams = this->stream_origins.added_count();
     this->stream_origins_sent += report.stream_origins.size();
   }
-  if (this->duties && this->duties->NeedsHolderData(peer, now)) {
-    this->duties->AddHolderData(peer, report);
+  if (this->duties) {
+    this->duties->CompleteReport(peer, report, now);
   }
   if (!this->LacksConfiguration(peer)) {
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
--- a/src/app/usage_reporter.cc
+++ b/src/app/usage_reporter.cc
@@ -95,14 +95,9 @@
           .reported_through = this->windows.reported_through()};
 }
 
-UsageUpdate UsageReporter::MakeUpdate(const std::string& address,
-                                      bool is_first_report) {
-  std::uint64_t& told_change = this->told[address];
-  if (is_first_report) {
-    told_change = 0;
-  }
+UsageUpdate UsageReporter::MakeUpdate(const std::string& address) {
   return this->ledger.ChangesSince(
-      told_change, this->clock.WallTime(this->parts.read_clock()));
+      this->told[address], this->clock.WallTime(this->parts.read_clock()));
 }
 
 void UsageReporter::OnPeerState(const std::string& instance,
--- a/src/app/usage_reporter.h
+++ b/src/app/usage_reporter.h
@@ -54,9 +54,16 @@
   // the token.
   [[nodiscard]] DutyState MakeState();
   // Returns the own counts that the holder or candidate at this address was not
-  // told yet; all if it is the first report on its connection.
-  [[nodiscard]] UsageUpdate MakeUpdate(const std::string& address,
-                                       bool is_first_report);
+  // told yet.
+  [[nodiscard]] UsageUpdate MakeUpdate(const std::string& address);
+  // The receiver at this address may be a new process, or may have lost
+  // reports.
+  void ForgetReceiver(const std::string& address) { this->told.erase(address); }
+  // A process of another instance that counts usage has sent a report.
+  void OnPeerHeard(const std::string& instance, std::uint64_t process_number,
+                   TimePoint now) {
+    this->windows.OnPeer(instance, process_number, now);
+  }
   void OnPeerState(const std::string& instance, const DutyState& state,
                    TimePoint now);
   void OnPeerGone(const std::string& instance, const std::string& address);
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -83,7 +83,9 @@
   // IdHash of the services that are out of the sender's reach.
   std::vector<std::uint64_t> unreachable_services;
   std::vector<BrittlenessReport> brittle_servers;
-  // Nullopt if the sender has no duties, or runs a release that has none.
+  // Sent in the first report of a connection unless the sender has no duties,
+  // or runs a release that has none; later, by the holder of the duties and the
+  // candidates to all, and by all to these.
   std::optional<DutyState> duties;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
--- a/src/core/usage_ledger.h
+++ b/src/core/usage_ledger.h
@@ -33,8 +33,7 @@
   std::vector<UsageCount> counts;
 };
 
-// What a report says about the duties. A sender without duties, or of a release
-// that has none, sends none of it.
+// What a report says about the duties; see FleetReport::duties.
 struct DutyState {
   // A random number that tells the sender's process from its predecessor.
   std::uint64_t process = 0;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -919,7 +919,7 @@
   if (this->first_event_at == TimePoint{}) {
     if (!this->current.relay) {
       // Otherwise the other instance reports it.
-      this->context.observer.OnRequestRan(this->customer);
+      this->ReportRun();
     }
     this->RecordStreamOrigin();
     this->first_software_version = this->last_software_version;
@@ -928,6 +928,16 @@
   }
 }
 
+void Exchange::ReportRun() {
+  // The instance that relayed the request has reported a stream that it began.
+  const bool is_reported = this->relayed_from &&
+                           !this->relayed_from->last_event_id.empty() &&
+                           this->relayed_from->possible_executions > 0;
+  if (!is_reported) {
+    this->context.observer.OnRequestRan(this->customer);
+  }
+}
+
 void Exchange::RecordSurvival(TimePoint now) {
   if (!this->current.survival_recorded) {
     this->current.survival_recorded = true;
@@ -1744,7 +1754,7 @@
   if (has_first_event) {
     execution = ExecutionStatus::kExecuted;
   } else if (this->possible_executions > 0 && this->relayed_to.empty()) {
-    this->context.observer.OnRequestRan(this->customer);
+    this->ReportRun();
   }
   this->context.observer.OnEnded(
       {.request_id = this->request_info.request_id,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -311,6 +311,9 @@
   // Records the first event of the current attempt, which is the complete
   // response if it is not a stream.
   void RecordFirstEvent();
+  // Reports that the request ran at a server, or may have, unless the instance
+  // that relayed it has.
+  void ReportRun();
   // Records that the server survived the prompt; only the first call of an
   // attempt has an effect.
   void RecordSurvival(TimePoint now);
--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -190,6 +190,10 @@
       .suspected_parts = {{.suspect = 4, .crashes = {{.id = 1}}}},
       .rate_limits = {{.server_hash = 6, .observation = 1, .per_second = 2.0}},
       .unreachable_services = {9, 10},
+      .duties = DutyState{.process = 1,
+                          .reported_through = 2,
+                          .usage = UsageUpdate{.customers = {"c"},
+                                               .counts = {{.requests = 1}}}},
       .peer_addresses = {"1.2.3.4:6"},
       .configuration = SharedDocument{.key = "config", .value = "{}"},
       .directory_update = {
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -68,6 +68,30 @@
   }
 }
 
+// Guards against duties that earlier deployments don't have, and against
+// settings that are wrong unseen.
+TEST(Platform, ReadsDuties) {
+  CHECK(!ParseBootSettings(kSettings, "f")->duties);
+  const std::string cloud =
+      std::string(kSettings) + "\n[cloud]\naddress = \"127.0.0.1:7\"\n";
+  const auto defaults = ParseBootSettings(cloud, "f");
+  CHECK(defaults && defaults->duties);
+  CHECK(defaults->duties->options == DutyOptions{});
+  const auto all = ParseBootSettings(
+      cloud +
+          "duties = [\"metering\", \"autoscale\", \"other\"]\n"
+          "duty_per_s = 20\nrate_per_s = 30\n",
+      "f");
+  CHECK(all->duties->options.reports_usage);
+  CHECK(all->duties->options.orders_engines);
+  DOUBLES_EQUAL(20, all->duties->options.calls_per_second, 0);
+  for (const char* wrong :
+       {"duty_per_s = 0\n", "duty_per_s = \"x\"\n", "duties = 3\n"}) {
+    CHECK_TEXT(!ParseBootSettings(cloud + wrong, "f"), wrong);
+  }
+  CHECK(!ParseBootSettings(std::string(kSettings) + "\n[cloud]\n", "f"));
+}
+
 TEST(Platform, SettingsErrorsContainFileLineAndKey) {
   const auto missing = ParseBootSettings(
       Without(kSettings, "front = \"10.0.0.2:8000\"\n"), "node.toml");
--- a/tests/test_usage_reports.cc
+++ b/tests/test_usage_reports.cc
@@ -223,12 +223,21 @@
       if (sender.is_former || receiver->is_former) {
         continue;
       }
+      const bool is_first = receiver->connected.insert(sender.process).second;
+      if (is_first) {
+        sender.usage.ForgetReceiver(receiver->name);
+      }
+      receiver->usage.OnPeerHeard(sender.name, sender.process, now);
+      const bool is_receiver =
+          sender.service.IsHolderOrCandidate(receiver->name, now);
+      if (!is_first && !is_receiver && !sender.service.TellsAll(now)) {
+        continue;
+      }
       DutyState state = sender.usage.MakeState();
       state.token = sender.service.token(now);
       state.lease_age = sender.service.LeaseAge(now);
-      const bool is_first = receiver->connected.insert(sender.process).second;
-      if (is_first || sender.service.IsHolderOrCandidate(receiver->name, now)) {
-        state.usage = sender.usage.MakeUpdate(receiver->name, is_first);
+      if (is_receiver) {
+        state.usage = sender.usage.MakeUpdate(receiver->name);
       }
       receiver->service.OnHolderReport(sender.name, state.token,
                                        state.lease_age, now);
