--- a/tests/duty_platform.cc
+++ b/tests/duty_platform.cc
@@ -111,6 +111,7 @@
   }
   ++this->contents.count;
   for (const KeyWrite& write : transaction.writes) {
+    this->written_keys.insert(write.key);
     this->contents.items[write.key] = {.value = write.value,
                                        .count = this->contents.count,
                                        .lease = write.lease};
@@ -164,6 +165,11 @@
     return DutyCallResult::kRejected;
   }
   this->highest_token = token;
+  if (this->requires_records &&
+      !this->written_keys.contains("duties/usage/" +
+                                   std::to_string(report.window))) {
+    this->violations.push_back("a report without a record");
+  }
   const auto [first, is_new] =
       this->reports_by_window.emplace(report.window, report);
   if (!is_new && !(first->second == report)) {
--- a/tests/duty_platform.h
+++ b/tests/duty_platform.h
@@ -73,6 +73,8 @@
   bool is_store_down = false;
   bool is_api_down = false;
   bool is_api_throttled = false;
+  // A report without a record that was written before is against the rules.
+  bool requires_records = false;
   // The calls so far, by method.
   std::map<std::string, int> calls;
   std::vector<AcceptedUsage> accepted;
@@ -116,6 +118,8 @@
   Contents contents;
   Contents copy;
   std::uint64_t highest_token = 0;
+  // All keys that were ever written.
+  std::set<std::string> written_keys;
   // The senders of calls, in the order of sending.
   std::vector<std::pair<std::string, TimePoint>> senders;
   std::map<std::int64_t, UsageReport> reports_by_window;
--- a/tests/test_usage_reports.cc
+++ b/tests/test_usage_reports.cc
@@ -84,6 +84,7 @@
 class Fleet {
  public:
   explicit Fleet(int size, std::uint64_t seed = 1) : platform(seed) {
+    this->platform.requires_records = true;
     for (int i = 0; i < size; ++i) {
       this->Start("node-" + std::to_string(i));
     }
@@ -514,6 +515,45 @@
   fleet.CheckRules();
 }
 
+// Guards against a report that is sent although its record had no response, or
+// was refused.
+TEST(UsageReports, NothingIsSentBeforeItsRecord) {
+  Fleet fleet(4);
+  fleet.AwaitHolder();
+  fleet.RunToNextWindow();
+  const std::int64_t first = fleet.CurrentWindow();
+  Instance* const holder = fleet.holder();
+  // The record has no response. A renewal that has none is repeated in time.
+  fleet.Run(milliseconds(4850));
+  holder->faults.lost_store_calls = 1;
+  for (int i = 0; i < 20 && !holder->task_store.is_busy(); ++i) {
+    fleet.Run(kTick);
+  }
+  CHECK(holder->task_store.is_busy());
+  holder->faults.lost_store_calls = 0;
+  fleet.Run(seconds(20));
+  fleet.CheckWindows(first, fleet.CurrentWindow() - 3);
+  fleet.CheckRules();
+}
+
+// Guards against calls of a holder whose report was rejected since the platform
+// has seen a higher token.
+TEST(UsageReports, RejectedReportEndsTheTerm) {
+  Fleet fleet(4);
+  fleet.AwaitHolder();
+  fleet.RunToNextWindow();
+  Instance* const former = fleet.holder();
+  const std::uint64_t token = former->service.token(fleet.platform.now());
+  fleet.platform.requires_records = false;
+  fleet.platform.Usage("other", token + 1, {.window = 1});
+  fleet.Run(seconds(6));
+  LONGS_EQUAL(1, fleet.platform.rejected_usage);
+  CHECK(!former->service.IsHolder(fleet.platform.now()));
+  CHECK(fleet.AwaitHolder() != former);
+  fleet.Run(seconds(20));
+  fleet.CheckRules();
+}
+
 // Guards against counts in the wrong window after the steps of wall clocks, and
 // against windows that a wrong clock closes early.
 TEST(UsageReports, WallClocksStep) {
