A budget for the memory that callers and servers make a process hold

Only complete bodies counted, so many that stop just short of their end, or endless trailers, exhausted the memory; each body was held twice while it was sent. While others wait, requests without progress are ended with 408, 502 or a closed connection. Trailers and chunk framing are bounded, bodies are written from one copy, and kernel buffers of connections are limited.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -23,6 +23,7 @@
     {LogEvent::kRequestEnded, "request_ended", LogLevel::kInfo},
     {LogEvent::kCallEnded, "call_ended", LogLevel::kInfo},
     {LogEvent::kRequestUnanswered, "request_unanswered", LogLevel::kWarning},
+    {LogEvent::kRequestStopped, "request_stopped", LogLevel::kWarning},
     {LogEvent::kPlaced, "placed", LogLevel::kInfo},
     {LogEvent::kAttemptBroken, "attempt_broken", LogLevel::kWarning},
     {LogEvent::kSlotTaken, "slot_taken", LogLevel::kInfo},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -33,6 +33,7 @@
   kRequestEnded = 2001,
   kCallEnded = 2002,
   kRequestUnanswered = 2003,
+  kRequestStopped = 2004,
   kPlaced = 3001,
   kAttemptBroken = 3002,
   kSlotTaken = 3003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -159,7 +159,7 @@
               .observer = this->observer,
               .instance = this->options.instance,
               .data_centre = this->options.data_centre,
-              .max_buffered_body_bytes = this->options.max_body_bytes},
+              .body_budget = BodyBudget(this->options.max_body_bytes)},
       proxy_server({.address = this->options.caller_listen_address,
                     .relay_address = this->options.relay_listen_address,
                     .max_connections = this->options.max_connections},
@@ -892,6 +892,15 @@
   add("rosemarycove_requests_ended_total", this->request_counts().ended);
   add("rosemarycove_requests_unanswered_total",
       this->request_counts().unanswered);
+  const BodyBudget& budget = this->context.body_budget;
+  add("rosemarycove_held_bytes", budget.held_bytes());
+  add("rosemarycove_requests_waiting_for_memory", budget.waiting_count());
+  add("rosemarycove_requests_stopped_no_progress_total",
+      budget.stopped_count(BudgetCause::kNoProgress));
+  add("rosemarycove_requests_stopped_waited_too_long_total",
+      budget.stopped_count(BudgetCause::kWaitedTooLong));
+  add("rosemarycove_requests_stopped_too_many_waiting_total",
+      budget.stopped_count(BudgetCause::kTooManyWaiting));
   add("rosemarycove_relay_peers", this->relays.peer_count());
   add("rosemarycove_requests_relayed_total",
       this->request_counts().relayed_out);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -54,6 +54,7 @@
   // Time after SIGTERM at which the platform kills the process.
   Duration shutdown_grace = std::chrono::seconds(8);
   std::size_t max_connections = 1000;
+  // Budget for what callers and servers make the process hold.
   std::size_t max_body_bytes = std::size_t{64} << 20U;
 };
 
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -167,6 +167,16 @@
                    {"age_ms", ToLogMilliseconds(record.age)}});
 }
 
+void GatewayObserver::OnStopped(const StoppedRecord& record) {
+  this->log.Write(LogEvent::kRequestStopped,
+                  {{"request", record.request_id},
+                   {"cause", ToString(record.cause)},
+                   {"not_executed", record.not_executed},
+                   {"held_bytes", record.held_bytes},
+                   {"held_by_all", record.held_by_all},
+                   {"waiting", record.waiting}});
+}
+
 void GatewayObserver::OnEjected(const EjectedRecord& record) {
   this->log.Write(LogEvent::kServerEjected,
                   {{"server", record.server},
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -28,6 +28,7 @@
 
   void OnRequestRead() override { ++this->request_counts.read; }
   void OnUnanswered(const UnansweredRecord& record) override;
+  void OnStopped(const StoppedRecord& record) override;
   void OnPlaced(const PlacedRecord& record) override;
   void OnRelayed(const RelayedRecord& record) override;
   void OnAttemptFailed(const AttemptFailedRecord& record) override;
--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <charconv>
 #include <functional>
@@ -62,9 +63,11 @@
     : socket(io), unread_watch(io), endpoint(std::move(endpoint)) {}
 
 void BackendConnection::Send(std::string request_bytes, bool head_request,
-                             ResponseListener& response_listener) {
+                             ResponseListener& response_listener,
+                             std::shared_ptr<const std::string> request_body) {
   this->listener = &response_listener;
   this->request = std::move(request_bytes);
+  this->body = std::move(request_body);
   this->written = 0;
   this->is_head_request = head_request;
   this->reader = std::make_unique<ResponseReader>(head_request);
@@ -86,6 +89,7 @@
   this->socket.open(boost::asio::ip::tcp::v4(), error);
   if (!error) {
     SetLivenessOptions(this->socket, kUnacknowledgedTimeout);
+    LimitKernelBuffers(this->socket);
   }
   this->socket.async_connect(
       this->endpoint, [self = this->shared_from_this()](error_code failure) {
@@ -105,7 +109,7 @@
 }
 
 void BackendConnection::Write() {
-  if (this->writing || this->closed || this->written == this->request.size()) {
+  if (this->writing || this->closed || this->unwritten_bytes() == 0) {
     return;
   }
   if (this->written == 0 && this->listener != nullptr) {
@@ -115,9 +119,15 @@
     }
   }
   this->writing = true;
+  std::array<boost::asio::const_buffer, 2> buffers{
+      boost::asio::buffer(this->request) + this->written};
+  if (this->body) {
+    const std::size_t written_of_body =
+        std::max(this->written, this->request.size()) - this->request.size();
+    buffers[1] = boost::asio::buffer(*this->body) + written_of_body;
+  }
   this->socket.async_write_some(
-      boost::asio::buffer(this->request.data() + this->written,
-                          this->request.size() - this->written),
+      buffers,
       [self = this->shared_from_this()](error_code failure, std::size_t count) {
         self->writing = false;
         self->written += count;
@@ -140,7 +150,7 @@
 
 void BackendConnection::WatchUnreadRequest() {
   if (this->watching_unread || this->closed ||
-      this->request.size() <= kMaxUnwatchedBytes) {
+      this->RequestBytes() <= kMaxUnwatchedBytes) {
     return;
   }
   this->watching_unread = true;
@@ -300,18 +310,27 @@
 void BackendConnection::FinishResponse() {
   ResponseListener* receiver = std::exchange(this->listener, nullptr);
   this->paused = false;
-  const bool keep_open =
-      this->reader->head().KeepsAlive() && !this->must_close &&
-      this->written == this->request.size() && this->received.empty() &&
-      this->request_id_hashes.size() < kMaxRequests;
+  const bool keep_open = this->reader->head().KeepsAlive() &&
+                         !this->must_close && this->unwritten_bytes() == 0 &&
+                         this->received.empty() &&
+                         this->request_id_hashes.size() < kMaxRequests;
   this->idle_limit = IdleTimeoutOf(this->reader->head());
   this->idle_start = MonotonicNow();
   if (!keep_open) {
     this->Close();
+  } else {
+    this->ReleaseRequest();
   }
   receiver->OnComplete();
 }
 
+void BackendConnection::ReleaseRequest() {
+  std::string().swap(this->request);
+  std::string().swap(this->received);
+  this->body.reset();
+  this->written = 0;
+}
+
 bool BackendConnection::ReserveFor(const std::string& request_id) {
   const std::size_t hash = std::hash<std::string>()(request_id);
   if (std::find(this->request_id_hashes.begin(), this->request_id_hashes.end(),
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -59,10 +59,12 @@
                     boost::asio::ip::tcp::endpoint endpoint);
 
   // Connects if necessary, sends a request and reports its response to the
-  // listener. `is_head_request`: the method is HEAD, whose response has no
-  // body.
+  // listener. `request_body` is sent after `request`; it is shared, since it is
+  // kept for another attempt. `is_head_request`: the method is HEAD, whose
+  // response has no body.
   void Send(std::string request, bool is_head_request,
-            ResponseListener& listener);
+            ResponseListener& listener,
+            std::shared_ptr<const std::string> request_body = nullptr);
   // Makes another listener receive the rest of the response, unless the
   // response has ended.
   void SetListener(ResponseListener& new_listener) {
@@ -76,6 +78,11 @@
   void PauseReading();
   void ResumeReading();
 
+  [[nodiscard]] bool is_paused() const { return this->paused; }
+  // Returns how many bytes of the request the socket has not taken yet.
+  [[nodiscard]] std::size_t unwritten_bytes() const {
+    return this->RequestBytes() - this->written;
+  }
   [[nodiscard]] bool is_connected() const { return this->connected; }
   // Returns whether the connection is open and idle, so that it can serve
   // another request.
@@ -99,7 +106,12 @@
 
  private:
   void Connect();
+  [[nodiscard]] std::size_t RequestBytes() const {
+    return this->request.size() + (this->body ? this->body->size() : 0);
+  }
   void Write();
+  // Drops the request that was sent: an idle connection holds nothing of it.
+  void ReleaseRequest();
   // Keeps the connection of a server that does not read the rest of the request
   // while it can be reached.
   void WatchUnreadRequest();
@@ -126,7 +138,9 @@
   boost::asio::ip::tcp::endpoint endpoint;
   ResponseListener* listener = nullptr;
   std::string request;
-  // Bytes of the request that were written.
+  // What follows `request`; null if nothing does.
+  std::shared_ptr<const std::string> body;
+  // Bytes of both that were written.
   std::size_t written = 0;
   // Why a write of the rest of the request failed.
   boost::system::error_code write_failure;
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -6,7 +6,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
+#include <random>
 #include <string_view>
 #include <utility>
 
@@ -22,8 +22,12 @@
 
 // Maximum bytes per read from the socket.
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10U;
-// Reading stops once this many bytes of pipelined requests are buffered.
+// Reading stops once this many bytes of pipelined requests are buffered; fewer
+// while memory is short.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} << 10U;
+constexpr std::size_t kMaxPipelinedBytesWhenShort = std::size_t{4} << 10U;
+// Emptied strings with a larger capacity are released.
+constexpr std::size_t kMaxSpareBytes = std::size_t{16} << 10U;
 // A caller's connection fails if response bytes stay unacknowledged for this
 // long. Longer than for servers, since callers may be slow.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::seconds(10);
@@ -32,9 +36,10 @@
 // How long a connection is still read after its last response. Closing it with
 // unread bytes would reset it, and the caller could lose the response.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
-// Retry-After of requests that are rejected while the request bodies in memory
-// exceed their maximum size.
+// Retry-After of requests that are refused for lack of memory; up to this
+// factor longer, so that the callers don't return together.
 constexpr Duration kRejectedRetryAfter = std::chrono::seconds(1);
+constexpr double kMaxRetryJitter = 2.0;
 // Longer than another instance keeps an idle connection, so that a request
 // doesn't cross the close.
 constexpr Duration kInstanceIdleTimeout = std::chrono::seconds(10);
@@ -52,6 +57,14 @@
       });
 }
 
+// Empties the text and releases its memory if there is much.
+void Release(std::string& text) {
+  if (text.capacity() > kMaxSpareBytes) {
+    std::string().swap(text);
+  }
+  text.clear();
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -62,7 +75,9 @@
       waiting_since(MonotonicNow()),
       last_read(this->waiting_since),
       last_write(this->waiting_since) {
+  this->account.emplace(context.body_budget, *this, this->waiting_since);
   SetLivenessOptions(this->socket, kUnacknowledgedTimeout);
+  LimitKernelBuffers(this->socket);
   error_code ignored;
   this->socket.non_blocking(true, ignored);
 }
@@ -81,8 +96,12 @@
 void CallerConnection::Start() { this->Read(); }
 
 void CallerConnection::Read() {
+  const std::size_t max_pipelined = this->context.body_budget.is_calm()
+                                        ? kMaxPipelinedBytes
+                                        : kMaxPipelinedBytesWhenShort;
   if (this->reading || this->closed ||
-      (this->exchange && this->received.size() > kMaxPipelinedBytes)) {
+      (this->exchange && this->received.size() > max_pipelined) ||
+      !this->MayReadBody()) {
     return;
   }
   this->reading = true;
@@ -99,24 +118,24 @@
 }
 
 void CallerConnection::ReadAvailable(error_code failure) {
+  std::array<char, kReadBufferBytes> buffer;  // NOLINT: not initialised.
   std::size_t count = 0;
   if (!failure) {
-    this->read_buffer.resize(kReadBufferBytes);
-    count =
-        this->socket.read_some(boost::asio::buffer(this->read_buffer), failure);
+    count = this->socket.read_some(boost::asio::buffer(buffer), failure);
   }
   if (failure == boost::asio::error::would_block) {
     this->Read();
   } else if (failure) {
     this->OnCallerLost(CloseCause::kCallerClosed);
   } else {
-    this->OnBytesRead(count);
+    this->OnBytesRead(std::string_view(buffer.data(), count));
   }
 }
 
-void CallerConnection::OnBytesRead(std::size_t count) {
+void CallerConnection::OnBytesRead(std::string_view bytes) {
   this->last_read = MonotonicNow();
-  this->received.append(this->read_buffer.data(), count);
+  this->received.append(bytes);
+  this->account->RecordProgress(bytes.size());
   if (this->closing) {
     // A response that announced the close allows no further request.
     if (*this->closing != CloseCause::kResponseSent) {
@@ -126,9 +145,107 @@
   } else {
     this->ParseReceived();
   }
+  if (this->received.empty()) {
+    Release(this->received);
+  }
+  this->UpdateHeld();
   this->Read();
 }
 
+void CallerConnection::UpdateHeld() {
+  if (this->account) {
+    this->account->SetHeld(this->received.size() + this->unsent_bytes() +
+                           (this->reader ? this->reader->body_bytes() : 0) +
+                           (this->exchange ? this->exchange->HeldBytes() : 0));
+  }
+}
+
+std::string CallerConnection::CustomerOf(const RequestHead& head) const {
+  const auto& configuration = this->context.configuration;
+  const auto key = this->context.dialect.ReadRequest(head).api_key;
+  if (!configuration || !key) {
+    return "";
+  }
+  const auto found = configuration->holder_by_key.find(*key);
+  return found == configuration->holder_by_key.end() ? ""
+                                                     : found->second.customer;
+}
+
+void CallerConnection::OnHeadRead() {
+  this->continue_is_due = this->reader->ExpectsContinue();
+  this->account->BeginBody(this->CustomerOf(this->reader->head()),
+                           this->reader->MaxBodyBytes() + kReadBufferBytes +
+                               this->Limits().max_header_bytes,
+                           MonotonicNow());
+}
+
+bool CallerConnection::MayReadBody() {
+  if (!this->reader || !this->reader->has_head() || this->exchange ||
+      this->closing) {
+    return true;
+  }
+  switch (this->account->MayRead(MonotonicNow())) {
+    case ReadDecision::kWait:
+      return false;
+    case ReadDecision::kRefuse:
+      this->OnStopped(BudgetCause::kTooManyWaiting);
+      return false;
+    case ReadDecision::kRead:
+      break;
+  }
+  if (std::exchange(this->continue_is_due, false)) {
+    this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return true;
+}
+
+bool CallerConnection::ExpectsProgress() const {
+  return this->reader || this->unsent_bytes() > 0 ||
+         (this->exchange && this->exchange->UnwrittenBytes() > 0);
+}
+
+void CallerConnection::OnRoomAvailable() {
+  // The caller was not idle but not read.
+  this->last_read = MonotonicNow();
+  this->Read();
+}
+
+void CallerConnection::OnStopped(BudgetCause cause) {
+  if (this->closed) {
+    return;
+  }
+  if (this->reader && !this->closing) {
+    this->ReportStopped(cause, true);
+    this->Reject(cause == BudgetCause::kNoProgress
+                     ? http_status::kRequestTimeout
+                     : http_status::kUnavailable);
+  } else if (this->exchange && !this->finishing && this->unsent_bytes() == 0) {
+    this->ReportStopped(cause, false);
+    this->exchange->StopUnread();
+  } else {
+    this->ReportStopped(cause, false);
+    this->OnCallerLost(CloseCause::kNoProgress);
+  }
+}
+
+void CallerConnection::ReportStopped(BudgetCause cause, bool not_executed) {
+  const BodyBudget& budget = this->context.body_budget;
+  std::string request_id;
+  if (this->exchange) {
+    request_id = this->exchange->request_id();
+  } else if (this->reader && this->reader->has_head()) {
+    request_id =
+        this->context.dialect.ReadRequest(this->reader->head()).request_id;
+  }
+  this->context.observer.OnStopped(
+      {.request_id = request_id,
+       .cause = cause,
+       .not_executed = not_executed,
+       .held_bytes = this->account ? this->account->held_bytes() : 0,
+       .held_by_all = budget.held_bytes(),
+       .waiting = budget.waiting_count()});
+}
+
 void CallerConnection::ParseReceived() {
   if (this->exchange || this->closing || this->closed ||
       this->received.empty()) {
@@ -159,12 +276,7 @@
     case RequestReader::Progress::kNeedMore:
       return;
     case RequestReader::Progress::kHead:
-      if (this->context.buffered_body_bytes >
-          this->context.max_buffered_body_bytes) {
-        this->Reject(http_status::kUnavailable);
-      } else if (this->reader->ExpectsContinue()) {
-        this->Write("HTTP/1.1 100 Continue\r\n\r\n");
-      }
+      this->OnHeadRead();
       return;
     case RequestReader::Progress::kComplete:
       this->StartExchange();
@@ -182,6 +294,7 @@
   RequestHead head = this->reader->head();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
+  this->account->EndBody();
   this->exchange = std::make_unique<Exchange>(
       this->context, std::move(head), std::move(body), *this, MonotonicNow(),
       this->kind == CallerKind::kInstance);
@@ -192,7 +305,9 @@
   this->write_timeout = this->Limits().idle_timeout;
   std::optional<Duration> retry;
   if (status == http_status::kUnavailable) {
-    retry = kRejectedRetryAfter;
+    std::uniform_real_distribution<double> jitter(1.0, kMaxRetryJitter);
+    retry = FromSeconds(ToSeconds(kRejectedRetryAfter) *
+                        jitter(this->context.random));
   }
   LocalResponse response{.status = status,
                          .retry_after = retry,
@@ -204,8 +319,9 @@
   }
   this->Write(WriteLocalResponse(response));
   this->reader.reset();
+  this->account->EndBody();
   // What follows belongs to the rejected request.
-  this->received.clear();
+  Release(this->received);
   this->StartClosing(CloseCause::kResponseSent);
 }
 
@@ -219,6 +335,7 @@
     this->outgoing.append(bytes);
   }
   this->Flush();
+  this->UpdateHeld();
 }
 
 void CallerConnection::Flush() {
@@ -228,27 +345,43 @@
   this->sending.swap(this->outgoing);
   this->last_write = MonotonicNow();
   this->has_unacknowledged = true;
-  boost::asio::async_write(
-      this->socket, boost::asio::buffer(this->sending),
-      [self = this->shared_from_this()](error_code failure, std::size_t) {
-        self->sending.clear();
-        if (self->closed) {
-          return;
-        }
-        if (failure) {
-          self->OnCallerLost(CloseCause::kCallerClosed);
-          return;
-        }
-        self->Flush();
-        if (self->exchange && !self->finishing) {
-          self->exchange->OnOutputSent();
-        }
-        if (self->closing && self->unsent_bytes() == 0) {
-          self->EndSending();
+  this->SendPending();
+}
+
+void CallerConnection::SendPending() {
+  this->socket.async_write_some(
+      boost::asio::buffer(this->sending) + this->sent,
+      [self = this->shared_from_this()](error_code failure, std::size_t count) {
+        if (!self->closed) {
+          self->OnBytesSent(failure, count);
         }
       });
 }
 
+void CallerConnection::OnBytesSent(error_code failure, std::size_t count) {
+  if (failure) {
+    this->OnCallerLost(CloseCause::kCallerClosed);
+    return;
+  }
+  this->sent += count;
+  this->account->RecordProgress(count);
+  if (this->sent < this->sending.size()) {
+    this->UpdateHeld();
+    this->SendPending();
+    return;
+  }
+  this->sent = 0;
+  Release(this->sending);
+  this->Flush();
+  if (this->exchange && !this->finishing) {
+    this->exchange->OnOutputSent();
+  }
+  this->UpdateHeld();
+  if (this->closing && this->unsent_bytes() == 0) {
+    this->EndSending();
+  }
+}
+
 void CallerConnection::Finish(bool keep_open) {
   if (this->closed || this->finishing) {
     return;
@@ -262,6 +395,7 @@
                       if (self->closed) {
                         return;
                       }
+                      self->UpdateHeld();
                       self->waiting_since = MonotonicNow();
                       self->last_read = self->waiting_since;
                       if (!keep_open) {
@@ -276,7 +410,7 @@
 void CallerConnection::StartClosing(CloseCause cause) {
   this->ReportUnanswered(cause);
   this->closing = cause;
-  this->received.clear();
+  Release(this->received);
   this->close_at = MonotonicNow() + kLingerTime;
   if (this->unsent_bytes() == 0) {
     this->EndSending();
@@ -300,6 +434,8 @@
         UpdateUserTimeout(this->socket, kUnacknowledgedTimeout) ||
         !this->sending.empty();
   }
+  this->RecordUpload();
+  this->UpdateHeld();
   if (this->exchange) {
     if (!this->finishing) {
       this->exchange->Tick(now);
@@ -317,6 +453,15 @@
     }
     return;
   }
+  // The response before the next request may still be on its way.
+  if (!this->sending.empty() && now - this->last_write > this->write_timeout) {
+    this->OnCallerLost(CloseCause::kCallerNotReading);
+    return;
+  }
+  // The budget limits how long a request waits for memory.
+  if (this->account->is_waiting()) {
+    return;
+  }
   const CallerLimits limits = this->Limits();
   if (this->reader && !this->reader->has_head()) {
     if (now - this->waiting_since > limits.header_timeout) {
@@ -333,6 +478,15 @@
   }
 }
 
+void CallerConnection::RecordUpload() {
+  const std::size_t now_unwritten =
+      this->exchange ? this->exchange->UnwrittenBytes() : 0;
+  if (now_unwritten < this->unwritten) {
+    this->account->RecordProgress(this->unwritten - now_unwritten);
+  }
+  this->unwritten = now_unwritten;
+}
+
 bool CallerConnection::IsIdle() {
   return !this->exchange && !this->reader && !this->closing && !this->closed &&
          this->received.empty() && this->unsent_bytes() == 0 &&
@@ -409,6 +563,7 @@
   }
   this->ReportUnanswered(cause);
   this->closed = true;
+  this->account.reset();
   // The descriptor is released even if close reports an error.
   error_code ignored;
   this->socket.close(ignored);
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "proxy/exchange.h"
 #include "proxy/http_reader.h"
@@ -25,7 +26,8 @@
 // Ownership is shared, since the connection has to live until the pending
 // operations on its socket have ended.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>,
-                         public ResponseSink {
+                         public ResponseSink,
+                         public BudgetHolder {
  public:
   CallerConnection(boost::asio::ip::tcp::socket socket, CallerKind kind,
                    ProxyContext& context);
@@ -55,19 +57,39 @@
   void Finish(bool keep_open) override;
   void Abort(bool reset) override;
   [[nodiscard]] std::size_t unsent_bytes() const override {
-    return this->outgoing.size() + this->sending.size();
+    return this->outgoing.size() + this->sending.size() - this->sent;
   }
 
+  // BudgetHolder
+  [[nodiscard]] bool ExpectsProgress() const override;
+  void OnRoomAvailable() override;
+  void OnStopped(BudgetCause cause) override;
+
  private:
   void Read();
   // Reads what the socket has, unless waiting for it failed.
   void ReadAvailable(boost::system::error_code failure);
-  void OnBytesRead(std::size_t count);
+  void OnBytesRead(std::string_view bytes);
   void ParseReceived();
+  // Handles a complete head whose body is still to be read.
+  void OnHeadRead();
+  // Returns whether the budget allows to read the body further. Refuses the
+  // request if too many others wait.
+  bool MayReadBody();
+  // Tells the budget what this connection holds.
+  void UpdateHeld();
+  void ReportStopped(BudgetCause cause, bool not_executed);
+  // Returns the customer whose API key the request has; empty if none.
+  [[nodiscard]] std::string CustomerOf(const RequestHead& head) const;
   void StartExchange();
   void Reject(int status);
   // Starts to send `outgoing`, unless a write is pending.
   void Flush();
+  // Sends the rest of `sending`.
+  void SendPending();
+  void OnBytesSent(boost::system::error_code failure, std::size_t count);
+  // Records how much of the request its server has taken since the last tick.
+  void RecordUpload();
   // Returns whether no request is being read or handled and no response is
   // being sent.
   [[nodiscard]] bool IsIdle();
@@ -91,14 +113,20 @@
   boost::asio::ip::tcp::socket socket;
   CallerKind kind;
   ProxyContext& context;
+  // Nullopt once the connection is closed.
+  std::optional<BudgetAccount> account;
   std::string received;
-  std::string read_buffer;
   std::optional<RequestReader> reader;
   std::unique_ptr<Exchange> exchange;
   // Bytes to be sent after the pending write.
   std::string outgoing;
-  // Bytes of the pending write.
+  // Bytes of the pending write, and how many of them were sent.
   std::string sending;
+  std::size_t sent = 0;
+  // Bytes of the request that its server had not taken at the last tick.
+  std::size_t unwritten = 0;
+  // The caller waits for 100 Continue before it sends the body.
+  bool continue_is_due = false;
   bool reading = false;
   // The exchange has ended and is about to be destroyed.
   bool finishing = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -18,8 +18,10 @@
 // fail. A larger one is not read to its end.
 constexpr std::size_t kMaxFailureBytes = std::size_t{256} << 10U;
 // Reading from a server pauses while more than this many bytes wait to be sent
-// to the caller.
+// to the caller; fewer while memory is short, which callers that read don't
+// notice.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} << 10U;
+constexpr std::size_t kMaxUnsentBytesWhenShort = std::size_t{32} << 10U;
 // Connecting to a server of the same deployment takes a few milliseconds. A
 // lost SYN packet is retransmitted only after a second, so another server is
 // faster.
@@ -167,11 +169,12 @@
   Exchange& exchange;
 };
 
-Exchange::Exchange(ProxyContext& context, RequestHead head, std::string body,
-                   ResponseSink& sink, TimePoint arrival, bool from_instance)
+Exchange::Exchange(ProxyContext& context, RequestHead head,
+                   std::string request_body, ResponseSink& sink,
+                   TimePoint arrival, bool from_instance)
     : context(context),
       request(std::move(head)),
-      body(std::move(body)),
+      body(std::make_shared<const std::string>(std::move(request_body))),
       sink(sink),
       arrival(arrival),
       received_at(arrival),
@@ -179,13 +182,26 @@
   if (from_instance) {
     this->relayed_from.emplace();
   }
-  this->context.buffered_body_bytes += this->body.size();
 }
 
 Exchange::~Exchange() {
   this->StopWaiting(false);
   this->EndAllAttempts();
-  this->context.buffered_body_bytes -= this->body.size();
+}
+
+std::size_t Exchange::HeldBytes() const {
+  return this->body->size() + this->current.buffered.size() +
+         this->splitter.partial_event().size();
+}
+
+std::size_t Exchange::UnwrittenBytes() const {
+  return this->current.connection ? this->current.connection->unwritten_bytes()
+                                  : 0;
+}
+
+std::size_t Exchange::MaxUnsentBytes() const {
+  return this->context.body_budget.is_calm() ? kMaxUnsentBytes
+                                             : kMaxUnsentBytesWhenShort;
 }
 
 bool Exchange::ReadRelayedRequest() {
@@ -316,7 +332,7 @@
                    .target = this->request.target,
                    .host = this->request.fields.Find("host").value_or(""),
                    .caller = this->customer,
-                   .body = this->body});
+                   .body = *this->body});
   const std::vector<PromptPart>& parts = this->request_info.prompt_parts;
   this->suspects = {.content_hash = content_hash,
                     .request_hash = RequestHash(content_hash, parts)};
@@ -592,7 +608,7 @@
        .configuration_version = this->configuration->version,
        .reused_connection = this->current.connection_reused});
   std::string bytes =
-      WriteRequestHead(this->request, this->body.size(), this->context.dialect,
+      WriteRequestHead(this->request, this->body->size(), this->context.dialect,
                        this->request_info,
                        {.remaining = this->Remaining(now),
                         .server_id = chosen.server.id,
@@ -600,9 +616,8 @@
                         .urgency = this->RequestUrgency(),
                         .max_tier = this->configuration->max_tier,
                         .last_event_id = this->ResumeFrom()});
-  bytes.append(this->body);
-  this->current.connection->Send(std::move(bytes),
-                                 this->request.method == "HEAD", *this);
+  this->current.connection->Send(
+      std::move(bytes), this->request.method == "HEAD", *this, this->body);
 }
 
 std::string Exchange::ResumeFrom() const {
@@ -651,14 +666,13 @@
        .failed_attempts = this->attempts - 1,
        .reused_connection = this->current.connection_reused});
   std::string bytes = WriteRelayedRequestHead(
-      this->request, this->body.size(), this->context.dialect,
+      this->request, this->body->size(), this->context.dialect,
       {.from_instance = this->context.instance,
        .age = now - this->arrival,
        .last_event_id = this->ResumeFrom(),
        .possible_executions = this->possible_executions});
-  bytes.append(this->body);
-  this->current.connection->Send(std::move(bytes),
-                                 this->request.method == "HEAD", *this);
+  this->current.connection->Send(
+      std::move(bytes), this->request.method == "HEAD", *this, this->body);
 }
 
 void Exchange::BeginAttempt(const ServerChoice& chosen,
@@ -1017,7 +1031,8 @@
                        ? WriteChunk(this->current.buffered)
                        : std::move(this->current.buffered));
   this->current.buffered.clear();
-  if (this->current.connection && this->sink.unsent_bytes() > kMaxUnsentBytes) {
+  if (this->current.connection &&
+      this->sink.unsent_bytes() > this->MaxUnsentBytes()) {
     this->current.connection->PauseReading();
   }
 }
@@ -1041,7 +1056,7 @@
 
 void Exchange::OnOutputSent() {
   if (this->current.connection &&
-      this->sink.unsent_bytes() <= kMaxUnsentBytes) {
+      this->sink.unsent_bytes() <= this->MaxUnsentBytes()) {
     this->current.connection->ResumeReading();
   }
 }
@@ -1616,7 +1631,7 @@
 void Exchange::CheckSilence(TimePoint now) {
   const Route& route = *this->query.route;
   // While the caller does not read, the server is not read either.
-  if (this->sink.unsent_bytes() > kMaxUnsentBytes) {
+  if (this->current.connection->is_paused()) {
     this->current.last_bytes_at = now;
     return;
   }
@@ -1708,6 +1723,16 @@
   this->GiveUp(EndCause::kDraining, kDrainingRetryAfter);
 }
 
+void Exchange::StopUnread() {
+  if (this->ended) {
+    return;
+  }
+  this->possible_executions += this->CountRunningAttempts();
+  this->EndAllAttempts();
+  this->GiveUp(this->possible_executions > 0 ? EndCause::kAnswerLost
+                                             : EndCause::kNoBackend);
+}
+
 void Exchange::OnCallerDisconnected() {
   if (this->ended) {
     return;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -47,7 +47,7 @@
 class Exchange : public ResponseListener {
  public:
   // `from_instance`: another instance relays the request.
-  Exchange(ProxyContext& context, RequestHead head, std::string body,
+  Exchange(ProxyContext& context, RequestHead head, std::string request_body,
            ResponseSink& sink, TimePoint arrival, bool from_instance = false);
   ~Exchange() override;
   Exchange(const Exchange&) = delete;
@@ -64,7 +64,14 @@
   void CutOff();
   // Tries to place a waiting request.
   AdmitResult TryAdmit(TimePoint now);
+  // Ends the request with a true outcome, since its server does not take it
+  // while memory is short.
+  void StopUnread();
   [[nodiscard]] bool has_ended() const { return this->ended; }
+  // Returns the size of what is held of the request and its responses.
+  [[nodiscard]] std::size_t HeldBytes() const;
+  // Returns how many bytes of the request its server has not taken yet.
+  [[nodiscard]] std::size_t UnwrittenBytes() const;
   [[nodiscard]] const std::string& request_id() const {
     return this->request_info.request_id;
   }
@@ -290,6 +297,9 @@
   // to be sent to the caller.
   void ForwardBuffered();
   void ForwardEvents(std::string events);
+  // How many bytes may wait to be sent to the caller before reading from the
+  // server pauses.
+  [[nodiscard]] std::size_t MaxUnsentBytes() const;
   // Returns why a stream whose framing ended is not complete: a server that
   // breaks it off may still close the connection in order. Empty if it is
   // complete.
@@ -339,7 +349,8 @@
 
   ProxyContext& context;
   RequestHead request;
-  std::string body;
+  // Shared with the connections to which it is being written.
+  std::shared_ptr<const std::string> body;
   ResponseSink& sink;
   // When the request arrived from its caller; here, or at the instance that
   // relays it.
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -23,6 +23,14 @@
 // parser takes only as a whole.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} << 10U;
 
+// The same for a request, if `max_header_bytes` is lower.
+constexpr std::size_t kMinUnparsedLimit = std::size_t{8} << 10U;
+// Maximum number of bytes that a request's chunk headers and trailers may have
+// together, without and with its largest body. Chunks of one byte without
+// extensions have five for each.
+constexpr std::size_t kMaxFramingBytes = std::size_t{64} << 10U;
+constexpr std::size_t kMaxFramingPerBodyByte = 8;
+
 // Feeds the parser and removes the bytes it consumed from the front of `bytes`.
 template <bool kIsRequest>
 boost::beast::error_code FeedParser(MessageParser<kIsRequest>& parser,
@@ -154,6 +162,7 @@
     return this->Reject(StatusOf(error));
   }
   this->head_received = true;
+  this->parser.expected_body_bytes = this->MaxBodyBytes();
   this->request.method = this->parser.method;
   this->request.target = this->parser.target;
   this->request.is_http_1_0 = this->parser.version < 11;
@@ -167,12 +176,34 @@
   return this->parser.is_done() ? Progress::kComplete : Progress::kHead;
 }
 
+std::size_t RequestReader::MaxBodyBytes() const {
+  const auto length = this->parser.content_length();
+  return length ? std::min<std::uint64_t>(*length, this->limits.max_body_bytes)
+                : this->limits.max_body_bytes;
+}
+
 RequestReader::Progress RequestReader::FeedBody(std::string& bytes) {
+  const std::size_t unparsed = bytes.size();
+  const std::size_t body_before = this->parser.body.size();
   const boost::beast::error_code error = FeedParser(this->parser, bytes);
   if (error) {
     return this->Reject(StatusOf(error));
   }
-  return this->parser.is_done() ? Progress::kComplete : Progress::kNeedMore;
+  this->framing_bytes +=
+      unparsed - bytes.size() - (this->parser.body.size() - body_before);
+  if (this->framing_bytes >
+      kMaxFramingBytes + kMaxFramingPerBodyByte * this->limits.max_body_bytes) {
+    return this->Reject(http_status::kBadRequest);
+  }
+  if (this->parser.is_done()) {
+    return Progress::kComplete;
+  }
+  // The parser takes a chunk header, and all trailer fields together, only as a
+  // whole.
+  return bytes.size() >
+                 std::max(kMinUnparsedLimit, this->limits.max_header_bytes)
+             ? this->Reject(http_status::kHeadersTooLarge)
+             : Progress::kNeedMore;
 }
 
 RequestReader::Progress RequestReader::Feed(std::string& bytes) {
--- a/src/proxy/http_reader.h
+++ b/src/proxy/http_reader.h
@@ -1,6 +1,7 @@
 // Strict, incremental parsers of HTTP/1.1 messages; they do no I/O themselves.
 #pragma once
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstdint>
 #include <optional>
@@ -29,9 +30,14 @@
   HeaderFields fields;
   // Body bytes that were parsed and not yet moved out by the reader.
   std::string body;
+  // The body won't become larger than this; 0 if that is unknown. Its memory
+  // grows as bytes arrive, but not beyond.
+  std::size_t expected_body_bytes = 0;
   bool has_head = false;
 
  private:
+  static constexpr std::size_t kCapacityGrowth = 2;
+
   void on_request_impl(Verb, View method_text, View target_text,
                        int version_number, Error&) override {
     this->method = std::string(method_text);
@@ -54,15 +60,24 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
                          Error&) override {}
   std::size_t on_body_impl(View bytes, Error&) override {
-    this->body.append(bytes.data(), bytes.size());
+    this->AppendBody(bytes);
     return bytes.size();
   }
   void on_chunk_header_impl(std::uint64_t, View, Error&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t, View bytes, Error&) override {
-    this->body.append(bytes.data(), bytes.size());
+    this->AppendBody(bytes);
     return bytes.size();
   }
   void on_finish_impl(Error&) override {}
+  void AppendBody(View bytes) {
+    const std::size_t size = this->body.size() + bytes.size();
+    if (size > this->body.capacity() && size < this->expected_body_bytes) {
+      this->body.reserve(
+          std::min(this->expected_body_bytes,
+                   std::max(size, kCapacityGrowth * this->body.capacity())));
+    }
+    this->body.append(bytes.data(), bytes.size());
+  }
 };
 
 // Limits on the size of one request.
@@ -91,6 +106,13 @@
   [[nodiscard]] const RequestHead& head() const { return this->request; }
   // Moves the body out; called once, after kComplete.
   std::string TakeBody() { return std::move(this->parser.body); }
+  // The size of the part of the body that was read.
+  [[nodiscard]] std::size_t body_bytes() const {
+    return this->parser.body.size();
+  }
+  // Returns the size of the whole body, or the maximum size if the head does
+  // not tell it. Valid once has_head() returns true.
+  [[nodiscard]] std::size_t MaxBodyBytes() const;
   // Returns whether the caller waits for 100 Continue before it sends the body.
   [[nodiscard]] bool ExpectsContinue() const;
   // The status code of the rejection; valid after kRejected.
@@ -111,6 +133,8 @@
   MessageParser<true> parser;
   RequestHead request;
   bool head_received = false;
+  // Bytes of chunk headers, chunk ends and trailers that were parsed.
+  std::size_t framing_bytes = 0;
   int rejected_with = 0;
 };
 
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -21,6 +21,7 @@
 #include "core/shutdown_schedule.h"
 #include "core/software_history.h"
 #include "core/stream_origins.h"
+#include "proxy/body_budget.h"
 #include "proxy/call_dialect.h"
 #include "proxy/connection_pool.h"
 #include "proxy/proxy_observer.h"
@@ -61,10 +62,8 @@
   bool is_draining = false;
   // Which requests are still handled until the process exits.
   ShutdownSchedule shutdown = {};
-  // Total size of the request bodies in memory. Once it exceeds the maximum,
-  // further requests are rejected after their heads are read.
-  std::size_t buffered_body_bytes = 0;
-  std::size_t max_buffered_body_bytes = std::size_t{64} << 20U;
+  // The memory that callers and servers make this process hold.
+  BodyBudget body_budget{std::size_t{64} << 20U};
   std::mt19937_64 random{std::random_device()()};
 };
 
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -10,6 +10,7 @@
 #include "core/actions.h"
 #include "core/placer.h"
 #include "core/types.h"
+#include "proxy/body_budget.h"
 #include "proxy/http_head.h"
 
 namespace rosemarycove {
@@ -153,6 +154,7 @@
   kResponseSent,      // It was closed after a response.
   kIdleAtShutdown,    // It was idle while the instance shut down.
   kProcessEnds,       // The process was about to exit.
+  kNoProgress,        // The caller did not read while memory was short.
 };
 std::string_view ToString(CloseCause cause);
 
@@ -168,6 +170,20 @@
   Duration age{};
 };
 
+// A request was ended, since memory is short.
+struct StoppedRecord {
+  // Empty if the head was not complete.
+  std::string request_id;
+  BudgetCause cause = BudgetCause::kNoProgress;
+  // The request was not sent to a server, and its caller gets a refusal.
+  bool not_executed = true;
+  // What was held of it.
+  std::size_t held_bytes = 0;
+  // What all requests hold, and the number of those that wait.
+  std::size_t held_by_all = 0;
+  std::size_t waiting = 0;
+};
+
 // A server was ejected after failures, for this duration.
 struct EjectedRecord {
   std::string server;
@@ -209,6 +225,7 @@
   // A whole request was read. Its outcome is reported by OnEnded.
   virtual void OnRequestRead() = 0;
   virtual void OnUnanswered(const UnansweredRecord& record) = 0;
+  virtual void OnStopped(const StoppedRecord& record) = 0;
   virtual void OnPlaced(const PlacedRecord& record) = 0;
   virtual void OnRelayed(const RelayedRecord& record) = 0;
   virtual void OnAttemptFailed(const AttemptFailedRecord& record) = 0;
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -118,6 +118,8 @@
   for (const auto& caller : this->callers) {
     caller->Tick(now);
   }
+  this->context.body_budget.Tick(
+      now, this->callers.size() >= this->options.max_connections);
   this->Accept(this->caller_entrance);
   this->Accept(this->relay_entrance);
 }
--- a/src/proxy/socket_options.cc
+++ b/src/proxy/socket_options.cc
@@ -18,6 +18,17 @@
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using ProbeCount =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UnsentLimit =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+
+// Bytes that wait in the kernel and can't be sent yet count as taken, but use
+// the machine's memory, by default up to some megabytes for each connection.
+constexpr int kMaxKernelUnsentBytes = 128 << 10;
+// The kernel doubles this number to allow for its own data. It suffices for
+// 200 Mbit/s at a round trip of 5 ms. It is set once: a smaller buffer later on
+// makes the kernel drop bytes that the other side was allowed to send, which
+// are retransmitted only after seconds.
+constexpr int kMaxKernelUnreadBytes = 128 << 10;
 
 // Keep-alive probes of an idle connection. With a user timeout, the kernel
 // gives up at the first probe at which that timeout has passed; otherwise after
@@ -64,6 +75,15 @@
   socket.set_option(ProbeCount(kProbeCount), ignored);
 }
 
+void LimitKernelBuffers(boost::asio::ip::tcp::socket& socket) {
+  // See SetUserTimeout.
+  boost::system::error_code ignored;
+  socket.set_option(UnsentLimit(kMaxKernelUnsentBytes), ignored);
+  socket.set_option(
+      boost::asio::socket_base::receive_buffer_size(kMaxKernelUnreadBytes),
+      ignored);
+}
+
 bool UpdateUserTimeout(boost::asio::ip::tcp::socket& socket,
                        Duration user_timeout) {
   int waiting_bytes = 0;
--- a/src/proxy/socket_options.h
+++ b/src/proxy/socket_options.h
@@ -16,6 +16,10 @@
 void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
                         Duration user_timeout);
 
+// Limits the bytes that wait in the kernel on a new connection: those to be
+// sent, and those that have arrived and are not read.
+void LimitKernelBuffers(boost::asio::ip::tcp::socket& socket);
+
 // Sets the user timeout of a connection on which bytes wait to be sent, or
 // turns it off while the other side acknowledges what it gets and just does not
 // read: the timeout would end such a connection, too. To be called periodically
