Statuses that are none of HTTP make a response malformed

ResponseReader took every status below 200 for an interim response, so that after a status of 000 or 099 the caller waited for the time limit, and forwarded those above 599. Both are malformed now: 502 at once where the attempts are used up.

--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -15,8 +15,11 @@
 // Maximum size of the head of a backend server's response, in bytes.
 constexpr std::uint32_t kMaxResponseHeadBytes = 1U << 16U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
-// Lower status codes (1xx) are interim responses.
+// Status codes from the first to below the second are interim responses (1xx),
+// those from there to the third final ones. Others are none of HTTP.
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 // Maximum number of interim responses before the final one.
 constexpr int kMaxInterimResponses = 16;
 // Maximum size, in bytes, of an incomplete chunk header or trailer, which the
@@ -252,7 +255,9 @@
     }
     if (!this->head_received && this->parser->has_head) {
       if (ContainsResponse(*this->parser) ||
-          HasUnknownCoding(this->parser->fields)) {
+          HasUnknownCoding(this->parser->fields) ||
+          this->parser->status < kFirstStatus ||
+          this->parser->status > kLastStatus) {
         return Progress::kMalformed;
       }
       if (this->parser->status < kFirstFinalStatus) {
