An end during an upload doesn't complete a success without a length

A server that answered a long upload at once, ended its side of the connection and reset it while the upload was still being sent had its part forwarded as a complete response, on all routes.

--- a/tests/test_invalid_responses.cc
+++ b/tests/test_invalid_responses.cc
@@ -57,19 +57,19 @@
     if (!relayed) {
       return;
     }
-    const std::string refused = RawServer([](RawConnection &) {}).address();
+    const std::string refused = RawServer([](RawConnection&) {}).address();
     this->cut = std::make_unique<RunningGateway>(
         "cut", this->platform.store.address(),
         std::vector<std::string>{this->sound->peers_address()},
         std::chrono::seconds(8),
-        [refused](const std::string &) { return refused; });
+        [refused](const std::string&) { return refused; });
     this->cut->AwaitReady();
     CHECK(this->cut->AwaitMetric("rosemarycove_relay_peers", 1));
   }
 
   // Sends the request and returns all that comes until the connection ends.
   // Checks that this does not take until the time limit.
-  std::string Exchange(const std::string &path, const std::string &body) {
+  std::string Exchange(const std::string& path, const std::string& body) {
     const auto caller = (this->cut ? this->cut : this->sound)->Connect();
     const auto begin = std::chrono::steady_clock::now();
     caller->Send(
@@ -85,12 +85,12 @@
   std::unique_ptr<RunningGateway> cut;
 };
 
-std::string StatusLine(const std::string &response) {
+std::string StatusLine(const std::string& response) {
   return response.substr(0, response.find("\r\n"));
 }
 
 // Returns the fields of a response to the request that its server made.
-std::string OwnFields(const std::string &request) {
+std::string OwnFields(const std::string& request) {
   return fmt::format(
       "Rosemarycove-Request-Id: {}\r\nRosemarycove-Server-Seal: seal\r\n",
       HeaderValue(request, "Rosemarycove-Request-Id"));
@@ -98,9 +98,9 @@
 
 // Answers before the request is read, sends a part of a body without a length
 // and resets the connection.
-RawServer::Handler ResetAfter(const std::string &content_type,
-                              const std::string &part) {
-  return [content_type, part](RawConnection &connection) {
+RawServer::Handler ResetAfter(const std::string& content_type,
+                              const std::string& part) {
+  return [content_type, part](RawConnection& connection) {
     const std::string head = connection.ReadUntil("\r\n\r\n");
     connection.Send("HTTP/1.1 200 OK\r\n" + OwnFields(head) + content_type +
                     "\r\n" + part);
@@ -109,10 +109,23 @@
   };
 }
 
+// The same, but ends its side of the connection before it resets it.
+RawServer::Handler EndAndResetAfter(const std::string& content_type,
+                                    const std::string& part) {
+  return [content_type, part](RawConnection& connection) {
+    const std::string head = connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\n" + OwnFields(head) + content_type +
+                    "\r\n" + part);
+    connection.Shutdown();
+    std::this_thread::sleep_for(milliseconds(200));
+    connection.Reset();
+  };
+}
+
 // Checks that the caller gets a 502, or the part of a chunked response.
-void CheckBrokenOff(const std::string &path, const std::string &content_type,
-                    const std::string &part, bool relayed) {
-  Gateways gateways(ResetAfter(content_type, part), relayed);
+void CheckBrokenOff(const std::string& path, const RawServer::Handler& handler,
+                    bool relayed) {
+  Gateways gateways(handler, relayed);
   const std::string response =
       gateways.Exchange(path, std::string(kUploadBytes, 'x'));
   const bool is_refused = response.starts_with("HTTP/1.1 502 ");
@@ -129,10 +142,10 @@
 const std::string kStreamType = "Content-Type: text/event-stream\r\n";
 
 // Checks that responses with these statuses get a 502 and are not forwarded.
-void CheckInvalidStatus(const std::string &path, bool relayed) {
-  for (const char *status : {"000", "099", "600", "999"}) {
+void CheckInvalidStatus(const std::string& path, bool relayed) {
+  for (const char* status : {"000", "099", "600", "999"}) {
     Gateways gateways(
-        [status](RawConnection &connection) {
+        [status](RawConnection& connection) {
           while (const auto request = connection.ReadMessage()) {
             connection.Send(fmt::format(
                 "HTTP/1.1 {} Odd\r\n{}Content-Length: 4\r\n\r\nbody", status,
@@ -152,25 +165,65 @@
 TEST_GROUP(ResetDuringUpload){};
 
 TEST(ResetDuringUpload, PlainOnce) {
-  CheckBrokenOff("/once/", "", kShortPart, false);
+  CheckBrokenOff("/once/", ResetAfter("", kShortPart), false);
 }
 TEST(ResetDuringUpload, PlainAgain) {
-  CheckBrokenOff("/again/", "", kShortPart, false);
+  CheckBrokenOff("/again/", ResetAfter("", kShortPart), false);
 }
 TEST(ResetDuringUpload, PlainForwardedInPart) {
-  CheckBrokenOff("/once/", "", kLongPart, false);
+  CheckBrokenOff("/once/", ResetAfter("", kLongPart), false);
 }
 TEST(ResetDuringUpload, Stream) {
-  CheckBrokenOff("/stream/", kStreamType, kEventPart, false);
+  CheckBrokenOff("/stream/", ResetAfter(kStreamType, kEventPart), false);
 }
 TEST(ResetDuringUpload, RelayedPlain) {
-  CheckBrokenOff("/once/", "", kShortPart, true);
+  CheckBrokenOff("/once/", ResetAfter("", kShortPart), true);
 }
 TEST(ResetDuringUpload, RelayedForwardedInPart) {
-  CheckBrokenOff("/once/", "", kLongPart, true);
+  CheckBrokenOff("/once/", ResetAfter("", kLongPart), true);
 }
 TEST(ResetDuringUpload, RelayedStream) {
-  CheckBrokenOff("/stream/", kStreamType, kEventPart, true);
+  CheckBrokenOff("/stream/", ResetAfter(kStreamType, kEventPart), true);
+}
+
+// An orderly end does not complete a response either while its server has not
+// taken the whole request: a reset follows once more of it arrives.
+TEST_GROUP(EndDuringUpload){};
+
+TEST(EndDuringUpload, PlainOnceEnds) {
+  CheckBrokenOff("/once/", EndAndResetAfter("", kShortPart), false);
+}
+TEST(EndDuringUpload, PlainAgainEnds) {
+  CheckBrokenOff("/again/", EndAndResetAfter("", kShortPart), false);
+}
+TEST(EndDuringUpload, ForwardedPartEnds) {
+  CheckBrokenOff("/once/", EndAndResetAfter("", kLongPart), false);
+}
+TEST(EndDuringUpload, StreamEnds) {
+  CheckBrokenOff("/stream/", EndAndResetAfter(kStreamType, kEventPart), false);
+}
+TEST(EndDuringUpload, RelayedPlainEnds) {
+  CheckBrokenOff("/once/", EndAndResetAfter("", kShortPart), true);
+}
+TEST(EndDuringUpload, RelayedStreamEnds) {
+  CheckBrokenOff("/stream/", EndAndResetAfter(kStreamType, kEventPart), true);
+}
+
+// A server may answer with an error without reading the request.
+TEST(EndDuringUpload, ErrorResponseIsForwarded) {
+  Gateways gateways(
+      [](RawConnection& connection) {
+        const std::string head = connection.ReadUntil("\r\n\r\n");
+        connection.Send("HTTP/1.1 413 Too Large\r\n" + OwnFields(head) +
+                        "\r\ntoo large");
+        connection.Shutdown();
+        std::this_thread::sleep_for(milliseconds(200));
+        connection.Reset();
+      },
+      false);
+  const std::string response =
+      gateways.Exchange("/once/", std::string(kUploadBytes, 'x'));
+  STRCMP_EQUAL("HTTP/1.1 413 Too Large", StatusLine(response).c_str());
 }
 
 // A status that is none of a final response is not awaited as an interim one,
