The write timeout applies to 100 Continue; tests of chunk framing

A tick between the writing of 100 Continue and the end of that write used a timeout of zero for the first request of a connection and would close it.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -173,6 +173,8 @@
 
 void CallerConnection::OnHeadRead() {
   this->continue_is_due = this->reader->ExpectsContinue();
+  // Applies to 100 Continue.
+  this->write_timeout = this->Limits().idle_timeout;
   this->account->BeginBody(this->CustomerOf(this->reader->head()),
                            this->reader->MaxBodyBytes() + kReadBufferBytes +
                                this->Limits().max_header_bytes,
--- a/tests/test_body_budget.cc
+++ b/tests/test_body_budget.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "proxy/body_budget.h"
+#include "proxy/http_reader.h"
 
 // Included last, since CppUTest defines macros that break standard headers.
 #include <CppUTest/TestHarness.h>
@@ -91,8 +92,62 @@
   return peak;
 }
 
+constexpr RequestLimits kLimits{.max_header_bytes = 16384,
+                                .max_body_bytes = 65536};
+
+// Reads a chunked request of which this follows the head, in pieces as they
+// come from a socket. Returns its status: 0 if it is complete, -1 if more is
+// needed.
+int ReadChunked(const std::string& after_head) {
+  RequestReader reader(kLimits);
+  std::string bytes =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  RequestReader::Progress progress = reader.Feed(bytes);
+  for (std::size_t at = 0; at < after_head.size(); at += kPiece) {
+    bytes += after_head.substr(at, kPiece);
+    progress = reader.Feed(bytes);
+    if (progress == RequestReader::Progress::kRejected) {
+      return reader.rejection_status();
+    }
+  }
+  return progress == RequestReader::Progress::kComplete ? 0 : -1;
+}
+
+std::string Repeated(const std::string& text, std::size_t count) {
+  std::string all;
+  for (std::size_t i = 0; i < count; ++i) {
+    all += text;
+  }
+  return all;
+}
+
 }  // namespace
 
+TEST_GROUP(ChunkedRequests){};
+
+// Guards against a limit that a legal request reaches.
+TEST(ChunkedRequests, LargestBodyInChunksOfOneByteIsRead) {
+  CHECK_EQUAL(0, ReadChunked(Repeated("1\r\nx\r\n", kLimits.max_body_bytes) +
+                             "0\r\n\r\n"));
+}
+
+TEST(ChunkedRequests, TrailersOfTheSizeOfAHeadAreRead) {
+  const std::string field = "X-Field: " + std::string(87, 'x') + "\r\n";
+  CHECK_EQUAL(0, ReadChunked("0\r\n" + Repeated(field, 160) + "\r\n"));
+}
+
+// Guards against framing without an end.
+TEST(ChunkedRequests, EndlessTrailersAreRejected) {
+  CHECK_EQUAL(431, ReadChunked("0\r\n" + Repeated("X-Field: x\r\n", 10000)));
+  CHECK_EQUAL(431, ReadChunked("0\r\nX-Field: " + std::string(100000, 'x')));
+}
+
+TEST(ChunkedRequests, EndlessChunkExtensionsAreRejected) {
+  CHECK_EQUAL(431, ReadChunked("1;" + std::string(100000, 'x')));
+  CHECK_EQUAL(400, ReadChunked(Repeated(
+                       "1;" + std::string(1000, 'x') + "\r\nx\r\n", 1000)));
+}
+
 TEST_GROUP(BodyBudget) {
   BodyBudget budget{kBudget};
   TimePoint now{std::chrono::hours(1)};
