--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -195,7 +195,7 @@
 
 void BackendConnection::OnConnectionEnded(error_code cause) {
   if (cause == boost::asio::error::eof && this->head_reported &&
-      !this->skipping && this->MayEndCompleteResponse() &&
+      !this->skipping &&
       this->reader->FeedEof() == ResponseReader::Progress::kComplete) {
     this->must_close = true;
     this->FinishResponse();
@@ -204,12 +204,6 @@
   this->Fail(this->FailureKindOf(cause), cause.message());
 }
 
-bool BackendConnection::MayEndCompleteResponse() {
-  return !this->reader->head().IsSuccess() ||
-         (this->unwritten_bytes() == 0 &&
-          !HasUnacknowledgedBytes(this->socket));
-}
-
 error_code BackendConnection::EndCauseOf(error_code read_failure) const {
   // The socket reports an error once. A write that gets it leaves an end of
   // stream to the next read. After an orderly end, writes fail with EPIPE.
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -121,11 +121,6 @@
   void WatchIdle();
   void OnBytesRead(std::size_t count);
   void OnConnectionEnded(boost::system::error_code cause);
-  // Returns whether an orderly end may complete a response without a length. A
-  // server that reports success and ends the connection before it has taken the
-  // whole request breaks off both: it resets the connection once more of the
-  // request arrives. An error may come without reading the request.
-  [[nodiscard]] bool MayEndCompleteResponse();
   // Returns why the connection ended, of which the failure of a read may tell
   // only a part.
   [[nodiscard]] boost::system::error_code EndCauseOf(
--- a/src/proxy/socket_options.cc
+++ b/src/proxy/socket_options.cc
@@ -84,15 +84,12 @@
       ignored);
 }
 
-bool HasUnacknowledgedBytes(boost::asio::ip::tcp::socket& socket) {
-  int waiting_bytes = 0;
-  return ::ioctl(socket.native_handle(), SIOCOUTQ, &waiting_bytes) == 0 &&
-         waiting_bytes > 0;
-}
-
 bool UpdateUserTimeout(boost::asio::ip::tcp::socket& socket,
                        Duration user_timeout) {
-  const bool waits = HasUnacknowledgedBytes(socket);
+  int waiting_bytes = 0;
+  const bool waits =
+      ::ioctl(socket.native_handle(), SIOCOUTQ, &waiting_bytes) == 0 &&
+      waiting_bytes > 0;
   SetUserTimeout(socket,
                  waits && IsAcknowledging(socket) ? Duration{} : user_timeout);
   return waits;
--- a/src/proxy/socket_options.h
+++ b/src/proxy/socket_options.h
@@ -20,9 +20,6 @@
 // sent, and those that have arrived and are not read.
 void LimitKernelBuffers(boost::asio::ip::tcp::socket& socket);
 
-// Returns whether bytes that were written are not acknowledged yet.
-[[nodiscard]] bool HasUnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
-
 // Sets the user timeout of a connection on which bytes wait to be sent, or
 // turns it off while the other side acknowledges what it gets and just does not
 // read: the timeout would end such a connection, too. To be called periodically
