--- a/bench/virtual_engine.h
+++ b/bench/virtual_engine.h
@@ -23,6 +23,10 @@
   Duration token_time_per_stream = std::chrono::microseconds(500);
   double prefill_rate = 20000;  // Prompt tokens per second.
   int max_streams = 96;
+  // Maximum number of prompt tokens that one step processes (chunked prefill).
+  int max_step_prompt_tokens = 256;
+  // Prompts are processed in order of arrival; otherwise by priority.
+  bool prefills_in_order = false;
 };
 
 // The state of a stream after a step in which it got a token.
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -237,6 +237,8 @@
       return "paused";
     case CapacityLimit::kBrittle:
       return "brittle";
+    case CapacityLimit::kKept:
+      return "kept";
   }
   return "unknown";
 }
@@ -744,6 +746,9 @@
   if (query.required_software) {
     return CapacityLimit::kNone;
   }
+  if (this->LacksKeptRoom(query, candidate, load, now)) {
+    return CapacityLimit::kKept;
+  }
   const bool is_reserved = this->IsReserved(query, candidate.server->id);
   if (query.tolerates_pauses && !is_reserved &&
       load.gap_sensitive_streams >
@@ -768,6 +773,37 @@
                                            : CapacityLimit::kTooSlow;
 }
 
+bool Placer::LacksKeptRoom(const PlacementQuery& query,
+                           const Candidate& candidate, const ServerLoad& load,
+                           TimePoint now) const {
+  const KeptRoom& kept = query.kept_room;
+  const RegisteredServer& server = *candidate.server;
+  if (kept.slots > 0 &&
+      load.running + 1 > UsableSlots(server, query.tier) - kept.slots) {
+    return true;
+  }
+  if (kept.kv_tokens > 0 && query.service->kv_capacity_tokens > 0 &&
+      load.kv_tokens + query.prompt_tokens + query.expected_output_tokens +
+              kept.kv_tokens >
+          kMaxMemoryShare * query.service->kv_capacity_tokens) {
+    return true;
+  }
+  // One prompt at a time is always prefilled, however long it is.
+  if (!kept.urgent_start || load.prefill_tokens == 0) {
+    return false;
+  }
+  const Duration start =
+      this->LatencyModelOf(query.service->name,
+                           this->IsReserved(query, server.id))
+          .Predict(server.id,
+                   {.prefill_tokens = kTypicalPromptTokens,
+                    .prefill_tokens_ahead =
+                        load.prefill_tokens + candidate.inputs.prefill_tokens,
+                    .running = static_cast<double>(load.running + 1)},
+                   now);
+  return start > *kept.urgent_start;
+}
+
 CapacityLimit Placer::FindSlotLimit(const PlacementQuery& query,
                                     const Candidate& candidate,
                                     const ServerLoad& load,
@@ -1158,6 +1194,30 @@
   return std::max(shortest.value_or(none_left_delay), kMinDelay);
 }
 
+ServiceCapacity Placer::CapacityOf(const PlacementQuery& query,
+                                   TimePoint now) const {
+  ServiceCapacity capacity{.instances = this->instance_count};
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (!this->IsStaying(server, query.service->name)) {
+      continue;
+    }
+    SideCapacity& side =
+        this->IsReserved(query, id) ? capacity.reserved : capacity.unreserved;
+    ++side.engines;
+    side.slots += server.slots;
+    side.running += this->EstimateLoad(id, now).running;
+  }
+  for (const bool is_reserved : {false, true}) {
+    const auto duration =
+        this->mean_durations.find({query.service->name, is_reserved});
+    if (duration != this->mean_durations.end()) {
+      (is_reserved ? capacity.reserved : capacity.unreserved).mean_duration =
+          duration->second;
+    }
+  }
+  return capacity;
+}
+
 void Placer::Forget(const std::string& server) {
   this->server_health.Forget(server);
   this->server_reach.Forget(server);
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -9,9 +9,11 @@
 #include <string>
 #include <vector>
 
+#include "core/admission.h"
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
 #include "core/fleet_report.h"
+#include "core/kept_room.h"
 #include "core/latency_model.h"
 #include "core/load_ledger.h"
 #include "core/placement_queues.h"
@@ -54,6 +56,9 @@
   TimePoint affinity_wait_until;
   // The request must not take these engines.
   WithheldEngines withheld;
+  // What it has to leave free for others; nothing for services without
+  // admission control.
+  KeptRoom kept_room;
   // Another instance can place the request if servers are out of reach from
   // here.
   bool may_relay = false;
@@ -89,13 +94,14 @@
   kPaused,  // The server asked for a pause; see ServerAvailability.
   // The server could reject the request, and is brittle; see BrittleServers.
   kBrittle,
+  kKept,  // The rest is kept for more urgent requests; see KeptRoom.
 };
 
 // Returns the word that logs use.
 std::string_view ToString(CapacityLimit limit);
 
 // The number of servers at each limit, indexed by CapacityLimit.
-using CapacityLimitCounts = std::array<int, 10>;
+using CapacityLimitCounts = std::array<int, 11>;
 
 // A chosen server and the inputs of the decision.
 struct ServerChoice {
@@ -225,6 +231,10 @@
   // available.
   [[nodiscard]] Duration EstimateRetryDelay(const PlacementQuery& query,
                                             TimePoint now) const;
+  // Adds up the load of the servers that may get requests of the query's
+  // service.
+  [[nodiscard]] ServiceCapacity CapacityOf(const PlacementQuery& query,
+                                           TimePoint now) const;
   // Drops the recorded state of a server that restarted or is gone.
   void Forget(const std::string& server);
   // Sets the data centres that seem to be unreachable; their servers are
@@ -446,6 +456,11 @@
                                             const Candidate& candidate,
                                             const ServerLoad& load,
                                             TimePoint now) const;
+  // Returns whether the engine, with the request, has no room left beside what
+  // is kept.
+  [[nodiscard]] bool LacksKeptRoom(const PlacementQuery& query,
+                                   const Candidate& candidate,
+                                   const ServerLoad& load, TimePoint now) const;
   // Returns whether this instance may use one of the server's free slots.
   // `running` is the server's known load. All instances learn of a free slot
   // long before they learn that another one took it, so each uses it only with
