The data path asks admission control

Exchange passes each request that it got from a caller through an AdmissionGate: at arrival, before each placement, before it waits and when it is refused for lack of capacity. Relayed requests and streams that go on are not counted. The identity of a request with a prompt is a hash of customer, method, path and prompt parts; of others, also of the body.

No service is covered yet: AdmissionController::Cover is to be called where the fourth load figure is read, and AdmissionController::Covers has to return true for services with `scaling`.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -139,6 +139,8 @@
        {"servers_lacked", FormatLimitCounts(record.no_capacity_counts)},
        {"waiting_ahead", record.waiting_ahead},
        {"expected_wait_ms", ToLogMilliseconds(record.expected_wait)},
+       {"standing",
+        record.standing ? ToString(*record.standing) : std::string_view()},
        {"quarantined_suspect", record.quarantined_suspect == 0
                                    ? ""
                                    : FormatPartId(record.quarantined_suspect)},
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -175,7 +175,8 @@
       sink(sink),
       arrival(arrival),
       received_at(arrival),
-      configuration(context.configuration) {
+      configuration(context.configuration),
+      admission(context.admission, context.placer) {
   if (from_instance) {
     this->relayed_from.emplace();
   }
@@ -230,9 +231,35 @@
     return;
   }
   this->ChooseService();
+  this->EnterAdmission();
   this->Place();
 }
 
+void Exchange::EnterAdmission() {
+  // The instance that got the request from its caller has admitted it. A stream
+  // that goes on was admitted before.
+  if (this->relayed_from || this->ResumesStream()) {
+    return;
+  }
+  // Without the body, so that callers may change other parts of it.
+  const std::span<const PromptPart> parts = this->request_info.prompt_parts;
+  const std::uint64_t identity =
+      parts.empty()
+          ? this->suspects.request_hash
+          : RequestHash(
+                RequestHash(
+                    {.method = this->request.method,
+                     .target = this->request.target,
+                     .host = this->request.fields.Find("host").value_or(""),
+                     .caller = this->customer,
+                     .body = {}}),
+                parts);
+  this->admission.Arrive({.customer = IdHash(this->customer),
+                          .identity = identity,
+                          .time_limit = this->deadline - this->arrival},
+                         this->query, this->arrival);
+}
+
 bool Exchange::RequireStreamSoftware() {
   if (this->query.route->kind != RouteKind::kStream) {
     return true;
@@ -455,6 +482,7 @@
 
 std::optional<ServerChoice> Exchange::ChooseServer(TimePoint now,
                                                    NoChoiceReason& no_choice) {
+  this->admission.Prepare(this->query, now);
   this->query.may_relay =
       !this->relayed_from &&
       this->context.placer.reach().HasFailures(this->service_name) &&
@@ -478,11 +506,20 @@
 
 void Exchange::StartWaiting(WaitReason reason) {
   const TimePoint now = MonotonicNow();
-  const Duration max_wait =
+  Duration max_wait =
       FromSeconds(kMaxWaitFraction * ToSeconds(this->query.route->target));
   this->waiting_ahead = this->Queue().CountAhead(this->RequestUrgency());
   this->expected_wait = this->Queue().ExpectedWait(this->RequestUrgency(), now);
-  if (reason == WaitReason::kCapacity && this->expected_wait > max_wait) {
+  bool waits = this->expected_wait <= max_wait;
+  Duration order_delay{};
+  if (const std::optional<WaitDecision> decision =
+          this->admission.DecideWait(this->waiting_ahead, now)) {
+    waits = decision->waits || this->head_forwarded;
+    max_wait = decision->max_wait;
+    order_delay = decision->order_delay;
+    this->expected_wait = decision->expected;
+  }
+  if (reason == WaitReason::kCapacity && !waits) {
     this->GiveUpWithoutServer(NoChoiceReason::kHeldBack);
     return;
   }
@@ -499,7 +536,7 @@
   }
   this->waiting_id = this->context.next_request_id++;
   this->Queue().Add(*this->waiting_id, this->RequestUrgency(),
-                    this->wait_deadline, reason);
+                    this->wait_deadline + order_delay, reason);
   this->context.waiting_requests.emplace(*this->waiting_id, this);
 }
 
@@ -575,6 +612,7 @@
     return;
   }
   this->BeginAttempt(chosen, std::move(*acquired), now);
+  this->admission.Admit(now);
   this->context.placer.RecordSend(this->query, chosen, now);
   this->current.is_quarantine_trial =
       this->context.quarantine.RecordSend(this->suspects, now);
@@ -1493,6 +1531,14 @@
                          cause, {});
     return;
   }
+  if (cause == EndCause::kQueueFull && !min_delay) {
+    const std::optional<Duration> retry_after = this->admission.Refuse(
+        this->Queue().CountAhead(this->RequestUrgency()), MonotonicNow());
+    if (retry_after) {
+      this->RefuseUntil(cause, *retry_after);
+      return;
+    }
+  }
   if (!min_delay) {
     const TimePoint now = MonotonicNow();
     min_delay = this->query.service == nullptr
@@ -1505,8 +1551,12 @@
 void Exchange::RejectAsNotExecuted(EndCause cause, Duration min_delay) {
   // Jitter, so that callers rejected together do not retry together.
   std::uniform_real_distribution<double> jitter(1.0, 1.6);
-  this->retry_after =
-      FromSeconds(ToSeconds(min_delay) * jitter(this->context.random));
+  this->RefuseUntil(
+      cause, FromSeconds(ToSeconds(min_delay) * jitter(this->context.random)));
+}
+
+void Exchange::RefuseUntil(EndCause cause, Duration delay) {
+  this->retry_after = delay;
   this->RespondLocally(http_status::kUnavailable, cause, this->retry_after);
 }
 
@@ -1770,6 +1820,7 @@
        .no_capacity_counts = this->no_capacity_counts,
        .waiting_ahead = this->waiting_ahead,
        .expected_wait = this->expected_wait,
+       .standing = this->admission.standing(),
        .quarantined_suspect = this->quarantined_suspect,
        .configuration_version =
            this->configuration ? this->configuration->version : 0});
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/admission_gate.h"
 #include "proxy/backend_connection.h"
 #include "proxy/event_splitter.h"
 #include "proxy/message_writer.h"
@@ -175,6 +176,8 @@
   // Returns the route's service that has servers of this software.
   [[nodiscard]] std::string ServiceOf(std::uint64_t software,
                                       const std::string& default_service) const;
+  // Passes the arrived request to admission control.
+  void EnterAdmission();
   // Sends the request to a server, queues it or gives up.
   void Place();
   // Returns whether the instance shuts down and a server that gets the request
@@ -276,6 +279,8 @@
   // Responds that the request was not executed. Retry-After is `min_delay` plus
   // jitter.
   void RejectAsNotExecuted(EndCause cause, Duration min_delay);
+  // Responds the same with this Retry-After.
+  void RefuseUntil(EndCause cause, Duration delay);
   // Returns whether a response on the attempt's connection is certainly to it.
   [[nodiscard]] bool IsOwnResponse(const Attempt& attempt,
                                    const ResponseInfo& response_info) const;
@@ -357,6 +362,7 @@
   // How many servers had no capacity for the request, by reason, in the last
   // placement.
   CapacityLimitCounts no_capacity_counts{};
+  AdmissionGate admission;
   // See EndedRecord.
   int waiting_ahead = 0;
   Duration expected_wait{};
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/admission.h"
 #include "core/backend_directory.h"
 #include "core/fleet_retry_budget.h"
 #include "core/placement_queues.h"
@@ -55,6 +56,7 @@
   RequestDurations durations = {};
   // Requests that wait for capacity, and their exchanges by id.
   PlacementQueues placement_queues = {};
+  AdmissionController admission = AdmissionController{};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
   RequestId next_request_id = 1;
   // The instance is stopping; responses ask callers to close their connections.
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "core/actions.h"
+#include "core/admission.h"
 #include "core/placer.h"
 #include "core/types.h"
 #include "proxy/http_head.h"
@@ -139,6 +140,8 @@
   // waiting requests that came first, and the expected wait behind them.
   int waiting_ahead = 0;
   Duration expected_wait{};
+  // See AdmissionController; nullopt if admission control didn't apply.
+  std::optional<Standing> standing;
   // The suspect because of which the request was refused, see
   // RequestQuarantine; 0 if there is none.
   std::uint64_t quarantined_suspect = 0;
