Instances tell each other what they refused

A refused caller returns to any instance, and one instance of 91 gets so few requests of a customer that it can't tell who sends more than its share. Fleet reports now carry the promises made since the last one (at most 64, 16 bytes each), the number of refusals by tier and, while requests are refused, the recent arrivals by customer (at most 32, 24 bytes each). Nothing is sent for services that are not covered. An earlier release ignores the field and sends none. The metrics state arrivals and refusals by standing, and the awaited returns.

test_fleet_links (round trip of all fields), test_report_size and test_gateway pass.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -548,6 +548,7 @@
   limits.SetFleet(this->links.SendingPeers(), this->links.HearsAllPeers(), now);
   limits.Tick(now);
   this->placer.ExpireRateLimits(now);
+  this->context.admission.Expire(now);
   const auto format = [](std::optional<double> per_second) {
     return per_second ? fmt::format("{}", *per_second) : std::string("none");
   };
@@ -725,6 +726,7 @@
           .cached_parts = this->placer.caches().untold(),
           .unreachable_services = std::move(unreachable_services),
           .brittle_servers = this->placer.brittle_servers().Reports(false, now),
+          .admission = this->context.admission.Report(now),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -823,6 +825,7 @@
   this->placer.rate_limits().RecordReportSent();
   this->placer.brittle_servers().RecordReportSent();
   this->placer.caches().MarkTold();
+  this->context.admission.RecordReportSent();
 }
 
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
@@ -831,6 +834,8 @@
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
   this->placer.caches().Merge(report.cached_parts, now);
+  this->context.admission.ApplyReport(peer.identity.instance, report.admission,
+                                      now);
   this->quarantine.Merge(report.suspected_parts, now);
   if (report.software) {
     this->software_history.Merge(*report.software, now);
@@ -865,6 +870,7 @@
   this->relay_peers_updated_at = {};
   if (status != PeerStatus::kUp) {
     this->placer.RemovePeer(peer.identity.instance);
+    this->context.admission.RemovePeer(peer.identity.instance);
   }
   this->log.Write(
       status == PeerStatus::kUp ? LogEvent::kPeerUp : LogEvent::kPeerDown,
@@ -879,6 +885,25 @@
   return this->context.configuration ? this->context.configuration->version : 0;
 }
 
+std::string Gateway::AdmissionMetrics() const {
+  const AdmissionController& admission = this->context.admission;
+  std::string text = fmt::format(
+      "# TYPE rosemarycove_awaited_returns gauge\n"
+      "rosemarycove_awaited_returns {}\n",
+      admission.promise_count());
+  const auto add = [&text](const char* name,
+                           const std::map<Standing, std::uint64_t>& counts) {
+    text += fmt::format("# TYPE {} counter\n", name);
+    for (const auto& [standing, count] : counts) {
+      text += fmt::format("{}{{standing=\"{}\"}} {}\n", name,
+                          ToString(standing), count);
+    }
+  };
+  add("rosemarycove_admission_arrivals_total", admission.counts().arrivals);
+  add("rosemarycove_admission_refusals_total", admission.counts().refusals);
+  return text;
+}
+
 std::string Gateway::MetricsText() const {
   std::string text = this->metrics.ToPrometheus(
       MonotonicNow(), this->context.waiting_requests.size(),
@@ -930,6 +955,7 @@
   add("rosemarycove_suspect_records_sent_total", this->suspect_records_sent);
   add("rosemarycove_known_streams", this->stream_origins.size());
   add("rosemarycove_stream_origins_sent_total", this->stream_origins_sent);
+  text += this->AdmissionMetrics();
   add("rosemarycove_oldest_peer_report_ms",
       static_cast<std::uint64_t>(
           ToLogMilliseconds(this->placer.ledger().MaxPeerAge(MonotonicNow()))));
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -184,6 +184,8 @@
   // The version of the configuration in force; 0 if there is none.
   [[nodiscard]] std::uint64_t configuration_version() const;
   [[nodiscard]] std::string MetricsText() const;
+  // The part of MetricsText about admission control.
+  [[nodiscard]] std::string AdmissionMetrics() const;
 
   boost::asio::io_context& io;
   GatewayOptions options;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/admission_report.h"
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
 #include "core/load_ledger.h"
@@ -82,6 +83,7 @@
   // IdHash of the services that are out of the sender's reach.
   std::vector<std::uint64_t> unreachable_services;
   std::vector<BrittlenessReport> brittle_servers;
+  AdmissionReport admission;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -225,6 +225,73 @@
   return origins;
 }
 
+Offset<wire::Admission> EncodeAdmission(FlatBufferBuilder& builder,
+                                        const AdmissionReport& report) {
+  if (report.empty()) {
+    return {};
+  }
+  std::vector<wire::RefusedRequest> promises;
+  for (const AdmissionReport::Promise& promise : report.promises) {
+    promises.emplace_back(promise.identity, EncodeAge(promise.remaining));
+  }
+  std::vector<wire::CustomerDemand> demands;
+  for (const AdmissionReport::Demand& demand : report.demands) {
+    demands.emplace_back(demand.service_hash, demand.customer,
+                         static_cast<float>(demand.count),
+                         Saturate<std::uint16_t>(demand.tier));
+  }
+  std::vector<wire::RefusedTier> refusals;
+  for (const AdmissionReport::Refusal& refusal : report.refusals) {
+    refusals.emplace_back(refusal.service_hash,
+                          Saturate<std::uint32_t>(refusal.count),
+                          Saturate<std::uint16_t>(refusal.urgency.tier),
+                          Saturate<std::uint16_t>(refusal.urgency.route_tier),
+                          refusal.tolerates_pauses);
+  }
+  const auto promise_vector = builder.CreateVectorOfStructs(promises);
+  const auto demand_vector = builder.CreateVectorOfStructs(demands);
+  const auto refusal_vector = builder.CreateVectorOfStructs(refusals);
+  return wire::CreateAdmission(builder, promise_vector, demand_vector,
+                               refusal_vector);
+}
+
+AdmissionReport DecodeAdmission(const wire::Admission& frame) {
+  // Longer times and larger counts than any sender of a sound report has.
+  constexpr std::uint32_t kMaxRemainingMs = 600'000;
+  constexpr float kMaxDemand = 1e6F;
+  constexpr std::uint32_t kMaxRefusals = 1'000'000;
+  AdmissionReport report;
+  if (frame.promises() != nullptr) {
+    for (const wire::RefusedRequest* promise : *frame.promises()) {
+      report.promises.push_back(
+          {.identity = promise->request(),
+           .remaining = std::chrono::milliseconds(
+               std::min(promise->remaining_ms(), kMaxRemainingMs))});
+    }
+  }
+  if (frame.demands() != nullptr) {
+    for (const wire::CustomerDemand* demand : *frame.demands()) {
+      report.demands.push_back(
+          {.service_hash = demand->service(),
+           .tier = demand->tier(),
+           .customer = demand->customer(),
+           .count = DecodeNumber(demand->count(), kMaxDemand)});
+    }
+  }
+  if (frame.refusals() != nullptr) {
+    for (const wire::RefusedTier* refusal : *frame.refusals()) {
+      report.refusals.push_back(
+          {.service_hash = refusal->service(),
+           .tolerates_pauses = refusal->tolerates_pauses(),
+           .urgency = {.tier = refusal->tier(),
+                       .route_tier = refusal->route_tier()},
+           .count =
+               static_cast<int>(std::min(refusal->count(), kMaxRefusals))});
+    }
+  }
+  return report;
+}
+
 FleetReport DecodeReport(const wire::FleetReport& frame) {
   FleetReport report{
       .is_draining = frame.leaving(),
@@ -293,6 +360,9 @@
     report.unreachable_services.assign(frame.unreachable_services()->begin(),
                                        frame.unreachable_services()->end());
   }
+  if (frame.admission() != nullptr) {
+    report.admission = DecodeAdmission(*frame.admission());
+  }
   if (frame.neighbours() != nullptr) {
     for (const flatbuffers::String* address : *frame.neighbours()) {
       report.peer_addresses.push_back(ToString(address));
@@ -398,6 +468,7 @@
   if (!report.unreachable_services.empty()) {
     unreachable_services = builder.CreateVector(report.unreachable_services);
   }
+  const auto admission = EncodeAdmission(builder, report.admission);
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -407,7 +478,7 @@
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
       report.known_peer_count, unreachable_services, brittle_vector,
-      EncodeOptionalAge(report.configuration_age)));
+      EncodeOptionalAge(report.configuration_age), admission));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -43,6 +43,15 @@
 struct Document;
 struct DocumentBuilder;
 
+struct RefusedRequest;
+
+struct CustomerDemand;
+
+struct RefusedTier;
+
+struct Admission;
+struct AdmissionBuilder;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -310,6 +319,128 @@
 };
 FLATBUFFERS_STRUCT_END(SoftwareUse, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RefusedRequest FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint32_t remaining_ms_;
+  int32_t padding0__;
+
+ public:
+  RefusedRequest()
+      : request_(0),
+        remaining_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RefusedRequest(uint64_t _request, uint32_t _remaining_ms)
+      : request_(flatbuffers::EndianScalar(_request)),
+        remaining_ms_(flatbuffers::EndianScalar(_remaining_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint32_t remaining_ms() const {
+    return flatbuffers::EndianScalar(remaining_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RefusedRequest, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CustomerDemand FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint64_t customer_;
+  float count_;
+  uint16_t tier_;
+  int16_t padding0__;
+
+ public:
+  CustomerDemand()
+      : service_(0),
+        customer_(0),
+        count_(0),
+        tier_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  CustomerDemand(uint64_t _service, uint64_t _customer, float _count, uint16_t _tier)
+      : service_(flatbuffers::EndianScalar(_service)),
+        customer_(flatbuffers::EndianScalar(_customer)),
+        count_(flatbuffers::EndianScalar(_count)),
+        tier_(flatbuffers::EndianScalar(_tier)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint64_t customer() const {
+    return flatbuffers::EndianScalar(customer_);
+  }
+  float count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+  uint16_t tier() const {
+    return flatbuffers::EndianScalar(tier_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CustomerDemand, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RefusedTier FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint32_t count_;
+  uint16_t tier_;
+  uint16_t route_tier_;
+  uint8_t tolerates_pauses_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  RefusedTier()
+      : service_(0),
+        count_(0),
+        tier_(0),
+        route_tier_(0),
+        tolerates_pauses_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  RefusedTier(uint64_t _service, uint32_t _count, uint16_t _tier, uint16_t _route_tier, bool _tolerates_pauses)
+      : service_(flatbuffers::EndianScalar(_service)),
+        count_(flatbuffers::EndianScalar(_count)),
+        tier_(flatbuffers::EndianScalar(_tier)),
+        route_tier_(flatbuffers::EndianScalar(_route_tier)),
+        tolerates_pauses_(flatbuffers::EndianScalar(static_cast<uint8_t>(_tolerates_pauses))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+  uint16_t tier() const {
+    return flatbuffers::EndianScalar(tier_);
+  }
+  uint16_t route_tier() const {
+    return flatbuffers::EndianScalar(route_tier_);
+  }
+  bool tolerates_pauses() const {
+    return flatbuffers::EndianScalar(tolerates_pauses_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(RefusedTier, 24);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -705,6 +836,85 @@
       value__);
 }
 
+struct Admission FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdmissionBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROMISES = 4,
+    VT_DEMANDS = 6,
+    VT_REFUSALS = 8
+  };
+  const flatbuffers::Vector<const rosemarycove::wire::RefusedRequest *> *promises() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::RefusedRequest *> *>(VT_PROMISES);
+  }
+  const flatbuffers::Vector<const rosemarycove::wire::CustomerDemand *> *demands() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::CustomerDemand *> *>(VT_DEMANDS);
+  }
+  const flatbuffers::Vector<const rosemarycove::wire::RefusedTier *> *refusals() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::RefusedTier *> *>(VT_REFUSALS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PROMISES) &&
+           verifier.VerifyVector(promises()) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           VerifyOffset(verifier, VT_REFUSALS) &&
+           verifier.VerifyVector(refusals()) &&
+           verifier.EndTable();
+  }
+};
+
+struct AdmissionBuilder {
+  typedef Admission Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_promises(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::RefusedRequest *>> promises) {
+    fbb_.AddOffset(Admission::VT_PROMISES, promises);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::CustomerDemand *>> demands) {
+    fbb_.AddOffset(Admission::VT_DEMANDS, demands);
+  }
+  void add_refusals(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::RefusedTier *>> refusals) {
+    fbb_.AddOffset(Admission::VT_REFUSALS, refusals);
+  }
+  explicit AdmissionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Admission> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Admission>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Admission> CreateAdmission(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::RefusedRequest *>> promises = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::CustomerDemand *>> demands = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::RefusedTier *>> refusals = 0) {
+  AdmissionBuilder builder_(_fbb);
+  builder_.add_refusals(refusals);
+  builder_.add_demands(demands);
+  builder_.add_promises(promises);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Admission> CreateAdmissionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<rosemarycove::wire::RefusedRequest> *promises = nullptr,
+    const std::vector<rosemarycove::wire::CustomerDemand> *demands = nullptr,
+    const std::vector<rosemarycove::wire::RefusedTier> *refusals = nullptr) {
+  auto promises__ = promises ? _fbb.CreateVectorOfStructs<rosemarycove::wire::RefusedRequest>(*promises) : 0;
+  auto demands__ = demands ? _fbb.CreateVectorOfStructs<rosemarycove::wire::CustomerDemand>(*demands) : 0;
+  auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<rosemarycove::wire::RefusedTier>(*refusals) : 0;
+  return rosemarycove::wire::CreateAdmission(
+      _fbb,
+      promises__,
+      demands__,
+      refusals__);
+}
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -732,7 +942,8 @@
     VT_KNOWN_PEERS = 46,
     VT_UNREACHABLE_SERVICES = 48,
     VT_BRITTLE_SERVERS = 50,
-    VT_CONFIGURATION_AGE_MS = 52
+    VT_CONFIGURATION_AGE_MS = 52,
+    VT_ADMISSION = 54
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -809,6 +1020,9 @@
   uint32_t configuration_age_ms() const {
     return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 0);
   }
+  const rosemarycove::wire::Admission *admission() const {
+    return GetPointer<const rosemarycove::wire::Admission *>(VT_ADMISSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -853,6 +1067,8 @@
            VerifyOffset(verifier, VT_BRITTLE_SERVERS) &&
            verifier.VerifyVector(brittle_servers()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_ADMISSION) &&
+           verifier.VerifyTable(admission()) &&
            verifier.EndTable();
   }
 };
@@ -936,6 +1152,9 @@
   void add_configuration_age_ms(uint32_t configuration_age_ms) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 0);
   }
+  void add_admission(flatbuffers::Offset<rosemarycove::wire::Admission> admission) {
+    fbb_.AddOffset(FleetReport::VT_ADMISSION, admission);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -973,7 +1192,8 @@
     uint32_t known_peers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -981,6 +1201,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_admission(admission);
   builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_brittle_servers(brittle_servers);
   builder_.add_unreachable_services(unreachable_services);
@@ -1029,7 +1250,8 @@
     uint32_t known_peers = 0,
     const std::vector<uint64_t> *unreachable_services = nullptr,
     const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1066,7 +1288,8 @@
       known_peers,
       unreachable_services__,
       brittle_servers__,
-      configuration_age_ms);
+      configuration_age_ms,
+      admission);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -136,6 +136,16 @@
                            .rejected = 2,
                            .room = 9},
                           {.server_hash = 25}},
+      .admission = {.promises = {{.identity = 26,
+                                  .remaining = std::chrono::milliseconds(450)}},
+                    .demands = {{.service_hash = 27,
+                                 .tier = 1,
+                                 .customer = 28,
+                                 .count = 2.5}},
+                    .refusals = {{.service_hash = 27,
+                                  .tolerates_pauses = true,
+                                  .urgency = {.tier = 1, .route_tier = 2},
+                                  .count = 3}}},
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -167,6 +177,18 @@
   CHECK(decoded.cached_parts == report.cached_parts);
   CHECK_EQUAL(report.known_peer_count, decoded.known_peer_count);
   CHECK(decoded.unreachable_services == report.unreachable_services);
+  const AdmissionReport& admission = decoded.admission;
+  CHECK_EQUAL(26U, admission.promises.at(0).identity);
+  CHECK(admission.promises.at(0).remaining == std::chrono::milliseconds(450));
+  CHECK_EQUAL(27U, admission.demands.at(0).service_hash);
+  CHECK_EQUAL(1, admission.demands.at(0).tier);
+  CHECK_EQUAL(28U, admission.demands.at(0).customer);
+  DOUBLES_EQUAL(2.5, admission.demands.at(0).count, 1e-6);
+  CHECK_EQUAL(27U, admission.refusals.at(0).service_hash);
+  CHECK(admission.refusals.at(0).tolerates_pauses);
+  CHECK(admission.refusals.at(0).urgency ==
+        (Urgency{.tier = 1, .route_tier = 2}));
+  CHECK_EQUAL(3, admission.refusals.at(0).count);
   const BrittlenessReport& brittle = decoded.brittle_servers.at(0);
   CHECK_EQUAL(24U, brittle.server_hash);
   CHECK_EQUAL(0, *brittle.tolerated);
