--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/admission_report.h"
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
 #include "core/engine_demand.h"
@@ -88,6 +89,7 @@
   // or runs a release that has none; later, by the holder of the duties and the
   // candidates to all, and by all to these.
   std::optional<DutyState> duties;
+  AdmissionReport admission;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/admission.h"
 #include "core/backend_directory.h"
 #include "core/capacity_demand.h"
 #include "core/fleet_retry_budget.h"
@@ -59,6 +60,7 @@
   CapacityDemand demand = {};
   // Requests that wait for capacity, and their exchanges by id.
   PlacementQueues placement_queues = {};
+  AdmissionController admission = AdmissionController{};
   std::unordered_map<RequestId, Exchange*> waiting_requests = {};
   RequestId next_request_id = 1;
   // The instance is stopping; responses ask callers to close their connections.
