Learn and use the speed of each engine

Cause: engines run at 0.7 or 1.7 of the nominal speed, and other workloads slow them for moments. All were taken for alike but for a factor that is forgotten in 4 s, while an instance of a large fleet gets a response of an engine every 14 s. Urgent streams on slow engines were late, mostly by a gap during a prefill.

Change: the fourth figure of an engine's load is decoded (malformed: 5018, the last good value holds). EngineSpeed learns a slowdown per engine from times to the first event and from gaps, times a momentary factor that decays with the age of the figure; instances tell each other samples of engines that are not well known. Predicted times, the cost of pauses, the partition (slow engines are reserved for long prompts first) and affinity servers (weighted rendezvous hashing) use it. Services whose engines don't state the figure are placed as before.

--- a/bench/virtual_engine.cc
+++ b/bench/virtual_engine.cc
@@ -3,13 +3,6 @@
 #include <algorithm>
 
 namespace rosemarycove::bench {
-namespace {
-
-// Maximum number of prompt tokens that one step processes (chunked prefill).
-constexpr int kMaxStepPromptTokens = 256;
-
-}  // namespace
-
 VirtualEngine::VirtualEngine(VirtualEngineOptions options) : options(options) {}
 
 void VirtualEngine::AddStream(StreamId id, int prompt_tokens, int answer_tokens,
@@ -84,7 +77,8 @@
   for (const auto& [key, stream] : this->streams) {
     prompt_tokens += stream.remaining_prompt_tokens;
   }
-  this->step_prompt_tokens = std::min(prompt_tokens, kMaxStepPromptTokens);
+  this->step_prompt_tokens =
+      std::min(prompt_tokens, this->options.max_step_prompt_tokens);
   const double seconds =
       ToSeconds(this->options.token_time_base) +
       this->running() * ToSeconds(this->options.token_time_per_stream) +
--- a/bench/virtual_engine.h
+++ b/bench/virtual_engine.h
@@ -23,6 +23,9 @@
   Duration token_time_per_stream = std::chrono::microseconds(500);
   double prefill_rate = 20000;  // Prompt tokens per second.
   int max_streams = 96;
+  // Prompt tokens that one step processes at most (chunked prefill). No stream
+  // gets a token meanwhile.
+  int max_step_prompt_tokens = 256;
 };
 
 // The state of a stream after a step in which it got a token.
--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -59,6 +59,8 @@
     {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
     {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kServerSlowdownUnreadable, "server_slowdown_unreadable",
+     LogLevel::kWarning},
 };
 
 // Capacity of the queue, in lines.
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -62,6 +62,7 @@
   kServiceReach = 5015,
   kServerBrittle = 5016,
   kServerBrittleUnreadable = 5017,
+  kServerSlowdownUnreadable = 5018,
 };
 
 // Severity of an event.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -725,6 +725,7 @@
           .cached_parts = this->placer.caches().untold(),
           .unreachable_services = std::move(unreachable_services),
           .brittle_servers = this->placer.brittle_servers().Reports(false, now),
+          .speed_samples = this->placer.engine_speed().Untold(),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -823,6 +824,7 @@
   this->placer.rate_limits().RecordReportSent();
   this->placer.brittle_servers().RecordReportSent();
   this->placer.caches().MarkTold();
+  this->placer.engine_speed().MarkTold();
 }
 
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
@@ -831,6 +833,7 @@
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
   this->placer.caches().Merge(report.cached_parts, now);
+  this->placer.engine_speed().Merge(report.speed_samples, now);
   this->quarantine.Merge(report.suspected_parts, now);
   if (report.software) {
     this->software_history.Merge(*report.software, now);
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -198,4 +198,12 @@
                    {"text", record.text}});
 }
 
+void GatewayObserver::OnUnreadableSlowdown(
+    const UnreadableSlowdownRecord& record) {
+  this->log.Write(LogEvent::kServerSlowdownUnreadable,
+                  {{"request", record.request_id},
+                   {"server", record.server},
+                   {"text", record.text}});
+}
+
 }  // namespace rosemarycove
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -37,6 +37,7 @@
   void OnUnreadablePause(const UnreadablePauseRecord& record) override;
   void OnUnreadableBrittleness(
       const UnreadableBrittlenessRecord& record) override;
+  void OnUnreadableSlowdown(const UnreadableSlowdownRecord& record) override;
 
   [[nodiscard]] const RequestCounts& counts() const {
     return this->request_counts;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -8,6 +8,7 @@
 
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
+#include "core/engine_speed.h"
 #include "core/load_ledger.h"
 #include "core/prompt_cache_map.h"
 #include "core/request_quarantine.h"
@@ -82,6 +83,8 @@
   // IdHash of the services that are out of the sender's reach.
   std::vector<std::uint64_t> unreachable_services;
   std::vector<BrittlenessReport> brittle_servers;
+  // What the sender learned of the speeds of engines and has not told yet.
+  std::vector<SpeedSample> speed_samples;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/core/latency_model.cc
+++ b/src/core/latency_model.cc
@@ -29,6 +29,11 @@
 // A response beyond this many times its prediction updates only the factor of
 // its server, not the coefficients of the service.
 constexpr double kOutlierRatio = 4;
+// Weight of one response in the spread, the exponent of the cost of lateness
+// (see Placer), and the upper bound of one response.
+constexpr double kSpreadWeight = 0.01;
+constexpr double kCostExponent = 4;
+constexpr double kMaxCostSpread = 40;
 // Lower bound of a prediction, since observed times are divided by it.
 constexpr double kMinPredictionMilliseconds = 1;
 // Prefill tokens are counted in thousands, so that the features are of similar
@@ -76,7 +81,10 @@
     return;
   }
   // The coefficients are fitted to the time without the server's own slowdown.
-  const double target = observed / std::max(1.0, factor);
+  this->FitCoefficients(features, observed / std::max(1.0, factor));
+}
+
+void LatencyModel::FitCoefficients(const Vector& features, double target) {
   Vector gain{};
   double denominator = kForgettingFactor;
   for (int i = 0; i < kTerms; ++i) {
@@ -104,6 +112,25 @@
   }
 }
 
+Duration LatencyModel::PredictUsual(const LatencyInputs& inputs) const {
+  return FromSeconds(this->BaseMilliseconds(Features(inputs)) /
+                     kMillisecondsPerSecond);
+}
+
+void LatencyModel::Fit(const LatencyInputs& inputs, Duration observed,
+                       double slowdown) {
+  const Vector features = Features(inputs);
+  const double target = ToMilliseconds(observed) / slowdown;
+  const double ratio = target / this->BaseMilliseconds(features);
+  this->cost_spread +=
+      kSpreadWeight *
+      (std::clamp(std::pow(ratio, kCostExponent), 0.0, kMaxCostSpread) -
+       this->cost_spread);
+  if (ratio <= kOutlierRatio) {
+    this->FitCoefficients(features, target);
+  }
+}
+
 void LatencyModel::ObserveSilence(const std::string& server,
                                   const LatencyInputs& inputs, Duration silence,
                                   TimePoint now) {
--- a/src/core/latency_model.h
+++ b/src/core/latency_model.h
@@ -42,6 +42,18 @@
   // lower bound of the time to the first event.
   void ObserveSilence(const std::string& server, const LatencyInputs& inputs,
                       Duration silence, TimePoint now);
+  // The same for services whose servers' slowdowns are known from elsewhere
+  // (see EngineSpeed); they use these functions instead of the ones above.
+  //
+  // Predicts the time at a server of usual speed.
+  [[nodiscard]] Duration PredictUsual(const LatencyInputs& inputs) const;
+  // Updates the model from one response of a server with this slowdown.
+  void Fit(const LatencyInputs& inputs, Duration observed, double slowdown);
+  // Returns the mean of the fourth power of observed times relative to
+  // predicted ones: how much higher than the cost of the predicted time the
+  // expected cost is, if the cost grows with the fourth power of the time.
+  [[nodiscard]] double CostSpread() const { return this->cost_spread; }
+
   // Drops the factor of a server that restarted or is gone.
   void Forget(const std::string& server);
 
@@ -64,6 +76,8 @@
   // Returns the base prediction for the service, without the factor of a
   // server, in milliseconds.
   [[nodiscard]] double BaseMilliseconds(const Vector& features) const;
+  // Moves the coefficients towards a time in milliseconds.
+  void FitCoefficients(const Vector& features, double target);
   // Moves a server's factor one step towards the observed one; returns it.
   double UpdateSlowdown(const std::string& server, double observed,
                         TimePoint now);
@@ -71,6 +85,7 @@
   Vector coefficients;
   std::array<Vector, kTerms> covariance{};
   std::unordered_map<std::string, Factor> slowdown_by_server;
+  double cost_spread = 1;
 };
 
 }  // namespace rosemarycove
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstddef>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace rosemarycove {
@@ -62,6 +63,12 @@
 // Minimum change of the reserved share; each change moves prompts away from the
 // engines where they are cached.
 constexpr double kReservedShareStep = 0.12;
+// The same where engines are weighed: their order is stable, so a change moves
+// few engines.
+constexpr double kWeighedShareStep = 0.08;
+// There, the part of the share of pause-tolerant work that is reserved. Their
+// targets are longer, so their engines can be used more fully.
+constexpr double kReservedPartOfWork = 0.9;
 // Seeds the order in which engines are reserved; the same at every instance.
 constexpr std::uint64_t kPartitionSeed = 0x51DE;
 // Delay for each request that a server runs beyond its slots, as a fraction of
@@ -101,6 +108,24 @@
 // request's work, as a share of the target. In an overload, reading them again
 // takes the capacity of several requests.
 constexpr double kSlackToReadAgain = 1.2;
+// For an engine at usual speed with all slots in use, so that fast engines get
+// more of the load than slow ones.
+constexpr double kEngineLoadCost = 0.1;
+// A prefill of at least this many tokens counts as long if engines are weighed.
+// Prompts that lack little of kLongPromptTokens, or that are half cached, pause
+// the streams of a slow engine for longer than a typical gap target.
+constexpr int kLongPrefillTokens = 4000;
+// A prefill that takes this long costs kPausedStreamCost for each stream that
+// it pauses; a shorter one costs less.
+constexpr Duration kCostlyPause = std::chrono::milliseconds(100);
+// Weights of a stream's gaps and of a time to the first event for the speed of
+// an engine. A stream has many gaps, and its first event also waits for others.
+constexpr double kGapsWeight = 3;
+constexpr double kFirstEventWeight = 1;
+// An engine counts as fast above this speed, relative to the usual one, and
+// until it falls below the other.
+constexpr double kFastSpeed = 1.15;
+constexpr double kNoLongerFastSpeed = 1.05;
 // Minimum share of a request's work that its affinity server must save for the
 // request to wait for it.
 constexpr double kMinSavedShareToWait = 0.1;
@@ -169,6 +194,22 @@
                    server) != query.tried_servers.end();
 }
 
+// Returns the servers with the highest scores, as many as have a rank.
+template <typename Score>
+std::vector<const RegisteredServer*> FirstRanked(
+    std::vector<std::pair<Score, const RegisteredServer*>>& ranked) {
+  const std::size_t count =
+      std::min(kRecomputeCostByRank.size(), ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), std::greater<>());
+  std::vector<const RegisteredServer*> servers;
+  for (std::size_t i = 0; i < count; ++i) {
+    servers.push_back(ranked[i].second);
+  }
+  return servers;
+}
+
 bool IsGapSensitive(const Route& route) {
   return route.gap_target && *route.gap_target <= kMaxSensitiveGap;
 }
@@ -416,7 +457,9 @@
                    (all.pause_tolerant_work + all.other_work);
 }
 
-void Placer::UpdatePartition(const std::string& service, TimePoint now) {
+void Placer::UpdatePartition(const RoutedService& routed_service,
+                             TimePoint now) {
+  const std::string& service = routed_service.name;
   EnginePartition& partition = this->engine_partitions[service];
   const double tolerant_share =
       this->is_partition_leader ? this->PauseTolerantShare(service, now) : 0;
@@ -424,11 +467,17 @@
       tolerant_share <= 0
           ? 0
           : std::clamp(tolerant_share, kMinReservedShare, kMaxReservedShare);
+  const double step = this->WeighsEngines(routed_service) ? kWeighedShareStep
+                                                          : kReservedShareStep;
   if (this->is_partition_leader &&
       partition.requests_seen * this->instance_count >= kMinRequestsSeen &&
-      std::abs(wanted - partition.reserved_share) >= kReservedShareStep) {
+      std::abs(wanted - partition.reserved_share) >= step) {
     this->SetReservedShare(service, wanted);
   }
+  if (this->WeighsEngines(routed_service)) {
+    this->ReserveBySpeed(service, partition);
+    return;
+  }
   std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
     if (this->IsStaying(server, service)) {
@@ -448,6 +497,87 @@
   }
 }
 
+void Placer::ReserveBySpeed(const std::string& service,
+                            EnginePartition& partition) {
+  // Slow engines first: short targets need fast ones.
+  struct Ranked {
+    bool is_fast = false;
+    std::uint64_t score = 0;
+    const std::string* id = nullptr;
+    bool operator<(const Ranked& other) const {
+      return std::tie(this->is_fast, this->score) <
+             std::tie(other.is_fast, other.score);
+    }
+  };
+  std::map<std::string, std::vector<Ranked>> ranked_by_centre;
+  std::array<double, 2> sums{};
+  std::array<int, 2> counts{};
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (!this->IsStaying(server, service)) {
+      continue;
+    }
+    const double speed = 1 / this->speeds.UsualSlowdown(id);
+    if (speed > kFastSpeed) {
+      partition.fast_servers.insert(id);
+    } else if (speed < kNoLongerFastSpeed) {
+      partition.fast_servers.erase(id);
+    }
+    const bool is_fast = partition.fast_servers.contains(id);
+    sums[is_fast ? 1 : 0] += speed;
+    ++counts[is_fast ? 1 : 0];
+    ranked_by_centre[server.data_centre].push_back(
+        {is_fast, RendezvousScore(kPartitionSeed, id), &id});
+  }
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    partition.typical_speeds[i] = counts[i] > 0 ? sums[i] / counts[i] : 1;
+  }
+  partition.reserved_servers.clear();
+  const double share = kReservedPartOfWork * partition.reserved_share;
+  const auto reserve = [&](std::vector<Ranked>& ranked) {
+    if (static_cast<int>(ranked.size()) < kMinEnginesToPartition) {
+      return;
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const auto speed_of = [&](const Ranked& engine) {
+      return partition.typical_speeds[engine.is_fast ? 1 : 0];
+    };
+    double total = 0;
+    for (const Ranked& engine : ranked) {
+      total += speed_of(engine);
+    }
+    double sum = 0;
+    for (const Ranked& engine : ranked) {
+      sum += speed_of(engine);
+      if (sum - speed_of(engine) / 2 > share * total) {
+        return;
+      }
+      partition.reserved_servers.insert(*engine.id);
+    }
+  };
+  // Of each data centre that is large enough, the same share is reserved, so
+  // that all requests have engines at home.
+  std::vector<Ranked> others;
+  for (auto& [centre, ranked] : ranked_by_centre) {
+    if (static_cast<int>(ranked.size()) >= kMinEnginesToPartition) {
+      reserve(ranked);
+    } else {
+      others.insert(others.end(), ranked.begin(), ranked.end());
+    }
+  }
+  reserve(others);
+}
+
+double Placer::TypicalSpeed(const PlacementQuery& query,
+                            const std::string& server) const {
+  const auto found = this->engine_partitions.find(query.service->name);
+  if (found == this->engine_partitions.end()) {
+    return 1;
+  }
+  const EnginePartition& partition = found->second;
+  return partition
+      .typical_speeds[partition.fast_servers.contains(server) ? 1 : 0];
+}
+
 void Placer::SetReservedShare(const std::string& service, double share) {
   EnginePartition& partition = this->engine_partitions[service];
   if (share == partition.reserved_share) {
@@ -475,7 +605,7 @@
   partition.work.DecayTo(now);
   (query.tolerates_pauses ? partition.work.pause_tolerant_work
                           : partition.work.other_work) += work;
-  this->UpdatePartition(query.service->name, now);
+  this->UpdatePartition(*query.service, now);
 }
 
 std::vector<ServicePartition> Placer::Partitions(TimePoint now) const {
@@ -521,24 +651,25 @@
     return {};
   }
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
+  const bool weighs_engines = this->WeighsEngines(*query.service);
+  std::vector<std::pair<double, const RegisteredServer*>> weighted;
   std::vector<std::pair<std::uint64_t, const RegisteredServer*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
     if (Accepts(server, query) &&
         this->IsStaying(server, query.service->name) &&
         this->IsReserved(query, id) == query.tolerates_pauses) {
+      if (weighs_engines) {
+        // Weighted rendezvous hashing: the share of the parts is in proportion
+        // to the speed.
+        weighted.emplace_back(
+            std::log(UnitScore(part, id)) / this->TypicalSpeed(query, id),
+            &server);
+        continue;
+      }
       ranked.emplace_back(RendezvousScore(part, id), &server);
     }
   }
-  const std::size_t count =
-      std::min(kRecomputeCostByRank.size(), ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end(), std::greater<>());
-  std::vector<const RegisteredServer*> servers;
-  for (std::size_t i = 0; i < count; ++i) {
-    servers.push_back(ranked[i].second);
-  }
-  return servers;
+  return weighs_engines ? FirstRanked(weighted) : FirstRanked(ranked);
 }
 
 bool Placer::IsStaying(const RegisteredServer& server,
@@ -603,8 +734,7 @@
 void Placer::Evaluate(const PlacementQuery& query, Candidate& candidate,
                       TimePoint now) const {
   const RegisteredServer& server = *candidate.server;
-  const LatencyModel& latency_model = this->LatencyModelOf(
-      query.service->name, this->IsReserved(query, server.id));
+  const bool weighs_engines = this->WeighsEngines(*query.service);
   const int shared = SharedTokens(query);
   candidate.cached_tokens = std::min(
       shared,
@@ -617,14 +747,21 @@
                           static_cast<double>(candidate.load.prefill_tokens),
                       .running = static_cast<double>(
                           std::min(candidate.load.running, server.slots))};
-  candidate.predicted = latency_model.Predict(server.id, candidate.inputs, now);
+  candidate.predicted =
+      this->PredictFirstEvent(query, server.id, candidate.inputs, now);
   double predicted_ms = ToMilliseconds(candidate.predicted);
   const double queued = std::max(0, candidate.load.running + 1 - server.slots);
   predicted_ms *= 1 + kQueuedRequestDelay * queued;
   candidate.predicted = FromSeconds(predicted_ms / kMillisecondsPerSecond);
   const double aim_ms = kAimedTargetShare * ToMilliseconds(query.route->target);
-  double cost = std::min(kMaxLatenessCost,
-                         std::pow(predicted_ms / aim_ms, kLatenessExponent));
+  const double spread =
+      weighs_engines ? this->LatencyModelOf(query.service->name,
+                                            this->IsReserved(query, server.id))
+                           .CostSpread()
+                     : 1;
+  double cost =
+      std::min(kMaxLatenessCost,
+               spread * std::pow(predicted_ms / aim_ms, kLatenessExponent));
   if (shared > 0) {
     const double rank_share =
         candidate.affinity_rank ? kRecomputeCostByRank[*candidate.affinity_rank]
@@ -645,7 +782,9 @@
   if (this->suspected_centres.contains(server.data_centre)) {
     cost += kRiskyServerCost;
   }
-  if (prefill_tokens >= kLongPromptTokens) {
+  if (weighs_engines) {
+    cost += this->EngineCost(query, candidate, now);
+  } else if (prefill_tokens >= kLongPromptTokens) {
     cost += kPausedStreamCost * candidate.load.gap_sensitive_streams;
   }
   if (IsGapSensitive(*query.route)) {
@@ -663,6 +802,49 @@
   candidate.limit = this->FindCapacityLimit(query, candidate, now);
 }
 
+Duration Placer::PredictFirstEvent(const PlacementQuery& query,
+                                   const std::string& server,
+                                   const LatencyInputs& inputs,
+                                   TimePoint now) const {
+  const LatencyModel& model = this->LatencyModelOf(
+      query.service->name, this->IsReserved(query, server));
+  return this->WeighsEngines(*query.service)
+             ? FromSeconds(ToSeconds(model.PredictUsual(inputs)) *
+                           this->speeds.Slowdown(server, now))
+             : model.Predict(server, inputs, now);
+}
+
+double Placer::EngineCost(const PlacementQuery& query,
+                          const Candidate& candidate, TimePoint now) const {
+  const RegisteredServer& server = *candidate.server;
+  const bool is_reserved = this->IsReserved(query, server.id);
+  const double slowdown = this->speeds.Slowdown(server.id, now);
+  double cost = kEngineLoadCost * this->speeds.UsualSlowdown(server.id) *
+                (candidate.load.running + 1) / std::max(1, server.slots);
+  const LatencyModel& model =
+      this->LatencyModelOf(query.service->name, is_reserved);
+  const Duration prefill =
+      model.PredictUsual({.prefill_tokens = candidate.inputs.prefill_tokens}) -
+      model.PredictUsual({});
+  cost +=
+      kPausedStreamCost * candidate.load.gap_sensitive_streams *
+      std::min(1.0, slowdown * ToSeconds(prefill) / ToSeconds(kCostlyPause));
+  const auto pace = this->stream_paces.find({query.service->name, is_reserved});
+  if (query.route->gap_target && pace != this->stream_paces.end()) {
+    const Duration longest = pace->second.PredictLongest(
+        {.prefill_tokens_ahead =
+             static_cast<double>(candidate.load.long_prefill_tokens),
+         .running = candidate.inputs.running});
+    const double relative =
+        slowdown * ToSeconds(longest) /
+        (kAimedTargetShare * ToSeconds(*query.route->gap_target));
+    cost +=
+        std::min(kMaxLatenessCost, pace->second.CostSpread() *
+                                       std::pow(relative, kLatenessExponent));
+  }
+  return cost;
+}
+
 bool Placer::HasRateFor(const RegisteredServer& server, int tier,
                         TimePoint now) const {
   return this->limits.empty() ||
@@ -757,13 +939,11 @@
   }
   // Typical requests that run on the server or arrive next must stay on time
   // when this one is added.
-  const LatencyModel& latency_model =
-      this->LatencyModelOf(query.service->name, is_reserved);
-  const Duration typical =
-      latency_model.Predict(candidate.server->id,
-                            {.prefill_tokens = kTypicalPromptTokens,
-                             .running = static_cast<double>(load.running + 1)},
-                            now);
+  const Duration typical = this->PredictFirstEvent(
+      query, candidate.server->id,
+      {.prefill_tokens = kTypicalPromptTokens,
+       .running = static_cast<double>(load.running + 1)},
+      now);
   return typical <= *query.shortest_target ? CapacityLimit::kNone
                                            : CapacityLimit::kTooSlow;
 }
@@ -1022,13 +1202,17 @@
       .candidate_count = 1};
 }
 
-ServerLoad Placer::AddedLoad(const PlacementQuery& query, int prefill_tokens) {
-  return {.running = 1,
-          .prefill_tokens = prefill_tokens,
-          .kv_tokens = query.prompt_tokens + query.expected_output_tokens,
-          .long_prefill_tokens =
-              prefill_tokens >= kLongPromptTokens ? prefill_tokens : 0,
-          .gap_sensitive_streams = IsGapSensitive(*query.route) ? 1 : 0};
+ServerLoad Placer::AddedLoad(const PlacementQuery& query,
+                             int prefill_tokens) const {
+  const int long_tokens = this->WeighsEngines(*query.service)
+                              ? kLongPrefillTokens
+                              : kLongPromptTokens;
+  return {
+      .running = 1,
+      .prefill_tokens = prefill_tokens,
+      .kv_tokens = query.prompt_tokens + query.expected_output_tokens,
+      .long_prefill_tokens = prefill_tokens >= long_tokens ? prefill_tokens : 0,
+      .gap_sensitive_streams = IsGapSensitive(*query.route) ? 1 : 0};
 }
 
 void Placer::RecordSend(const PlacementQuery& query, const ServerChoice& choice,
@@ -1066,8 +1250,42 @@
   this->load_ledger.Subtract(choice.server.id, prefilled);
   choice.added_load.prefill_tokens = 0;
   choice.added_load.long_prefill_tokens = 0;
-  this->latency_models[{query.service->name, choice.is_reserved}].Observe(
-      choice.server.id, choice.latency_inputs, elapsed, now);
+  LatencyModel& model =
+      this->latency_models[{query.service->name, choice.is_reserved}];
+  if (!this->WeighsEngines(*query.service)) {
+    model.Observe(choice.server.id, choice.latency_inputs, elapsed, now);
+    return;
+  }
+  this->speeds.Observe(
+      choice.server.id,
+      ToSeconds(elapsed) / ToSeconds(model.PredictUsual(choice.latency_inputs)),
+      kFirstEventWeight, now);
+  model.Fit(choice.latency_inputs, elapsed,
+            this->speeds.Slowdown(choice.server.id, now));
+}
+
+void Placer::RecordGaps(const PlacementQuery& query, const ServerChoice& choice,
+                        const StreamGaps& gaps, TimePoint now) {
+  if (!this->WeighsEngines(*query.service)) {
+    return;
+  }
+  // The load at the beginning and at the end stands for that of the time
+  // between.
+  const int running = (choice.load.running + 1 +
+                       this->EstimateLoad(choice.server.id, now).running) /
+                      2;
+  const LatencyInputs inputs{
+      .prefill_tokens_ahead =
+          static_cast<double>(choice.load.long_prefill_tokens),
+      .running = static_cast<double>(std::min(running, choice.server.slots))};
+  StreamPace& pace =
+      this->stream_paces[{query.service->name, choice.is_reserved}];
+  // The first stream only gives the usual pace.
+  if (!pace.empty()) {
+    this->speeds.Observe(choice.server.id, pace.RatioOf(inputs, gaps),
+                         kGapsWeight, now);
+  }
+  pace.Fit(inputs, gaps, this->speeds.UsualSlowdown(choice.server.id));
 }
 
 void Placer::RecordEnd(const ServerChoice& choice, Duration elapsed) {
@@ -1117,8 +1335,16 @@
 void Placer::ObserveSilence(const PlacementQuery& query,
                             const ServerChoice& choice, Duration silence,
                             TimePoint now) {
-  this->latency_models[{query.service->name, choice.is_reserved}]
-      .ObserveSilence(choice.server.id, choice.latency_inputs, silence, now);
+  LatencyModel& model =
+      this->latency_models[{query.service->name, choice.is_reserved}];
+  if (!this->WeighsEngines(*query.service)) {
+    model.ObserveSilence(choice.server.id, choice.latency_inputs, silence, now);
+    return;
+  }
+  this->speeds.ObserveSilence(
+      choice.server.id,
+      ToSeconds(silence) / ToSeconds(model.PredictUsual(choice.latency_inputs)),
+      now);
 }
 
 Duration Placer::EstimateRetryDelay(const PlacementQuery& query,
@@ -1163,6 +1389,7 @@
   this->server_reach.Forget(server);
   this->reported_loads.erase(server);
   this->recently_sent.erase(server);
+  this->speeds.Forget(server);
   for (auto& [key, model] : this->latency_models) {
     model.Forget(server);
   }
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -11,6 +11,7 @@
 
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
+#include "core/engine_speed.h"
 #include "core/fleet_report.h"
 #include "core/latency_model.h"
 #include "core/load_ledger.h"
@@ -22,6 +23,7 @@
 #include "core/server_rate_limits.h"
 #include "core/server_reach.h"
 #include "core/software_history.h"
+#include "core/stream_pace.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -221,6 +223,21 @@
   void ObserveSilence(const PlacementQuery& query, const ServerChoice& choice,
                       Duration silence, TimePoint now);
 
+  // Records the pauses of a stream that had several events.
+  void RecordGaps(const PlacementQuery& query, const ServerChoice& choice,
+                  const StreamGaps& gaps, TimePoint now);
+  // Records the slowdown that the engine states; see EngineSpeed.
+  void ObserveSlowdown(const RegisteredServer& server, double slowdown,
+                       TimePoint now) {
+    this->speeds.ObserveStated(server.service, server.id, slowdown, now);
+  }
+  // Returns whether the engines of the service are placed by their speeds, and
+  // leaving the data centre is weighed for its requests. Other services are
+  // placed as if all engines were alike.
+  [[nodiscard]] bool WeighsEngines(const RoutedService& service) const {
+    return service.IsModel() && this->speeds.HasStated(service.name);
+  }
+
   // Estimates how long it takes until capacity for the request is likely to be
   // available.
   [[nodiscard]] Duration EstimateRetryDelay(const PlacementQuery& query,
@@ -275,6 +292,9 @@
   [[nodiscard]] const BrittleServers& brittle_servers() const {
     return this->brittle;
   }
+  // Mutable, so that the gateway can exchange the samples with its peers.
+  [[nodiscard]] EngineSpeed& engine_speed() { return this->speeds; }
+  [[nodiscard]] const EngineSpeed& engine_speed() const { return this->speeds; }
   // Mutable, so that responses can be recorded.
   [[nodiscard]] ServerAvailability& availability() {
     return this->server_availability;
@@ -337,6 +357,10 @@
     int requests_seen = 0;
     // Ids of the engines reserved for pause-tolerant routes.
     std::set<std::string> reserved_servers;
+    // Ids of the engines that count as fast; empty if engines are not weighed.
+    std::set<std::string> fast_servers;
+    // The mean speed of the other engines and of the fast ones.
+    std::array<double, 2> typical_speeds = {1, 1};
   };
   // Recent arrivals at this instance, by effective tier; older ones decay.
   struct Arrivals {
@@ -406,7 +430,24 @@
   // Returns whether a more urgent request waits for the server.
   [[nodiscard]] bool IsWithheld(const PlacementQuery& query,
                                 const std::string& server) const;
-  void UpdatePartition(const std::string& service, TimePoint now);
+  void UpdatePartition(const RoutedService& service, TimePoint now);
+  // Chooses the engines that are reserved, by their speeds.
+  void ReserveBySpeed(const std::string& service, EnginePartition& partition);
+  // Returns the mean speed of the engine's class: fast, or all others. What all
+  // instances have to agree on depends on the class rather than on each
+  // engine's speed, since their estimates differ slightly.
+  [[nodiscard]] double TypicalSpeed(const PlacementQuery& query,
+                                    const std::string& server) const;
+  // Predicts the time to the first event, without requests that are queued.
+  [[nodiscard]] Duration PredictFirstEvent(const PlacementQuery& query,
+                                           const std::string& server,
+                                           const LatencyInputs& inputs,
+                                           TimePoint now) const;
+  // Returns the cost of the pauses that the request would suffer and cause at
+  // the engine, and of the engine's part of the load.
+  [[nodiscard]] double EngineCost(const PlacementQuery& query,
+                                  const Candidate& candidate,
+                                  TimePoint now) const;
   void SetReservedShare(const std::string& service, double share);
   // Returns the share of pause-tolerant routes in the service's recent work at
   // all instances.
@@ -479,8 +520,8 @@
   // Chooses the untried server whose ejection ends first.
   [[nodiscard]] std::optional<ServerChoice> ChooseEjected(
       const PlacementQuery& query, TimePoint now) const;
-  [[nodiscard]] static ServerLoad AddedLoad(const PlacementQuery& query,
-                                            int prefill_tokens);
+  [[nodiscard]] ServerLoad AddedLoad(const PlacementQuery& query,
+                                     int prefill_tokens) const;
 
   PlacerOptions options;
   const BackendDirectory& directory;
@@ -493,6 +534,9 @@
   ServerRateLimits limits;
   BrittleServers brittle;
   ServerAvailability server_availability;
+  EngineSpeed speeds;
+  // By service and whether the server is reserved.
+  std::map<std::pair<std::string, bool>, StreamPace> stream_paces;
   // By service and whether the server is reserved, since a running request
   // slows others far more where prompts are long.
   std::map<std::pair<std::string, bool>, LatencyModel> latency_models;
--- a/src/proxy/call_dialect.h
+++ b/src/proxy/call_dialect.h
@@ -69,9 +69,15 @@
   struct Load {
     int running = 0;
     int waiting = 0;
+    // How long work takes now, relative to the usual time; nullopt if the
+    // server doesn't say so or it is unreadable.
+    std::optional<double> slowdown;
   };
   // nullopt if the server did not report it.
   std::optional<Load> load;
+  // What the server says as its slowdown, if that is unreadable; empty
+  // otherwise.
+  std::string unreadable_slowdown;
   // The requests per second that the server accepts from all instances
   // together; nullopt if it names no limit or an unreadable one.
   std::optional<double> rate_limit;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -64,6 +64,8 @@
 // Fraction of its target for which a request waits for capacity at the server
 // that has its prompt cached before other servers are considered.
 constexpr double kAffinityWaitFraction = 0.15;
+// A stream with fewer gaps between its events says little of the server's pace.
+constexpr int kMinGapsToRecord = 2;
 // Once this many waiting requests of a queue found no capacity, the rest are
 // not tried in this round, since they differ only in size.
 constexpr int kMaxFailedPlacements = 3;
@@ -789,10 +791,36 @@
                                           this->current.sent_at, now);
   }
   this->RecordBrittleness(info, now);
+  this->RecordLoad(info, now);
+}
+
+void Exchange::RecordLoad(const ResponseInfo& info, TimePoint now) {
+  const RegisteredServer& server = this->current.choice->server;
   if (info.load) {
-    this->context.placer.ApplyLoadReport(this->current.choice->server.id,
-                                         info.load->running, info.load->waiting,
-                                         now);
+    this->context.placer.ApplyLoadReport(server.id, info.load->running,
+                                         info.load->waiting, now);
+  }
+  // The last readable figure remains in use.
+  if (!info.unreadable_slowdown.empty()) {
+    this->context.observer.OnUnreadableSlowdown(
+        {.request_id = this->request_info.request_id,
+         .server = server.id,
+         .text = info.unreadable_slowdown});
+  } else if (info.load && info.load->slowdown && !this->current.relay &&
+             !info.is_misdirected &&
+             (info.is_from_server || info.not_executed)) {
+    this->context.placer.ObserveSlowdown(server, *info.load->slowdown, now);
+  }
+}
+
+void Exchange::RecordGaps(const Attempt& attempt, TimePoint now) {
+  const int gaps = this->splitter.event_count() - attempt.first_event_count;
+  if (attempt.first_event_received && gaps >= kMinGapsToRecord) {
+    this->context.placer.RecordGaps(
+        this->query, *attempt.choice,
+        {.mean = (attempt.last_event_at - attempt.first_event_at) / gaps,
+         .longest = attempt.longest_gap},
+        now);
   }
 }
 
@@ -907,6 +935,8 @@
   const TimePoint now = MonotonicNow();
   this->current.first_event_received = true;
   this->current.first_event_at = now;
+  this->current.last_event_at = now;
+  this->current.first_event_count = this->splitter.event_count();
   this->last_software_version = this->current.choice->server.software_version;
   if (this->current.relay) {
     this->context.relays.RecordResult(this->current.relay->instance, true, now);
@@ -1035,6 +1065,9 @@
   this->max_event_gap =
       std::max(this->max_event_gap, now - this->last_event_at);
   this->last_event_at = now;
+  this->current.longest_gap =
+      std::max(this->current.longest_gap, now - this->current.last_event_at);
+  this->current.last_event_at = now;
   this->current.buffered = std::move(events);
   this->ForwardBuffered();
 }
@@ -1166,8 +1199,9 @@
     this->context.relays.RecordEnd(attempt.relay->instance);
     attempt.relay.reset();
   } else if (attempt.choice) {
-    this->context.placer.RecordEnd(*attempt.choice,
-                                   MonotonicNow() - attempt.sent_at);
+    const TimePoint now = MonotonicNow();
+    this->RecordGaps(attempt, now);
+    this->context.placer.RecordEnd(*attempt.choice, now - attempt.sent_at);
   }
   attempt.choice.reset();
 }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -129,8 +129,12 @@
     // started.
     TimePoint last_bytes_at;
     bool first_event_received = false;
-    // When it was received.
+    // When it was received, and how many events the splitter had counted then.
     TimePoint first_event_at;
+    int first_event_count = 0;
+    // When the last events were received, and the longest time between any.
+    TimePoint last_event_at;
+    Duration longest_gap{};
     bool survival_recorded = false;
     // The attempt tests whether a suspect still crashes servers.
     bool is_quarantine_trial = false;
@@ -296,6 +300,10 @@
   [[nodiscard]] std::string_view IncompleteStreamReason() const;
   // Records what the head of an own response says of the server.
   void RecordHead(const ResponseInfo& info, TimePoint now);
+  // Records the server's load and slowdown.
+  void RecordLoad(const ResponseInfo& info, TimePoint now);
+  // Records the gaps between the events of an attempt that ends.
+  void RecordGaps(const Attempt& attempt, TimePoint now);
   // Returns the failure of the current attempt, and records the end of its
   // connection.
   Failure MakeFailure(FailureKind kind, const std::string& reason);
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -202,6 +202,15 @@
   std::string text;
 };
 
+// A response said how long work takes at the server, but that can't be read;
+// the last readable figure remains in use.
+struct UnreadableSlowdownRecord {
+  std::string request_id;
+  std::string server;
+  // What the response said.
+  std::string text;
+};
+
 // Receives the events on the event loop's thread; must not block.
 class ProxyObserver {
  public:
@@ -219,6 +228,7 @@
   virtual void OnUnreadablePause(const UnreadablePauseRecord& record) = 0;
   virtual void OnUnreadableBrittleness(
       const UnreadableBrittlenessRecord& record) = 0;
+  virtual void OnUnreadableSlowdown(const UnreadableSlowdownRecord& record) = 0;
 };
 
 }  // namespace rosemarycove
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -24,6 +24,12 @@
 constexpr double kNoRateLimit = -1;
 // The value of the tolerated rejections of a server that is not brittle.
 constexpr std::uint16_t kNotBrittle = 65535;
+// Units of a speed sample, and the bounds of a report's samples: an instance
+// has fewer engines, and sees fewer responses of one, between two reports.
+constexpr double kSpeedRatioUnits = 1000;
+constexpr double kSpeedWeightUnits = 10;
+constexpr std::size_t kMaxSpeedSamples = 4096;
+constexpr double kMaxSpeedWeight = 100;
 
 // Clamps a number to the range of T, the type of a field.
 template <typename T>
@@ -156,6 +162,44 @@
           Saturate<std::uint16_t>(report.room)};
 }
 
+Offset<flatbuffers::Vector<const wire::SpeedSample*>> EncodeSpeedSamples(
+    FlatBufferBuilder& builder, const std::vector<SpeedSample>& samples) {
+  if (samples.empty()) {
+    return {};
+  }
+  constexpr double kMaxNumber = std::numeric_limits<std::uint16_t>::max();
+  std::vector<wire::SpeedSample> encoded;
+  encoded.reserve(samples.size());
+  for (const SpeedSample& sample : samples) {
+    encoded.emplace_back(
+        sample.server,
+        static_cast<std::uint16_t>(
+            std::clamp(sample.ratio * kSpeedRatioUnits, 1.0, kMaxNumber)),
+        static_cast<std::uint16_t>(
+            std::clamp(sample.weight * kSpeedWeightUnits, 0.0, kMaxNumber)));
+  }
+  return builder.CreateVectorOfStructs(encoded);
+}
+
+std::vector<SpeedSample> DecodeSpeedSamples(
+    const flatbuffers::Vector<const wire::SpeedSample*>* frames) {
+  std::vector<SpeedSample> samples;
+  if (frames == nullptr) {
+    return samples;
+  }
+  for (const wire::SpeedSample* frame : *frames) {
+    if (samples.size() >= kMaxSpeedSamples) {
+      break;
+    }
+    samples.push_back(
+        {.server = frame->server(),
+         .ratio = std::max<double>(1, frame->ratio()) / kSpeedRatioUnits,
+         .weight =
+             std::min(frame->weight() / kSpeedWeightUnits, kMaxSpeedWeight)});
+  }
+  return samples;
+}
+
 BrittlenessReport DecodeBrittleness(const wire::BrittleServer& frame) {
   BrittlenessReport report{.server_hash = frame.server(),
                            .age = std::chrono::milliseconds(frame.age_ms()),
@@ -279,6 +323,7 @@
       report.brittle_servers.push_back(DecodeBrittleness(*server));
     }
   }
+  report.speed_samples = DecodeSpeedSamples(frame.speed_samples());
   if (frame.software() != nullptr) {
     report.software = DecodeSoftware(*frame.software());
   }
@@ -398,6 +443,7 @@
   if (!report.unreachable_services.empty()) {
     unreachable_services = builder.CreateVector(report.unreachable_services);
   }
+  const auto speed_samples = EncodeSpeedSamples(builder, report.speed_samples);
   builder.Finish(wire::CreateFleetReport(
       builder, kFleetProtocolVersion, identity, report.is_draining,
       report.configuration_revision, report.directory_revision,
@@ -407,7 +453,7 @@
       neighbours, configuration, server_vector, part_vector, limit_vector,
       software, origin_vector, report.configuration_version, cached_parts,
       report.known_peer_count, unreachable_services, brittle_vector,
-      EncodeOptionalAge(report.configuration_age)));
+      EncodeOptionalAge(report.configuration_age), speed_samples));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -43,6 +43,8 @@
 struct Document;
 struct DocumentBuilder;
 
+struct SpeedSample;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -310,6 +312,35 @@
 };
 FLATBUFFERS_STRUCT_END(SoftwareUse, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) SpeedSample FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t server_;
+  uint16_t ratio_;
+  uint16_t weight_;
+
+ public:
+  SpeedSample()
+      : server_(0),
+        ratio_(0),
+        weight_(0) {
+  }
+  SpeedSample(uint32_t _server, uint16_t _ratio, uint16_t _weight)
+      : server_(flatbuffers::EndianScalar(_server)),
+        ratio_(flatbuffers::EndianScalar(_ratio)),
+        weight_(flatbuffers::EndianScalar(_weight)) {
+  }
+  uint32_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint16_t ratio() const {
+    return flatbuffers::EndianScalar(ratio_);
+  }
+  uint16_t weight() const {
+    return flatbuffers::EndianScalar(weight_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SpeedSample, 8);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -732,7 +763,8 @@
     VT_KNOWN_PEERS = 46,
     VT_UNREACHABLE_SERVICES = 48,
     VT_BRITTLE_SERVERS = 50,
-    VT_CONFIGURATION_AGE_MS = 52
+    VT_CONFIGURATION_AGE_MS = 52,
+    VT_SPEED_SAMPLES = 54
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -809,6 +841,9 @@
   uint32_t configuration_age_ms() const {
     return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 0);
   }
+  const flatbuffers::Vector<const rosemarycove::wire::SpeedSample *> *speed_samples() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::SpeedSample *> *>(VT_SPEED_SAMPLES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -853,6 +888,8 @@
            VerifyOffset(verifier, VT_BRITTLE_SERVERS) &&
            verifier.VerifyVector(brittle_servers()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_SPEED_SAMPLES) &&
+           verifier.VerifyVector(speed_samples()) &&
            verifier.EndTable();
   }
 };
@@ -936,6 +973,9 @@
   void add_configuration_age_ms(uint32_t configuration_age_ms) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 0);
   }
+  void add_speed_samples(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples) {
+    fbb_.AddOffset(FleetReport::VT_SPEED_SAMPLES, speed_samples);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -973,7 +1013,8 @@
     uint32_t known_peers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unreachable_services = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::BrittleServer *>> brittle_servers = 0,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -981,6 +1022,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_speed_samples(speed_samples);
   builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_brittle_servers(brittle_servers);
   builder_.add_unreachable_services(unreachable_services);
@@ -1029,7 +1071,8 @@
     uint32_t known_peers = 0,
     const std::vector<uint64_t> *unreachable_services = nullptr,
     const std::vector<rosemarycove::wire::BrittleServer> *brittle_servers = nullptr,
-    uint32_t configuration_age_ms = 0) {
+    uint32_t configuration_age_ms = 0,
+    const std::vector<rosemarycove::wire::SpeedSample> *speed_samples = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1040,6 +1083,7 @@
   auto cached_parts__ = cached_parts ? _fbb.CreateVector<uint64_t>(*cached_parts) : 0;
   auto unreachable_services__ = unreachable_services ? _fbb.CreateVector<uint64_t>(*unreachable_services) : 0;
   auto brittle_servers__ = brittle_servers ? _fbb.CreateVectorOfStructs<rosemarycove::wire::BrittleServer>(*brittle_servers) : 0;
+  auto speed_samples__ = speed_samples ? _fbb.CreateVectorOfStructs<rosemarycove::wire::SpeedSample>(*speed_samples) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -1066,7 +1110,8 @@
       known_peers,
       unreachable_services__,
       brittle_servers__,
-      configuration_age_ms);
+      configuration_age_ms,
+      speed_samples__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/engine_fleet.h
+++ b/tests/engine_fleet.h
@@ -31,6 +31,13 @@
   int output_tokens = 0;
   // Requests per second of all callers at a time since the start.
   std::function<double(Duration)> rate;
+  // The weight of the subject of rank n, from 1, is n to the power of minus
+  // this.
+  double subject_skew = 0;
+  // The share of a data centre's callers in the requests, at a time since the
+  // start; the shares need not add up to 1. Empty if all instances get the same
+  // number of requests.
+  std::function<double(Duration, int)> centre_share = {};
 };
 
 // What happened to the requests of a kind.
@@ -41,6 +48,19 @@
   // The first token came within the target, and no gap was over the route's.
   int on_time = 0;
   int late = 0;
+  // The first token was late, or a gap was too long.
+  int late_first = 0;
+  int late_gap = 0;
+  // Ran in another data centre than that of the caller's instance.
+  int left = 0;
+  // Kilobytes of their requests and responses.
+  double left_kilobytes = 0;
+  // Means over the requests that were not refused.
+  Duration mean_first{};
+  Duration mean_longest_gap{};
+  // Requests per engine of speed above 1 and at most 1.
+  double per_fast_engine = 0;
+  double per_slow_engine = 0;
 };
 
 struct EngineFleetOptions {
@@ -50,6 +70,26 @@
   Duration report_interval = std::chrono::milliseconds(570);
   bench::VirtualEngineOptions engine;
   std::uint32_t seed = 1;
+  // Instance and engine number n are in data centre n % data_centres.
+  int data_centres = 1;
+  // Engine number n has the speed n / data_centres % size; 1 if empty.
+  std::vector<double> speeds = {};
+  // For this share of the time, in periods of this length, the work of an
+  // engine takes this many times as long.
+  double noise_share = 0;
+  double noise_factor = 1;
+  Duration noise_period = std::chrono::milliseconds(600);
+  // Whether engines state the slowdown by noise in their responses.
+  bool states_slowdown = false;
+  // Whether that includes the slowdown by their speed.
+  bool states_speed = false;
+  // Whether engines of another service, which gets no requests, state theirs.
+  bool others_state_slowdown = false;
+  int tokens_per_event = 1;
+  int kv_tokens = 470'000;
+  // The data centre that is cut off from the others at a time since the start;
+  // -1 if none.
+  std::function<int(Duration)> cut_centre = {};
 };
 
 // Runs requests of several kinds. A caller that is refused comes back a few
@@ -69,6 +109,22 @@
   // Tokens of shared parts that an engine read although some engine had read
   // them before, as a share of all tokens that engines read.
   [[nodiscard]] double ReadAgainShare() const;
+  // Tokens of shared parts that an engine read although some engine had read
+  // them before.
+  [[nodiscard]] double TokensReadAgain() const {
+    return this->tokens_read_again;
+  }
+  // Returns the largest share of an engine's KV cache that its requests needed.
+  [[nodiscard]] double MaxMemoryShare() const { return this->max_memory_share; }
+  // Returns the largest number of requests at an engine.
+  [[nodiscard]] int MaxLoad() const { return this->max_load; }
+  // Identifies all placements and their order.
+  [[nodiscard]] std::uint64_t PlacementHash() const {
+    return this->placement_hash;
+  }
+  // Returns the largest number of requests of other data centres that reached
+  // the engines of a data centre within a report interval.
+  [[nodiscard]] int MaxEnteredPerInterval() const;
 
  private:
   struct Request;
@@ -81,6 +137,16 @@
   void AdvanceEngine(std::size_t index);
   // Adds up what the engine has to read of the request's prompt, and caches it.
   int ReadPrompt(Engine& engine, const Request& request);
+  // Chooses a server and sends the request there; returns false if there is
+  // none.
+  bool TrySend(Request& request);
+  [[nodiscard]] std::size_t PickInstance(const RequestKind& traits);
+  [[nodiscard]] int CentreOf(std::size_t number) const {
+    return static_cast<int>(number) % this->options.data_centres;
+  }
+  [[nodiscard]] bool IsCut(int centre, int other_centre) const;
+  [[nodiscard]] double NoiseOf(std::size_t engine) const;
+  void RecordEvent(std::size_t engine, Request& request, TimePoint at);
 
   EngineFleetOptions options;
   std::vector<RequestKind> kinds;
@@ -97,6 +163,13 @@
   std::uint64_t next_id = 1;
   double tokens_read = 0;
   double tokens_read_again = 0;
+  double max_memory_share = 0;
+  int max_load = 0;
+  std::uint64_t placement_hash = 0;
+  RoutedService service;
+  std::vector<std::discrete_distribution<std::uint64_t>> subject_pickers;
+  // Requests from other data centres, by data centre and report interval.
+  std::map<std::pair<int, std::int64_t>, int> entered;
 };
 
 }  // namespace rosemarycove
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -136,6 +136,7 @@
                            .rejected = 2,
                            .room = 9},
                           {.server_hash = 25}},
+      .speed_samples = {{.server = 26, .ratio = 1.25, .weight = 1.5}},
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -167,6 +168,7 @@
   CHECK(decoded.cached_parts == report.cached_parts);
   CHECK_EQUAL(report.known_peer_count, decoded.known_peer_count);
   CHECK(decoded.unreachable_services == report.unreachable_services);
+  CHECK(decoded.speed_samples == report.speed_samples);
   const BrittlenessReport& brittle = decoded.brittle_servers.at(0);
   CHECK_EQUAL(24U, brittle.server_hash);
   CHECK_EQUAL(0, *brittle.tolerated);
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -157,6 +157,35 @@
   STRCMP_EQUAL("2", read({"2", "2"}).unreadable_brittleness.c_str());
 }
 
+// Guards against a malformed figure that replaces the last good one, and
+// against the loads of earlier deployments, which have none, being reported as
+// malformed.
+TEST(Platform, ReadsOnlyWellFormedSlowdowns) {
+  const auto read = [](std::initializer_list<const char*> values) {
+    ResponseHead head;
+    for (const char* value : values) {
+      head.fields.Add("Rosemarycove-Engine-Load", value);
+    }
+    return PlatformCallDialect().ReadResponse(head);
+  };
+  for (const char* value : {"3,1,16", "3,1", "", "x"}) {
+    CHECK(!read({value}).load->slowdown);
+    CHECK(read({value}).unreadable_slowdown.empty());
+  }
+  DOUBLES_EQUAL(2.5, *read({"3,1,16,250"}).load->slowdown, 1e-9);
+  DOUBLES_EQUAL(1, *read({"3, 1, 16, 100"}).load->slowdown, 1e-9);
+  DOUBLES_EQUAL(1, *read({"3,1,16,100,7"}).load->slowdown, 1e-9);
+  CHECK_EQUAL(3, read({"3,1,16,250"}).load->running);
+  for (const char* value : {"-1", "0", "fast", "1e3", "100001", "nan", "+1"}) {
+    const std::string load = "3,1,16," + std::string(value);
+    CHECK(!read({load.c_str()}).load->slowdown);
+    STRCMP_EQUAL(value, read({load.c_str()}).unreadable_slowdown.c_str());
+    CHECK_EQUAL(1, read({load.c_str()}).load->waiting);
+  }
+  STRCMP_EQUAL("empty", read({"3,1,16,"}).unreadable_slowdown.c_str());
+  CHECK(!read({"3,1,16,100", "3,1,16,100"}).load->slowdown);
+}
+
 TEST(Platform, RejectsMalformedServerEntries) {
   const PlatformServerDecoder decoder;
   const std::string valid =
