--- a/bench/virtual_engine.h
+++ b/bench/virtual_engine.h
@@ -23,7 +23,8 @@
   Duration token_time_per_stream = std::chrono::microseconds(500);
   double prefill_rate = 20000;  // Prompt tokens per second.
   int max_streams = 96;
-  // Maximum number of prompt tokens that one step processes (chunked prefill).
+  // Prompt tokens that one step processes at most (chunked prefill). No stream
+  // gets a token meanwhile.
   int max_step_prompt_tokens = 256;
   // Prompts are processed in order of arrival; otherwise by priority.
   bool prefills_in_order = false;
--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -61,6 +61,8 @@
     {LogEvent::kServerBrittle, "server_brittle", LogLevel::kWarning},
     {LogEvent::kServerBrittleUnreadable, "server_brittle_unreadable",
      LogLevel::kWarning},
+    {LogEvent::kServerSlowdownUnreadable, "server_slowdown_unreadable",
+     LogLevel::kWarning},
     {LogEvent::kDutyTaken, "duty_taken", LogLevel::kInfo},
     {LogEvent::kDutyLost, "duty_lost", LogLevel::kWarning},
     {LogEvent::kDutyHandedOver, "duty_handed_over", LogLevel::kInfo},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -63,6 +63,7 @@
   kServiceReach = 5015,
   kServerBrittle = 5016,
   kServerBrittleUnreadable = 5017,
+  kServerSlowdownUnreadable = 5018,
   kDutyTaken = 7001,
   kDutyLost = 7002,
   kDutyHandedOver = 7003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -775,6 +775,7 @@
           .unreachable_services = std::move(unreachable_services),
           .brittle_servers = this->placer.brittle_servers().Reports(false, now),
           .admission = this->context.admission.Report(now),
+          .speed_samples = this->placer.engine_speed().Untold(),
           // Without documents, the update only renews the age of a directory
           // that is complete up to this revision.
           .directory_update = {.base_revision = this->directory.revision()}};
@@ -880,6 +881,7 @@
   this->placer.brittle_servers().RecordReportSent();
   this->placer.caches().MarkTold();
   this->context.admission.RecordReportSent();
+  this->placer.engine_speed().MarkTold();
 }
 
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
@@ -890,6 +892,7 @@
   this->placer.caches().Merge(report.cached_parts, now);
   this->context.admission.ApplyReport(peer.identity.instance, report.admission,
                                       now);
+  this->placer.engine_speed().Merge(report.speed_samples, now);
   this->quarantine.Merge(report.suspected_parts, now);
   if (report.software) {
     this->software_history.Merge(*report.software, now);
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -47,6 +47,7 @@
   void OnUnreadablePause(const UnreadablePauseRecord& record) override;
   void OnUnreadableBrittleness(
       const UnreadableBrittlenessRecord& record) override;
+  void OnUnreadableSlowdown(const UnreadableSlowdownRecord& record) override;
 
   // Sets what counts the customers' requests that ran.
   void set_run_counter(std::function<void(const std::string&)> counter) {
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -10,6 +10,7 @@
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
 #include "core/engine_demand.h"
+#include "core/engine_speed.h"
 #include "core/load_ledger.h"
 #include "core/prompt_cache_map.h"
 #include "core/request_quarantine.h"
@@ -90,6 +91,8 @@
   // candidates to all, and by all to these.
   std::optional<DutyState> duties;
   AdmissionReport admission;
+  // What the sender learned of the speeds of engines and has not told yet.
+  std::vector<SpeedSample> speed_samples;
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -62,6 +62,8 @@
 struct Admission;
 struct AdmissionBuilder;
 
+struct SpeedSample;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -526,6 +528,35 @@
 };
 FLATBUFFERS_STRUCT_END(RefusedTier, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) SpeedSample FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t server_;
+  uint16_t ratio_;
+  uint16_t weight_;
+
+ public:
+  SpeedSample()
+      : server_(0),
+        ratio_(0),
+        weight_(0) {
+  }
+  SpeedSample(uint32_t _server, uint16_t _ratio, uint16_t _weight)
+      : server_(flatbuffers::EndianScalar(_server)),
+        ratio_(flatbuffers::EndianScalar(_ratio)),
+        weight_(flatbuffers::EndianScalar(_weight)) {
+  }
+  uint32_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint16_t ratio() const {
+    return flatbuffers::EndianScalar(ratio_);
+  }
+  uint16_t weight() const {
+    return flatbuffers::EndianScalar(weight_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SpeedSample, 8);
+
 struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PartCrashesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1210,7 +1241,8 @@
     VT_CONFIGURATION_AGE_MS = 52,
     VT_DUTIES = 54,
     VT_ENGINE_DEMAND = 56,
-    VT_ADMISSION = 58
+    VT_ADMISSION = 58,
+    VT_SPEED_SAMPLES = 60
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -1296,6 +1328,9 @@
   const rosemarycove::wire::Admission *admission() const {
     return GetPointer<const rosemarycove::wire::Admission *>(VT_ADMISSION);
   }
+  const flatbuffers::Vector<const rosemarycove::wire::SpeedSample *> *speed_samples() const {
+    return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::SpeedSample *> *>(VT_SPEED_SAMPLES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -1346,6 +1381,8 @@
            verifier.VerifyVector(engine_demand()) &&
            VerifyOffset(verifier, VT_ADMISSION) &&
            verifier.VerifyTable(admission()) &&
+           VerifyOffset(verifier, VT_SPEED_SAMPLES) &&
+           verifier.VerifyVector(speed_samples()) &&
            verifier.EndTable();
   }
 };
@@ -1438,6 +1475,9 @@
   void add_admission(flatbuffers::Offset<rosemarycove::wire::Admission> admission) {
     fbb_.AddOffset(FleetReport::VT_ADMISSION, admission);
   }
+  void add_speed_samples(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples) {
+    fbb_.AddOffset(FleetReport::VT_SPEED_SAMPLES, speed_samples);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1478,7 +1518,8 @@
     uint32_t configuration_age_ms = 0,
     flatbuffers::Offset<rosemarycove::wire::DutyState> duties = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::EngineDemand *>> engine_demand = 0,
-    flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0) {
+    flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
@@ -1486,6 +1527,7 @@
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_speed_samples(speed_samples);
   builder_.add_admission(admission);
   builder_.add_engine_demand(engine_demand);
   builder_.add_duties(duties);
@@ -1540,7 +1582,8 @@
     uint32_t configuration_age_ms = 0,
     flatbuffers::Offset<rosemarycove::wire::DutyState> duties = 0,
     const std::vector<rosemarycove::wire::EngineDemand> *engine_demand = nullptr,
-    flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0) {
+    flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0,
+    const std::vector<rosemarycove::wire::SpeedSample> *speed_samples = nullptr) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1552,6 +1595,7 @@
   auto unreachable_services__ = unreachable_services ? _fbb.CreateVector<uint64_t>(*unreachable_services) : 0;
   auto brittle_servers__ = brittle_servers ? _fbb.CreateVectorOfStructs<rosemarycove::wire::BrittleServer>(*brittle_servers) : 0;
   auto engine_demand__ = engine_demand ? _fbb.CreateVectorOfStructs<rosemarycove::wire::EngineDemand>(*engine_demand) : 0;
+  auto speed_samples__ = speed_samples ? _fbb.CreateVectorOfStructs<rosemarycove::wire::SpeedSample>(*speed_samples) : 0;
   return rosemarycove::wire::CreateFleetReport(
       _fbb,
       version,
@@ -1581,7 +1625,8 @@
       configuration_age_ms,
       duties,
       engine_demand__,
-      admission);
+      admission,
+      speed_samples__);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -146,6 +146,7 @@
                                   .tolerates_pauses = true,
                                   .urgency = {.tier = 1, .route_tier = 2},
                                   .count = 3}}},
+      .speed_samples = {{.server = 26, .ratio = 1.25, .weight = 1.5}},
       .peer_addresses = {"127.0.0.1:2"},
       .configuration =
           SharedDocument{
@@ -189,6 +190,7 @@
   CHECK(admission.refusals.at(0).urgency ==
         (Urgency{.tier = 1, .route_tier = 2}));
   CHECK_EQUAL(3, admission.refusals.at(0).count);
+  CHECK(decoded.speed_samples == report.speed_samples);
   const BrittlenessReport& brittle = decoded.brittle_servers.at(0);
   CHECK_EQUAL(24U, brittle.server_hash);
   CHECK_EQUAL(0, *brittle.tolerated);
