Leave the data centre only when it pays

Cause: a server in another data centre cost 0.01, and a shared part had one affinity server for all data centres, so two thirds of the requests left theirs.

Change, for services whose engines state the fourth figure: each data centre has affinity servers of its own; the bytes of request and response count; whether parts that are cached elsewhere are read at home is decided as in the ski rental problem; requests that find home too full or too slow leave by a share that all instances derive from the spare capacity, its age and their own overload, and that changes gradually; engines keep headroom for their own more urgent work. The setting leave_data_centre = "never" turns it off. 3004 states left_because; requests and bytes are counted by reason.

Tests: test_engine_speed checked the largest number of requests at an engine within another test. The metrics and bytes are not tested end to end.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -140,7 +140,8 @@
       directory(this->platform.server_decoder,
                 std::mt19937_64(std::random_device()())()),
       placer({.data_centre = this->options.data_centre,
-              .instance = this->options.instance},
+              .instance = this->options.instance,
+              .leave_policy = this->options.leave_policy},
              this->directory),
       quarantine(std::mt19937_64(std::random_device()())()),
       retry_budget(this->options.retry_budget),
@@ -899,6 +900,7 @@
   add("rosemarycove_requests_relayed_total",
       this->request_counts().relayed_out);
   add("rosemarycove_relayed_requests_total", this->request_counts().relayed_in);
+  text += this->observer.left().ToPrometheus();
   add("rosemarycove_idle_backend_connections", this->pool.idle_count());
   add("rosemarycove_backend_servers", this->directory.servers().size());
   add("rosemarycove_quarantined_parts",
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -50,6 +50,7 @@
   std::string relay_listen_address;
   // Peer addresses of instances to contact at the start.
   std::vector<std::string> seeds;
+  LeavePolicy leave_policy = LeavePolicy::kWhenItPays;
   RetryBounds retry_budget;
   // Time after SIGTERM at which the platform kills the process.
   Duration shutdown_grace = std::chrono::seconds(8);
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -56,6 +56,8 @@
        {"software", choice.server.software_version},
        {"resumes", record.resumed_request},
        {"why", ToString(choice.reason)},
+       {"left_because", choice.leave_reason ? ToString(*choice.leave_reason)
+                                            : std::string_view("")},
        {"candidates", choice.candidate_count},
        {"predicted_ms", ToLogMilliseconds(choice.predicted_first_event)},
        {"running", choice.latency_inputs.running},
@@ -73,6 +75,28 @@
        {"reused", record.reused_connection}});
 }
 
+std::string LeftCounts::ToPrometheus() const {
+  std::string requests =
+      "# TYPE rosemarycove_requests_left_data_centre_total counter\n";
+  std::string bytes =
+      "# TYPE rosemarycove_bytes_left_data_centre_total counter\n";
+  for (const auto& [reason, count] : this->by_reason) {
+    requests += fmt::format(
+        "rosemarycove_requests_left_data_centre_total{{reason=\"{}\"}} {}\n",
+        ToString(reason), count.requests);
+    bytes += fmt::format(
+        "rosemarycove_bytes_left_data_centre_total{{reason=\"{}\"}} {}\n",
+        ToString(reason), count.bytes);
+  }
+  return requests + bytes;
+}
+
+void GatewayObserver::OnLeft(const LeftRecord& record) {
+  LeftCounts::Count& count = this->left_counts.by_reason[record.reason];
+  ++count.requests;
+  count.bytes += record.request_bytes + record.response_bytes;
+}
+
 void GatewayObserver::OnRelayed(const RelayedRecord& record) {
   ++this->request_counts.relayed_out;
   this->log.Write(LogEvent::kCallRelayed,
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -1,6 +1,10 @@
 // Converts the data path's records to log lines and metrics.
 #pragma once
 
+#include <cstdint>
+#include <map>
+#include <string>
+
 #include "app/event_log.h"
 #include "app/metrics.h"
 #include "proxy/proxy_observer.h"
@@ -19,6 +23,18 @@
   std::uint64_t relayed_in = 0;
 };
 
+// The attempts at servers in other data centres that ended, by reason.
+struct LeftCounts {
+  struct Count {
+    std::uint64_t requests = 0;
+    std::uint64_t bytes = 0;
+  };
+  std::map<LeaveReason, Count> by_reason;
+
+  // In the Prometheus text exposition format.
+  [[nodiscard]] std::string ToPrometheus() const;
+};
+
 // Logs every placement, failed attempt, outcome and ejection, and counts the
 // outcomes in the metrics. Called on the event loop's thread.
 class GatewayObserver : public ProxyObserver {
@@ -30,6 +46,7 @@
   void OnUnanswered(const UnansweredRecord& record) override;
   void OnPlaced(const PlacedRecord& record) override;
   void OnRelayed(const RelayedRecord& record) override;
+  void OnLeft(const LeftRecord& record) override;
   void OnAttemptFailed(const AttemptFailedRecord& record) override;
   void OnEnded(const EndedRecord& record) override;
   void OnEjected(const EjectedRecord& record) override;
@@ -43,10 +60,13 @@
     return this->request_counts;
   }
 
+  [[nodiscard]] const LeftCounts& left() const { return this->left_counts; }
+
  private:
   EventLog& log;
   Metrics& metrics;
   RequestCounts request_counts;
+  LeftCounts left_counts;
 };
 
 // The id of a prompt's part in hexadecimal, as written in log lines.
--- a/src/core/placer.cc
+++ b/src/core/placer.cc
@@ -19,12 +19,21 @@
 // Cost of prefilling shared tokens again, as a multiple of their fraction of
 // the request's own work.
 constexpr double kRecomputeCost = 2.5;
+// The same where engines are weighed. Each data centre has affinity servers of
+// its own there, so more is read again, which slows other requests of the
+// engine.
+constexpr double kWeighedRecomputeCost = 5;
 // The fraction of that cost that counts at the affinity servers of a part, by
 // rank: the first server prefills the part in any case, and the next ones do
 // when the first has no capacity.
 constexpr std::array<double, 3> kRecomputeCostByRank = {0, 0.5, 0.75};
 // A server in another data centre costs traffic and a little time.
 constexpr double kRemoteServerCost = 0.01;
+// The same where engines are weighed, in addition to the cost of the bytes.
+constexpr double kAwayCost = 0.02;
+// There, servers in another data centre keep the headroom of so many tiers for
+// more urgent work of their own.
+constexpr int kTiersKeptAway = 2;
 // For each stream with a short gap target that a long prefill would pause.
 constexpr double kPausedStreamCost = 0.1;
 // For a stream with a short gap target, for each kLongPrefillUnitTokens of
@@ -194,20 +203,30 @@
                    server) != query.tried_servers.end();
 }
 
-// Returns the servers with the highest scores, as many as have a rank.
+// Adds the ranks of the servers with the highest scores, as many as have one.
 template <typename Score>
-std::vector<const RegisteredServer*> FirstRanked(
-    std::vector<std::pair<Score, const RegisteredServer*>>& ranked) {
+void AddRanks(std::vector<std::pair<Score, const RegisteredServer*>>& ranked,
+              std::map<const RegisteredServer*, int>& ranks) {
   const std::size_t count =
       std::min(kRecomputeCostByRank.size(), ranked.size());
   std::partial_sort(ranked.begin(),
                     ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end(), std::greater<>());
-  std::vector<const RegisteredServer*> servers;
   for (std::size_t i = 0; i < count; ++i) {
-    servers.push_back(ranked[i].second);
+    ranks.emplace(ranked[i].second, static_cast<int>(i));
   }
-  return servers;
+}
+
+double TokensWorthBytesOf(const PlacementQuery& query) {
+  return DataCentreChoice::TokensWorthBytes(
+      {.body_bytes = query.body_bytes,
+       .prompt_tokens = query.prompt_tokens,
+       .expected_output_tokens = query.expected_output_tokens});
+}
+
+// Identifies a request by the part of its prompt that no other request has.
+std::uint64_t RequestKey(const PlacementQuery& query) {
+  return query.parts.empty() ? 0 : query.parts.back().id;
 }
 
 bool IsGapSensitive(const Route& route) {
@@ -344,8 +363,18 @@
   this->updated_at = now;
 }
 
+int Placer::InstancesWithin(const PlacementQuery& query, bool is_away) const {
+  const auto found = this->engine_partitions.find(query.service->name);
+  const int centres = found == this->engine_partitions.end()
+                          ? 1
+                          : std::max(1, found->second.centre_count);
+  const int at_home = std::max(1, this->instance_count / centres);
+  return is_away ? std::max(1, this->instance_count - at_home) : at_home;
+}
+
 double Placer::ExpectedRivals(const PlacementQuery& query,
-                              const Candidate& candidate, int running) const {
+                              const Candidate& candidate, int running,
+                              TimePoint now) const {
   const auto found =
       this->recent_arrivals.find({query.service->name, query.tolerates_pauses});
   if (found == this->recent_arrivals.end()) {
@@ -357,20 +386,27 @@
       count += arrivals;
     }
   }
-  const double rate = count / ToSeconds(kArrivalDecayTime);
-  const double rivals =
-      rate * (this->instance_count - 1) * ToSeconds(this->UnreportedTime());
-  // Requests with other prompts have other affinity servers.
-  return candidate.IsFirstAffinity()
-             ? rivals /
-                   std::max(1, this->SideCount(query, candidate.server->id))
+  double rate = count / ToSeconds(kArrivalDecayTime);
+  int others = this->instance_count - 1;
+  if (this->WeighsEngines(*query.service)) {
+    others = this->InstancesWithin(query, candidate.is_away) - 1;
+    if (candidate.is_away) {
+      rate = std::min(
+          rate, this->centre_choice.OverloadRate(query.service->name, now));
+    }
+  }
+  const double rivals = rate * others * ToSeconds(this->UnreportedTime());
+  // Requests with other prompts have other affinity servers, which are in the
+  // same data centre where engines are weighed.
+  return candidate.affinity_rank == 0
+             ? rivals / std::max(1, this->SideCount(query, *candidate.server))
              : rivals;
 }
 
 bool Placer::WinsSlot(const PlacementQuery& query, const Candidate& candidate,
                       int running, TimePoint now) const {
   const RegisteredServer& server = *candidate.server;
-  const double rivals = this->ExpectedRivals(query, candidate, running);
+  const double rivals = this->ExpectedRivals(query, candidate, running, now);
   double free_slots = UsableSlots(server, query.tier) - running;
   const auto duration = this->mean_durations.find(
       {query.service->name, this->IsReserved(query, server.id)});
@@ -393,13 +429,16 @@
 }
 
 int Placer::SideCount(const PlacementQuery& query,
-                      const std::string& server) const {
-  const bool is_reserved = this->IsReserved(query, server);
+                      const RegisteredServer& server) const {
+  const bool is_reserved = this->IsReserved(query, server.id);
+  const bool weighs_engines = this->WeighsEngines(*query.service);
   return static_cast<int>(std::count_if(
       this->directory.servers().begin(), this->directory.servers().end(),
       [&](const auto& item) {
         return this->IsStaying(item.second, query.service->name) &&
-               this->IsReserved(query, item.first) == is_reserved;
+               this->IsReserved(query, item.first) == is_reserved &&
+               (!weighs_engines ||
+                item.second.data_centre == server.data_centre);
       }));
 }
 
@@ -531,6 +570,7 @@
   for (std::size_t i = 0; i < counts.size(); ++i) {
     partition.typical_speeds[i] = counts[i] > 0 ? sums[i] / counts[i] : 1;
   }
+  partition.centre_count = static_cast<int>(ranked_by_centre.size());
   partition.reserved_servers.clear();
   const double share = kReservedPartOfWork * partition.reserved_share;
   const auto reserve = [&](std::vector<Ranked>& ranked) {
@@ -645,31 +685,50 @@
   }
 }
 
-std::vector<const RegisteredServer*> Placer::AffinityServers(
+std::map<const RegisteredServer*, int> Placer::AffinityRanks(
     const PlacementQuery& query) const {
   if (query.parts.size() < 2) {
     return {};
   }
+  if (this->WeighsEngines(*query.service)) {
+    return this->WeighedAffinityRanks(query);
+  }
   const std::uint64_t part = query.parts[query.parts.size() - 2].id;
-  const bool weighs_engines = this->WeighsEngines(*query.service);
-  std::vector<std::pair<double, const RegisteredServer*>> weighted;
   std::vector<std::pair<std::uint64_t, const RegisteredServer*>> ranked;
   for (const auto& [id, server] : this->directory.servers()) {
     if (Accepts(server, query) &&
         this->IsStaying(server, query.service->name) &&
         this->IsReserved(query, id) == query.tolerates_pauses) {
-      if (weighs_engines) {
-        // Weighted rendezvous hashing: the share of the parts is in proportion
-        // to the speed.
-        weighted.emplace_back(
-            std::log(UnitScore(part, id)) / this->TypicalSpeed(query, id),
-            &server);
-        continue;
-      }
       ranked.emplace_back(RendezvousScore(part, id), &server);
     }
   }
-  return weighs_engines ? FirstRanked(weighted) : FirstRanked(ranked);
+  std::map<const RegisteredServer*, int> ranks;
+  AddRanks(ranked, ranks);
+  return ranks;
+}
+
+std::map<const RegisteredServer*, int> Placer::WeighedAffinityRanks(
+    const PlacementQuery& query) const {
+  const std::uint64_t part = query.parts[query.parts.size() - 2].id;
+  std::map<std::string_view,
+           std::vector<std::pair<double, const RegisteredServer*>>>
+      ranked_by_centre;
+  for (const auto& [id, server] : this->directory.servers()) {
+    if (Accepts(server, query) &&
+        this->IsStaying(server, query.service->name) &&
+        this->IsReserved(query, id) == query.tolerates_pauses) {
+      // Weighted rendezvous hashing: the share of the parts is in proportion to
+      // the speed.
+      ranked_by_centre[server.data_centre].emplace_back(
+          std::log(UnitScore(part, id)) / this->TypicalSpeed(query, id),
+          &server);
+    }
+  }
+  std::map<const RegisteredServer*, int> ranks;
+  for (auto& [centre, ranked] : ranked_by_centre) {
+    AddRanks(ranked, ranks);
+  }
+  return ranks;
 }
 
 bool Placer::IsStaying(const RegisteredServer& server,
@@ -684,8 +743,9 @@
                                     : NoChoiceReason::kNoServer;
   std::vector<Candidate> candidates;
   std::vector<Candidate> leaving;
-  const std::vector<const RegisteredServer*> affinity_servers =
-      this->AffinityServers(query);
+  const std::map<const RegisteredServer*, int> affinity_ranks =
+      this->AffinityRanks(query);
+  const bool weighs_engines = this->WeighsEngines(*query.service);
   for (const auto& [id, server] : this->directory.servers()) {
     if (!Accepts(server, query) ||
         this->server_availability.HasLeft(server, now)) {
@@ -705,11 +765,11 @@
         .load = this->EstimateLoad(id, now),
         .is_trial = health == ServerHealthStatus::kTrial,
         .is_leaving = this->server_availability.IsLeaving(server)};
-    const auto affinity =
-        std::find(affinity_servers.begin(), affinity_servers.end(), &server);
-    if (affinity != affinity_servers.end()) {
-      candidate.affinity_rank =
-          static_cast<int>(affinity - affinity_servers.begin());
+    candidate.is_away =
+        weighs_engines && server.data_centre != this->options.data_centre;
+    const auto affinity = affinity_ranks.find(&server);
+    if (affinity != affinity_ranks.end()) {
+      candidate.affinity_rank = affinity->second;
     }
     const double queued = candidate.load.running - server.slots;
     if (queued >= kMaxQueuedPerSlot * server.slots) {
@@ -764,16 +824,20 @@
                spread * std::pow(predicted_ms / aim_ms, kLatenessExponent));
   if (shared > 0) {
     const double rank_share =
-        candidate.affinity_rank ? kRecomputeCostByRank[*candidate.affinity_rank]
-                                : 1;
-    cost += rank_share * kRecomputeCost * (shared - candidate.cached_tokens) /
-            std::max(1.0, WorkOf(query));
+        candidate.affinity_rank && !candidate.is_away
+            ? kRecomputeCostByRank[*candidate.affinity_rank]
+            : 1;
+    cost += rank_share *
+            (weighs_engines ? kWeighedRecomputeCost : kRecomputeCost) *
+            (shared - candidate.cached_tokens) / std::max(1.0, WorkOf(query));
   }
   if (query.service->IsModel() &&
       this->IsReserved(query, server.id) != query.tolerates_pauses) {
     cost += kWrongPartitionCost;
   }
-  if (server.data_centre != this->options.data_centre) {
+  if (candidate.is_away) {
+    cost += kAwayCost + CostOfTokens(query, TokensWorthBytesOf(query));
+  } else if (server.data_centre != this->options.data_centre) {
     cost += kRemoteServerCost;
   }
   if (!candidate.affinity_rank) {
@@ -845,6 +909,107 @@
   return cost;
 }
 
+double Placer::CostOfTokens(const PlacementQuery& query, double tokens) {
+  return kWeighedRecomputeCost * tokens / std::max(1.0, WorkOf(query));
+}
+
+double Placer::LimitAway(const PlacementQuery& query,
+                         Candidate& candidate) const {
+  const int tier = std::min(query.tier + kTiersKeptAway, kMaxHeadroomTier);
+  const double spare =
+      UsableSlots(*candidate.server, tier) - candidate.load.running;
+  if (candidate.limit != CapacityLimit::kNone) {
+    return 0;
+  }
+  if (spare < 1) {
+    candidate.limit = CapacityLimit::kSlots;
+    return 0;
+  }
+  const int capacity = query.service->kv_capacity_tokens;
+  if (capacity > 0 &&
+      candidate.load.kv_tokens + query.prompt_tokens +
+              query.expected_output_tokens >
+          (kMaxPauseTolerantMemoryShare - kHeadroomPerTier * tier) * capacity) {
+    candidate.limit = CapacityLimit::kMemory;
+    return 0;
+  }
+  return spare;
+}
+
+LeaveReason Placer::WeighDataCentres(const PlacementQuery& query,
+                                     std::vector<Candidate>& candidates,
+                                     TimePoint now) {
+  if (!this->WeighsEngines(*query.service) ||
+      std::none_of(candidates.begin(), candidates.end(),
+                   [](const Candidate& item) { return !item.is_away; })) {
+    return LeaveReason::kNoServer;
+  }
+  if (this->options.leave_policy == LeavePolicy::kNever) {
+    std::erase_if(candidates,
+                  [](const Candidate& item) { return item.is_away; });
+    return LeaveReason::kNoServer;
+  }
+  const std::string& service = query.service->name;
+  const std::uint64_t key = RequestKey(query);
+  const double draw = UnitScore(key, this->options.instance);
+  std::map<std::string, double> spare_slots;
+  Candidate* home_affinity = nullptr;
+  int cached_away = 0;
+  for (Candidate& candidate : candidates) {
+    if (candidate.is_away) {
+      spare_slots[candidate.server->data_centre] +=
+          this->LimitAway(query, candidate);
+      if (candidate.limit == CapacityLimit::kNone) {
+        cached_away = std::max(cached_away, candidate.cached_tokens);
+      }
+    } else if (candidate.IsFirstAffinity()) {
+      home_affinity = &candidate;
+    }
+  }
+  const auto cheapest = [&](bool is_away) -> const Candidate* {
+    const Candidate* best = nullptr;
+    for (const Candidate& candidate : candidates) {
+      if (candidate.is_away == is_away &&
+          candidate.limit == CapacityLimit::kNone &&
+          (best == nullptr || candidate.cost < best->cost)) {
+        best = &candidate;
+      }
+    }
+    return best;
+  };
+  const Candidate* home = cheapest(false);
+  const Candidate* away = cheapest(true);
+  if (away == nullptr) {
+    return LeaveReason::kFull;
+  }
+  const bool is_overloaded = home == nullptr || away->cost < home->cost;
+  if (!is_overloaded) {
+    const int read_tokens = home_affinity == nullptr
+                                ? 0
+                                : cached_away - home_affinity->cached_tokens;
+    if (read_tokens > 0 && !DataCentreChoice::ShouldReadAtHome(
+                               read_tokens, TokensWorthBytesOf(query), draw)) {
+      home_affinity->cost += CostOfTokens(query, read_tokens);
+    }
+    return LeaveReason::kCached;
+  }
+  this->centre_choice.RecordOverload(service, key, now);
+  for (const auto& [centre, slots] : spare_slots) {
+    this->centre_choice.Update(
+        service, centre,
+        {.slots = slots, .age = this->load_ledger.MaxPeerAge(now)},
+        this->InstancesWithin(query, true), this->UnreportedTime(), now);
+  }
+  for (Candidate& candidate : candidates) {
+    if (candidate.is_away && candidate.limit == CapacityLimit::kNone &&
+        !this->centre_choice.MayLeave(service, candidate.server->data_centre,
+                                      draw)) {
+      candidate.limit = CapacityLimit::kContended;
+    }
+  }
+  return home == nullptr ? LeaveReason::kFull : LeaveReason::kSlow;
+}
+
 bool Placer::HasRateFor(const RegisteredServer& server, int tier,
                         TimePoint now) const {
   return this->limits.empty() ||
@@ -1084,6 +1249,10 @@
   this->last_limit_counts = {};
   for (Candidate& candidate : candidates) {
     this->Evaluate(query, candidate, now);
+  }
+  const LeaveReason leave_reason =
+      this->WeighDataCentres(query, candidates, now);
+  for (Candidate& candidate : candidates) {
     ++this->last_limit_counts[static_cast<std::size_t>(candidate.limit)];
     if (candidate.IsFirstAffinity()) {
       affinity_limit = candidate.limit;
@@ -1128,17 +1297,20 @@
   } else if (best->IsFirstAffinity()) {
     reason = ChoiceReason::kPromptAffinity;
   }
-  return ServerChoice{.server = *best->server,
-                      .reason = reason,
-                      .is_reserved = this->IsReserved(query, best->server->id),
-                      .predicted_first_event = best->predicted,
-                      .added_load = AddedLoad(
-                          query, static_cast<int>(best->inputs.prefill_tokens)),
-                      .latency_inputs = best->inputs,
-                      .load = best->load,
-                      .cached_tokens = best->cached_tokens,
-                      .candidate_count = static_cast<int>(candidates.size()),
-                      .affinity_limit = affinity_limit};
+  return ServerChoice{
+      .server = *best->server,
+      .reason = reason,
+      .is_reserved = this->IsReserved(query, best->server->id),
+      .predicted_first_event = best->predicted,
+      .added_load =
+          AddedLoad(query, static_cast<int>(best->inputs.prefill_tokens)),
+      .latency_inputs = best->inputs,
+      .load = best->load,
+      .cached_tokens = best->cached_tokens,
+      .candidate_count = static_cast<int>(candidates.size()),
+      .affinity_limit = affinity_limit,
+      .leave_reason =
+          best->is_away ? std::optional(leave_reason) : std::nullopt};
 }
 
 NoChoiceReason Placer::RecordRefusal(const PlacementQuery& query,
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -11,6 +11,7 @@
 
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
+#include "core/data_centre_choice.h"
 #include "core/engine_speed.h"
 #include "core/fleet_report.h"
 #include "core/latency_model.h"
@@ -59,6 +60,8 @@
   // Another instance can place the request if servers are out of reach from
   // here.
   bool may_relay = false;
+  // Size of the request's body; 0 if unknown.
+  std::size_t body_bytes = 0;
 };
 
 // Why a server was chosen.
@@ -118,6 +121,9 @@
   std::optional<CapacityLimit> affinity_limit;
   // A response has begun.
   bool has_response = false;
+  // Why the server is in another data centre; nullopt if it is at home, or if
+  // engines are not weighed.
+  std::optional<LeaveReason> leave_reason;
 };
 
 // Why no server was chosen.
@@ -159,6 +165,7 @@
   std::string data_centre;
   // Name of this instance.
   std::string instance;
+  LeavePolicy leave_policy = LeavePolicy::kWhenItPays;
 };
 
 // Places requests on backend servers: sends each to the server with the lowest
@@ -321,15 +328,18 @@
     ServerLoad load;
     int cached_tokens = 0;
     // Rank among the affinity servers of the request's shared parts, from 0;
-    // nullopt for other servers.
+    // nullopt for other servers. Where engines are weighed, the servers of each
+    // data centre are ranked apart.
     std::optional<int> affinity_rank;
+    // It is in another data centre, and engines are weighed.
+    bool is_away = false;
     bool is_trial = false;
     // See ServerAvailability; others are preferred.
     bool is_leaving = false;
     CapacityLimit limit = CapacityLimit::kNone;
 
     [[nodiscard]] bool IsFirstAffinity() const {
-      return this->affinity_rank == 0;
+      return this->affinity_rank == 0 && !this->is_away;
     }
     LatencyInputs inputs;
     Duration predicted{};
@@ -361,6 +371,8 @@
     std::set<std::string> fast_servers;
     // The mean speed of the other engines and of the fast ones.
     std::array<double, 2> typical_speeds = {1, 1};
+    // Data centres that have engines of the service.
+    int centre_count = 1;
   };
   // Recent arrivals at this instance, by effective tier; older ones decay.
   struct Arrivals {
@@ -414,11 +426,27 @@
   [[nodiscard]] std::vector<Candidate> Candidates(
       const PlacementQuery& query, TimePoint now,
       NoChoiceReason& why_not) const;
-  // Returns the servers that should cache the request's shared parts, in order
-  // of preference. The later ones get requests for which the earlier ones have
-  // no capacity.
-  [[nodiscard]] std::vector<const RegisteredServer*> AffinityServers(
+  // Returns the servers that should cache the request's shared parts, and their
+  // ranks by preference. The later ones get requests for which the earlier ones
+  // have no capacity.
+  [[nodiscard]] std::map<const RegisteredServer*, int> AffinityRanks(
       const PlacementQuery& query) const;
+  // The same where engines are weighed: each data centre has its own.
+  [[nodiscard]] std::map<const RegisteredServer*, int> WeighedAffinityRanks(
+      const PlacementQuery& query) const;
+  // Adjusts the costs and limits of evaluated candidates so that the request
+  // leaves its data centre only if that pays. Returns the reason for which it
+  // does if the best candidate is away.
+  [[nodiscard]] LeaveReason WeighDataCentres(const PlacementQuery& query,
+                                             std::vector<Candidate>& candidates,
+                                             TimePoint now);
+  // Limits what the candidate, which is away, takes from here: its own data
+  // centre's more urgent work keeps room. Returns the slots that it can spare.
+  [[nodiscard]] double LimitAway(const PlacementQuery& query,
+                                 Candidate& candidate) const;
+  // Returns the cost of reading the tokens again for this request.
+  [[nodiscard]] static double CostOfTokens(const PlacementQuery& query,
+                                           double tokens);
   // Fills in the candidate's prediction, cost and limit.
   void Evaluate(const PlacementQuery& query, Candidate& candidate,
                 TimePoint now) const;
@@ -498,13 +526,18 @@
   // Estimates the requests at other instances that could use the slots before
   // this instance hears of it.
   [[nodiscard]] double ExpectedRivals(const PlacementQuery& query,
-                                      const Candidate& candidate,
-                                      int running) const;
+                                      const Candidate& candidate, int running,
+                                      TimePoint now) const;
+  // Estimates the number of instances in this data centre, this one included,
+  // or outside of one, as if all had as many.
+  [[nodiscard]] int InstancesWithin(const PlacementQuery& query,
+                                    bool is_away) const;
   // Returns the mean time until the others hear of a request.
   [[nodiscard]] Duration UnreportedTime() const;
-  // The number of the service's servers on the same side as this one.
+  // The number of the service's servers on the same side as this one; where
+  // engines are weighed, of those in its data centre.
   [[nodiscard]] int SideCount(const PlacementQuery& query,
-                              const std::string& server) const;
+                              const RegisteredServer& server) const;
   // The number of slots of the server that requests of this tier may use.
   [[nodiscard]] static double UsableSlots(const RegisteredServer& server,
                                           int tier);
@@ -535,6 +568,7 @@
   BrittleServers brittle;
   ServerAvailability server_availability;
   EngineSpeed speeds;
+  DataCentreChoice centre_choice;
   // By service and whether the server is reserved.
   std::map<std::pair<std::string, bool>, StreamPace> stream_paces;
   // By service and whether the server is reserved, since a running request
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -355,6 +355,7 @@
   this->query.service = this->configuration->FindService(this->service_name);
   this->query.parts = this->request_info.prompt_parts;
   this->query.prompt_tokens = this->request_info.prompt_tokens;
+  this->query.body_bytes = this->body.size();
   this->query.expected_output_tokens =
       this->request_info.expected_output_tokens;
   this->query.affinity_wait_until =
@@ -985,6 +986,7 @@
 }
 
 void Exchange::OnBody(std::string bytes) {
+  this->current.response_bytes += bytes.size();
   this->current.last_bytes_at = MonotonicNow();
   switch (this->current.response_mode) {
     case ResponseMode::kNone:
@@ -1200,6 +1202,11 @@
     attempt.relay.reset();
   } else if (attempt.choice) {
     const TimePoint now = MonotonicNow();
+    if (attempt.choice->leave_reason) {
+      this->context.observer.OnLeft({.reason = *attempt.choice->leave_reason,
+                                     .request_bytes = this->body.size(),
+                                     .response_bytes = attempt.response_bytes});
+    }
     this->RecordGaps(attempt, now);
     this->context.placer.RecordEnd(*attempt.choice, now - attempt.sent_at);
   }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -147,6 +147,8 @@
     std::string responding_server;
     // Bytes of the body that were received and not yet forwarded.
     std::string buffered;
+    // Bytes of the body that were received.
+    std::size_t response_bytes = 0;
     // Bytes of the body that were received in mode kDiscarded.
     std::size_t discarded_bytes = 0;
   };
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -211,6 +211,14 @@
   std::string text;
 };
 
+// An attempt at a server in another data centre ended. The bytes are those of
+// the bodies.
+struct LeftRecord {
+  LeaveReason reason = LeaveReason::kNoServer;
+  std::size_t request_bytes = 0;
+  std::size_t response_bytes = 0;
+};
+
 // Receives the events on the event loop's thread; must not block.
 class ProxyObserver {
  public:
@@ -220,6 +228,7 @@
   virtual void OnUnanswered(const UnansweredRecord& record) = 0;
   virtual void OnPlaced(const PlacedRecord& record) = 0;
   virtual void OnRelayed(const RelayedRecord& record) = 0;
+  virtual void OnLeft(const LeftRecord& record) = 0;
   virtual void OnAttemptFailed(const AttemptFailedRecord& record) = 0;
   virtual void OnEnded(const EndedRecord& record) = 0;
   virtual void OnEjected(const EjectedRecord& record) = 0;
--- a/tests/test_engine_speed.cc
+++ b/tests/test_engine_speed.cc
@@ -118,11 +118,23 @@
       const RequestCounts reviews =
           fleet.Counts(kReview, seconds(4), seconds(10));
       CHECK(10 * (reviews.late + reviews.refused) <= reviews.asked);
-      // Not all instances use an engine at once, and none fills its memory.
-      CHECK(fleet.MaxLoad() <= options.slots + options.slots / 4);
       CHECK(fleet.MaxMemoryShare() < 1);
     }
     // Without the figure, 0.2 are late.
     CHECK(20 * late <= urgent);
   }
 }
+
+// Guards against all instances using an engine at once, also while they learn
+// the speeds.
+TEST(EngineSpeed, FewRequestsQueueAtAnEngine) {
+  for (const bool states_speed : {false, true}) {
+    for (const std::uint32_t seed : kSeeds) {
+      EngineFleetOptions options = UnevenFleetOptions(seed);
+      options.states_speed = states_speed;
+      EngineFleet fleet(options, UnevenFleetRequests(1));
+      fleet.Run(seconds(12));
+      CHECK(fleet.MaxLoad() <= options.slots + options.slots / 4);
+    }
+  }
+}
--- a/tests/test_outside_bytes.cc
+++ b/tests/test_outside_bytes.cc
@@ -492,6 +492,23 @@
   }));
 }
 
+// Guards against a misspelt policy that lets requests leave, and against
+// settings without one, as earlier deployments have, being refused.
+TEST(OutsideBytes, OnlyKnownLeavePoliciesAreAccepted) {
+  const auto parse = [](const std::string& value) {
+    return ParseBootSettings("leave_data_centre = " + value + "\n" + kSettings,
+                             "f");
+  };
+  CHECK(ParseBootSettings(kSettings, "f")->gateway.leave_policy ==
+        LeavePolicy::kWhenItPays);
+  CHECK(parse("\"when_it_pays\"")->gateway.leave_policy ==
+        LeavePolicy::kWhenItPays);
+  CHECK(parse("\"never\"")->gateway.leave_policy == LeavePolicy::kNever);
+  for (const char* value : {"\"Never\"", "false", "1", "\"\""}) {
+    CHECK_TEXT(!parse(value), value);
+  }
+}
+
 // Guards against settings that are no numbers, whose conversion is undefined.
 TEST(OutsideBytes, SettingsOutOfRangeAreRefused) {
   CHECK(ParseBootSettings(kSettings, "f").has_value());
