--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -508,7 +508,8 @@
 }
 
 bool AdmissionController::Covers(const RoutedService& service) const {
-  return service.IsModel() && this->covered.contains(service.name);
+  return service.IsModel() &&
+         (service.scaling || this->covered.contains(service.name));
 }
 
 }  // namespace rosemarycove
--- a/src/core/placer.h
+++ b/src/core/placer.h
@@ -245,10 +245,12 @@
     this->speeds.ObserveStated(server.service, server.id, slowdown, now);
   }
   // Returns whether the engines of the service are placed by their speeds, and
-  // leaving the data centre is weighed for its requests. Other services are
-  // placed as if all engines were alike.
+  // leaving the data centre is weighed for its requests: the engines state how
+  // long their work takes, or can be ordered. Other services are placed as if
+  // all engines were alike.
   [[nodiscard]] bool WeighsEngines(const RoutedService& service) const {
-    return service.IsModel() && this->speeds.HasStated(service.name);
+    return service.IsModel() &&
+           (service.scaling || this->speeds.HasStated(service.name));
   }
 
   // Estimates how long it takes until capacity for the request is likely to be
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -864,6 +864,7 @@
              !info.is_misdirected &&
              (info.is_from_server || info.not_executed)) {
     this->context.placer.ObserveSlowdown(server, *info.load->slowdown, now);
+    this->context.admission.Cover(server.service);
   }
 }
 
