Count admission's refusals as demand; pause after a rejected reduction

Change: demand is counted where all refusals pass. Reductions wait for the pause of a rejected order too.

Measured: test_capacity_gateway 5 of 5, test_capacity_planner 20 of 20; the new test fails without the pause.

--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -101,8 +101,8 @@
  public:
   explicit AdmissionController(std::uint64_t seed = std::random_device()());
 
-  // Applies admission control to the service from now on: its engines state how
-  // long work takes. Also used by tests.
+  // Applies admission control to the service from now on, also if its engines
+  // can't be ordered; for tests.
   void Cover(const std::string& service) { this->covered.insert(service); }
   // Returns whether admission control applies; nothing else decides it. For
   // other services, the functions below must not be called.
--- a/src/core/capacity_planner.cc
+++ b/src/core/capacity_planner.cc
@@ -496,6 +496,9 @@
                                    std::vector<PlannedChange>& changes) const {
   const int plain = site.plain.planned();
   const int reclaimable = site.reclaimable.planned();
+  // The platform may reject an order for fewer engines too while it has none of
+  // the kind: without the pause, such an order was repeated ten times a second.
+  const bool may_order_reclaimable = site.reclaimable.MayTry(now);
   // Cheaper engines that are not to be had leave their places at once, others
   // only to plain ones that the urgent tiers need, or if there are too many.
   const bool has_excess = plain + reclaimable > this->scaling.max_engines;
@@ -507,7 +510,8 @@
                                   spare, reclaimable});
   const bool is_due =
       !is_urgent || now - site.reclaimable.lowered_at() >= kLowerInterval;
-  if (room_made > 0 && is_due && (site.wanted_plain > plain || has_excess)) {
+  if (room_made > 0 && is_due && may_order_reclaimable &&
+      (site.wanted_plain > plain || has_excess)) {
     changes.push_back({ChangeRank::kMakeRoom,
                        {.data_centre = name,
                         .is_reclaimable = true,
@@ -515,7 +519,7 @@
                         .previous_count = reclaimable,
                         .reason = OrderReason::kMakeRoom}});
   }
-  if (site.wanted_plain < plain) {
+  if (site.wanted_plain < plain && site.plain.MayTry(now)) {
     changes.push_back({ChangeRank::kLowerPlain,
                        {.data_centre = name,
                         .engine_count = site.wanted_plain,
@@ -523,7 +527,7 @@
                         .reason = site.plain_reason}});
   }
   const int released = this->ReleasableReclaimable(site, now);
-  if (released > 0) {
+  if (released > 0 && may_order_reclaimable) {
     changes.push_back({ChangeRank::kLowerReclaimable,
                        {.data_centre = name,
                         .is_reclaimable = true,
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -864,7 +864,6 @@
              !info.is_misdirected &&
              (info.is_from_server || info.not_executed)) {
     this->context.placer.ObserveSlowdown(server, *info.load->slowdown, now);
-    this->context.admission.Cover(server.service);
   }
 }
 
@@ -1633,10 +1632,6 @@
 }
 
 void Exchange::RejectAsNotExecuted(EndCause cause, Duration min_delay) {
-  if (cause == EndCause::kQueueFull) {
-    RecordRefusedDemand(this->context, *this->configuration, this->query,
-                        MonotonicNow());
-  }
   // Jitter, so that callers rejected together do not retry together.
   std::uniform_real_distribution<double> jitter(1.0, 1.6);
   this->RefuseUntil(
@@ -1644,6 +1639,10 @@
 }
 
 void Exchange::RefuseUntil(EndCause cause, Duration delay) {
+  if (cause == EndCause::kQueueFull) {
+    RecordRefusedDemand(this->context, *this->configuration, this->query,
+                        MonotonicNow());
+  }
   this->retry_after = delay;
   this->RespondLocally(http_status::kUnavailable, cause, this->retry_after);
 }
--- a/tests/test_capacity_planner.cc
+++ b/tests/test_capacity_planner.cc
@@ -175,6 +175,25 @@
   CHECK(small.platform.CountAll(false) >= 3 * 1.25 * 20 / 0.8 - 1);
 }
 
+// Guards against an order for fewer engines that is sent again at once: while
+// the platform has none of the kind, it rejects each order above what is left.
+TEST(CapacityPlanner, ARejectedReductionWaits) {
+  PlannedFleet full{MakeScaling(50), kPlain};
+  full.demand = [](const std::string&, Duration time) {
+    return time < kTrafficStart ? EngineDemand{} : Demand(2, 6);
+  };
+  full.Run(seconds(20));
+  for (const std::string& zone : kZones) {
+    full.platform.unavailable[{zone, true}] = true;
+    full.platform.Reclaim(zone, full.now);
+  }
+  full.demand = [](const std::string&, Duration) { return Demand(40, 30); };
+  full.platform.rejected = 0;
+  full.Run(seconds(30));
+  // Pauses of 2, 4, 8 and 10 s in each of three data centres.
+  CHECK(full.platform.rejected <= 3 * 5);
+}
+
 // Guards against a data centre's demand that nobody serves since the cheaper
 // engines there are not to be had.
 TEST(CapacityPlanner, OtherDataCentresGetTheEnginesThatOneLacks) {
