--- a/src/proxy/body_budget.h
+++ b/src/proxy/body_budget.h
@@ -91,7 +91,7 @@
   bool is_stalled = false;
 };
 
-// A budget in bytes for a whole process. Below half of it, all requests are
+// A budget in bytes for a whole process. Below 3/8 of it, all requests are
 // read. Above, a request is read only if there is room for the whole of it,
 // which is then reserved, so that what is read partly can always be completed;
 // the others wait unread, and TCP slows their callers down. Small requests may
