--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -369,15 +370,54 @@
   return ready == polls && longest > kContactMs ? kBroken : kHeld;
 }
 
-// Requests with a head that is within the limits and dear to read: many fields,
-// and a Connection field of many names. The rule is broken if more than half of
-// the requests that are unanswered at their route's timeout are still
-// unanswered half a second later.
-int RunFields(int channels) {
+// A head with many fields, and a Connection field of many names.
+std::string HeadOfManyNames() {
+  std::string lines = std::string("GET ") + kSafePath +
+                      "2f HTTP/1.1\r\nHost: " + kHost +
+                      "\r\nRosemarycove-Request-Id: " + NewId() +
+                      "\r\nAuthorization: Token " + kKey + "\r\n";
+  lines += "Connection: b";
+  for (int i = 0; i < 4000; ++i) {
+    lines += ",b";
+  }
+  return HeadOfManyFields(16000, lines + "\r\n");
+}
+
+// A request for a stream with many prompt parts, whose ids are multiples of one
+// number.
+std::string HeadOfManyParts() {
+  constexpr std::uint64_t kStep = 10273;
+  static std::atomic<std::uint64_t> next = 1;
+  std::string lines =
+      std::string("POST ") + kStreamPath + "2f HTTP/1.1\r\nHost: " + kHost +
+      "\r\nRosemarycove-Request-Id: " + NewId() +
+      "\r\nRosemarycove-Model: m"
+      "\r\nRosemarycove-Token-Count: 620,240"
+      "\r\nRosemarycove-Deadline-Ms: 15000"
+      "\r\nAuthorization: Token " +
+      kKey + "\r\nContent-Length: 0" + "\r\nRosemarycove-Prefix-Hash: 1:1";
+  while (lines.size() < 15980) {
+    char text[32];
+    std::snprintf(
+        text, sizeof(text), ",%llx:0",
+        static_cast<unsigned long long>(kStep * (1 + next++ % 400000)));
+    lines += text;
+  }
+  return lines + "\r\n\r\n";
+}
+
+// Requests with a head that is within the limits and dear to handle. The rule
+// is broken if more than half of the requests that are unanswered at their
+// route's timeout are still unanswered half a second later.
+int RunDearHeads(int channels, const std::function<std::string()>& head) {
   constexpr double kLength = 20000;
   constexpr double kPauseMs = 2000;
   constexpr int kEnough = 8;
   Deployment deployment(1);
+  ModelEngine first(deployment.store, "m-" + NewId().substr(0, 8),
+                    "ljubljana-a", "v1", 10, 40);
+  ModelEngine second(deployment.store, "m-" + NewId().substr(0, 8),
+                     "ljubljana-b", "v1", 10, 40);
   if (!deployment.Start()) {
     return kCouldNotRun;
   }
@@ -386,17 +426,6 @@
   std::atomic<int> client_sent = 0;
   std::atomic<int> client_answered = 0;
   std::vector<std::thread> clients;
-  const auto head = [] {
-    std::string lines = std::string("GET ") + kSafePath +
-                        "2f HTTP/1.1\r\nHost: " + kHost +
-                        "\r\nRosemarycove-Request-Id: " + NewId() +
-                        "\r\nAuthorization: Token " + kKey + "\r\n";
-    lines += "Connection: b";
-    for (int i = 0; i < 4000; ++i) {
-      lines += ",b";
-    }
-    return HeadOfManyFields(16000, lines + "\r\n");
-  };
   if (HasTrouble()) {
     Record("client: " + std::to_string(channels) +
            " channels, on each a request with a head of " +
@@ -663,7 +692,9 @@
   } else if (name == "channels") {
     result = RunChannels(n ? n : 1900);
   } else if (name == "fields") {
-    result = RunFields(n ? n : 30);
+    result = RunDearHeads(n ? n : 30, HeadOfManyNames);
+  } else if (name == "parts") {
+    result = RunDearHeads(n ? n : 120, HeadOfManyParts);
   } else if (name == "versions") {
     // From 1000 on, the store is down meanwhile; the rest is the pause in ms.
     result = RunVersions(n >= 1000, n == 0 ? 100 : n % 1000);
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -711,7 +711,7 @@
       continue;
     }
     const std::string last = FieldOf(head, "Last-Event-Id");
-    const int after = last.empty() ? 0 : std::stoi(last);
+    const int after = std::atoi(last.c_str());
     Record("engine " + this->id + " (" + own_version + ") runs " + request +
            (after > 0 ? " after event " + last : ""));
     const int load = ++this->running;
