--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10 into target/review-2/.
+# Builds the stand-ins of the cases from 6 on into target/review-2/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -76,13 +76,25 @@
 }
 
 int FreePort() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  socklen_t size = sizeof(address);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(fd);
-  return ntohs(address.sin_port);
+  // Below the ports that outgoing connections take by themselves.
+  constexpr int kFirst = 20000;
+  constexpr int kCount = 12000;
+  static std::mutex mutex;
+  static std::mt19937 random(std::random_device{}());
+  static std::set<int> taken;
+  const std::lock_guard<std::mutex> lock(mutex);
+  for (int i = 0; i < kCount; ++i) {
+    const int port = kFirst + static_cast<int>(random() % kCount);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(port);
+    const bool is_free =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    if (is_free && taken.insert(port).second) {
+      return port;
+    }
+  }
+  return 0;
 }
 
 int RaiseDescriptorLimit() {
