--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -36,6 +37,26 @@
   return is_free;
 }
 
+// Returns the sum of the user and system times in a file of /proc.
+std::chrono::milliseconds ProcessorTime(const std::filesystem::path& file) {
+  constexpr int kFieldsBeforeTimes = 11;
+  constexpr long kMillisecondsPerSecond = 1000;
+  std::ifstream stat(file);
+  std::string line;
+  std::getline(stat, line);
+  // The name of the program, in parentheses, may contain spaces.
+  std::istringstream fields(line.substr(line.rfind(')') + 1));
+  std::string ignored;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) {
+    fields >> ignored;
+  }
+  long user = 0;
+  long system = 0;
+  fields >> user >> system;
+  return std::chrono::milliseconds((user + system) * kMillisecondsPerSecond /
+                                   ::sysconf(_SC_CLK_TCK));
+}
+
 }  // namespace
 
 int FindFreePorts(int count) {
@@ -185,6 +206,7 @@
           std::atoi(line.c_str() + line.find(':') + 1) / kKilobytes;
     }
   }
+  usage.processor_time = ProcessorTime(entry / "stat");
   return usage;
 }
 
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -27,10 +27,12 @@
 // none.
 int FindFreePorts(int count);
 
-// What a process holds.
+// What a process holds and has used.
 struct ProcessUsage {
   int descriptors = 0;
   int memory_mb = 0;
+  // Used since the process started.
+  std::chrono::milliseconds processor_time{};
 };
 
 // Starts and signals one gateway. The settings and the log are files in its
