Count heads and the parts of prompts, and keep each head once

What callers saw: 500 requests with heads within the limits ended a process. A field of 4 bytes was held as two strings, in the parser and in the request, some 130 bytes; neither these nor the parts of prompts (40 bytes each, 2 on the wire) counted towards the budget, and a request without a partly read body never asked it.

A head is now one text with the positions of its fields, moved and not copied, 8 bytes a field besides the text. The budget counts it, with the parts and the object of the request. Heads are refused before they are parsed while there is no room for a small request (`exhausted`), requests beyond the budget or 7/8 of it for one customer once their customer is known (`no_memory`); both with 503, and nothing was sent. While the budget is used up, requests without progress are ended as if others waited.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -998,6 +998,8 @@
       budget.stopped_count(BudgetCause::kWaitedTooLong));
   add("rosemarycove_requests_stopped_too_many_waiting_total",
       budget.stopped_count(BudgetCause::kTooManyWaiting));
+  add("rosemarycove_requests_stopped_exhausted_total",
+      budget.stopped_count(BudgetCause::kExhausted));
   add("rosemarycove_relay_peers", this->relays.peer_count());
   add("rosemarycove_requests_relayed_total",
       this->request_counts().relayed_out);
--- a/src/core/actions.cc
+++ b/src/core/actions.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Indexed by EndCause.
-constexpr std::array<std::string_view, 29> kCauseNames = {
+constexpr std::array<std::string_view, 30> kCauseNames = {
     "answered",          "unknown_model",  "unknown_service",
     "class_not_allowed", "customer_limit", "class_limit",
     "queue_full",        "evicted",        "late",
@@ -17,7 +17,7 @@
     "key_taken",         "key_reused",     "store_unavailable",
     "unknown_route",     "unknown_key",    "ambiguous",
     "quarantined",       "rate_limited",   "unknown_software",
-    "software_gone",     "servers_paused"};
+    "software_gone",     "servers_paused", "no_memory"};
 
 }  // namespace
 
--- a/src/core/actions.h
+++ b/src/core/actions.h
@@ -77,6 +77,7 @@
   // No server has the software that began the stream that it resumes.
   kSoftwareGone,
   kServersPaused,  // The servers asked for pauses; see ServerAvailability.
+  kNoMemory,       // There was no memory left for it.
 };
 
 // Reports the outcome of a request to its caller and to the logs. Each request
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -110,7 +110,7 @@
   void PassHead(const ResponseHead& head) {
     this->checked +=
         fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason);
-    for (const HeaderField& field : head.fields.all()) {
+    for (const HeaderFieldView field : head.fields) {
       if (!head.fields.IsHopByHop(field.name) &&
           !TokensEqual(field.name, "content-length")) {
         this->checked += fmt::format("{}: {}\r\n", field.name, field.value);
--- a/src/proxy/body_budget.cc
+++ b/src/proxy/body_budget.cc
@@ -15,13 +15,15 @@
 // request within the limits always fits, whatever the others hold.
 constexpr std::size_t kMinRequests = 4;
 // Parts of the budget, in eighths: below the first one everything is read,
-// larger requests may use the second one together, and those of one customer
-// the third one. What is read below the first one and one request more fit the
-// two others, so that waiting requests can't keep each other from going on.
+// larger requests may use the second one together, those of one customer the
+// third one, and all requests of one customer the fourth one. What is read
+// below the first one and one request more fit the two others, so that waiting
+// requests can't keep each other from going on.
 constexpr std::size_t kParts = 8;
 constexpr std::size_t kCalmParts = 3;
 constexpr std::size_t kLargeParts = 6;
 constexpr std::size_t kCustomerParts = 5;
+constexpr std::size_t kSmallCustomerParts = 7;
 // Each waiting connection has up to 256 KiB of unread data in the kernel, so
 // their number is limited, too.
 constexpr std::size_t kMaxWaiting = 64;
@@ -35,8 +37,8 @@
 // Maximum number of stalled requests ended in one tick.
 constexpr int kMaxStoppedPerTick = 8;
 // Indexed by BudgetCause.
-constexpr std::array<std::string_view, 3> kCauseNames = {
-    "no_progress", "waited_too_long", "too_many_waiting"};
+constexpr std::array<std::string_view, 4> kCauseNames = {
+    "no_progress", "waited_too_long", "too_many_waiting", "exhausted"};
 
 }  // namespace
 
@@ -60,9 +62,19 @@
   return this->is_reserved ? std::max(this->held, this->whole) : this->held;
 }
 
+bool BudgetAccount::MayReadHead() {
+  if (!this->budget.is_exhausted()) {
+    return true;
+  }
+  this->budget.Stop(*this, BudgetCause::kExhausted);
+  return false;
+}
+
 void BudgetAccount::BeginBody(const std::string& customer_name,
                               std::size_t whole_bytes, TimePoint now) {
   this->EndBody();
+  this->budget.largest_whole =
+      std::max(this->budget.largest_whole, whole_bytes);
   this->budget.Update(*this, [&](BudgetAccount& account) {
     account.customer = customer_name;
     account.whole = whole_bytes;
@@ -88,6 +100,18 @@
   return ReadDecision::kWait;
 }
 
+bool BudgetAccount::MayStart(const std::string& customer_name) {
+  this->budget.Update(
+      *this, [&](BudgetAccount& account) { account.customer = customer_name; });
+  const std::size_t limit = this->budget.LimitFor(this->budget.largest_whole);
+  if (this->budget.is_calm() || (this->budget.committed <= limit &&
+                                 this->budget.LeavesRoom(*this, limit))) {
+    return true;
+  }
+  this->budget.Stop(*this, BudgetCause::kExhausted);
+  return false;
+}
+
 void BudgetAccount::EndBody() {
   if (this->is_waiting()) {
     this->waiting_since.reset();
@@ -140,6 +164,17 @@
   return this->committed < this->bytes * kCalmParts / kParts;
 }
 
+bool BodyBudget::is_exhausted() const {
+  return this->committed + 2 * kSmallBytes >
+         this->LimitFor(this->largest_whole);
+}
+
+bool BodyBudget::LeavesRoom(const BudgetAccount& account,
+                            std::size_t limit) const {
+  return this->CommittedOf(account.customer) <=
+         limit * kSmallCustomerParts / kParts;
+}
+
 bool BodyBudget::CustomerFits(const BudgetAccount& account,
                               std::size_t limit) const {
   const std::size_t others =
@@ -156,7 +191,8 @@
   }
   const std::size_t limit = this->LimitFor(account.whole);
   const std::size_t others = this->committed - account.Committed();
-  if (account.held < kSmallBytes && others + 2 * kSmallBytes <= limit) {
+  if (account.held < kSmallBytes && others + 2 * kSmallBytes <= limit &&
+      this->LeavesRoom(account, limit)) {
     return true;
   }
   if (others + account.whole > limit * kLargeParts / kParts ||
@@ -172,7 +208,8 @@
   this->RecordStalls(now);
   this->AdmitWaiting();
   for (int i = 0; i < kMaxStoppedPerTick; ++i) {
-    const bool others_wait = connections_wait || this->is_anyone_waiting();
+    const bool others_wait =
+        connections_wait || this->is_anyone_waiting() || this->is_exhausted();
     if (!others_wait || !this->StopStalled()) {
       break;
     }
--- a/src/proxy/body_budget.h
+++ b/src/proxy/body_budget.h
@@ -26,6 +26,7 @@
   kNoProgress,      // It moved hardly any bytes while others waited.
   kWaitedTooLong,   // No room came in time.
   kTooManyWaiting,  // Too many others waited already.
+  kExhausted,       // There was no memory left, even for a head.
 };
 std::string_view ToString(BudgetCause cause);
 
@@ -42,8 +43,9 @@
   virtual void OnStopped(BudgetCause cause) = 0;
 };
 
-// What one caller's connection holds: what was read and not forwarded, what is
-// kept for another attempt, and what the caller or the server has not taken.
+// What one caller's connection holds: what was read and not forwarded, heads as
+// they were parsed, what is kept for another attempt, and what the caller or
+// the server has not taken.
 class BudgetAccount {
  public:
   BudgetAccount(BodyBudget& budget, BudgetHolder& holder, TimePoint now);
@@ -51,12 +53,17 @@
   BudgetAccount(const BudgetAccount&) = delete;
   BudgetAccount& operator=(const BudgetAccount&) = delete;
 
+  // Asks whether a head may be read further. False refuses the request.
+  [[nodiscard]] bool MayReadHead();
   // Begins to read the body of a request of this customer (empty: none).
   // `whole_bytes`: upper limit of what is held once all is read.
   void BeginBody(const std::string& customer_name, std::size_t whole_bytes,
                  TimePoint now);
   // Asks whether to read further. After kWait, the account waits.
   ReadDecision MayRead(TimePoint now);
+  // Asks whether a request of this customer that was read as a whole may be
+  // handled, with all that is held of it.
+  [[nodiscard]] bool MayStart(const std::string& customer_name);
   // The body is complete, or will not be read any more.
   void EndBody();
   void SetHeld(std::size_t bytes);
@@ -96,8 +103,8 @@
 // which is then reserved, so that what is read partly can always be completed;
 // the others wait unread, and TCP slows their callers down. Small requests may
 // use a part that larger ones can't, and each customer only a part. While
-// requests or connections wait, requests without progress are ended. Used on
-// the event loop's thread only.
+// requests or connections wait, or no memory is left, requests without progress
+// are ended. Used on the event loop's thread only.
 class BodyBudget {
  public:
   explicit BodyBudget(std::size_t bytes) : bytes(bytes) {}
@@ -108,6 +115,8 @@
   void Tick(TimePoint now, bool connections_wait = false);
   // Returns whether little enough is held that nobody has to save memory.
   [[nodiscard]] bool is_calm() const;
+  // Returns whether there is no room even for small requests.
+  [[nodiscard]] bool is_exhausted() const;
   [[nodiscard]] std::size_t held_bytes() const { return this->held; }
   [[nodiscard]] std::size_t waiting_count() const { return this->waiting; }
   // How many requests were ended, by cause.
@@ -120,6 +129,10 @@
   [[nodiscard]] std::size_t LimitFor(std::size_t whole) const;
   // Returns whether the account may read, and reserves room for it if needed.
   bool Admit(BudgetAccount& account);
+  // Returns whether the account's customer leaves a part of the budget to
+  // others.
+  [[nodiscard]] bool LeavesRoom(const BudgetAccount& account,
+                                std::size_t limit) const;
   // Returns whether the customer has room for the whole request.
   [[nodiscard]] bool CustomerFits(const BudgetAccount& account,
                                   std::size_t large_limit) const;
@@ -137,6 +150,8 @@
   void Stop(BudgetAccount& account, BudgetCause cause);
 
   std::size_t bytes;
+  // The largest BudgetAccount::whole so far.
+  std::size_t largest_whole = 0;
   std::list<BudgetAccount*> accounts;
   // By customer; only those above zero.
   std::map<std::string, std::size_t> committed_by_customer;
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -155,11 +155,16 @@
 void CallerConnection::UpdateHeld() {
   if (this->account) {
     this->account->SetHeld(this->received.size() + this->unsent_bytes() +
-                           (this->reader ? this->reader->body_bytes() : 0) +
+                           (this->reader ? this->reader->HeldBytes() : 0) +
                            (this->exchange ? this->exchange->HeldBytes() : 0));
   }
 }
 
+bool CallerConnection::MayHold(const std::string& customer) {
+  this->UpdateHeld();
+  return this->account->MayStart(customer);
+}
+
 std::string CallerConnection::CustomerOf(const RequestHead& head) const {
   const auto& configuration = this->context.configuration;
   const auto key = this->context.dialect.ReadRequest(head).api_key;
@@ -274,6 +279,10 @@
     this->StartClosing(CloseCause::kResponseSent);
     return;
   }
+  if (!this->reader->has_head() && !this->account->MayReadHead()) {
+    this->OnStopped(BudgetCause::kExhausted);
+    return;
+  }
   switch (this->reader->Feed(this->received)) {
     case RequestReader::Progress::kNeedMore:
       return;
@@ -293,7 +302,7 @@
   this->had_request = true;
   this->write_timeout = this->Limits().idle_timeout;
   this->context.observer.OnRequestRead();
-  RequestHead head = this->reader->head();
+  RequestHead head = this->reader->TakeHead();
   std::string body = this->reader->TakeBody();
   this->reader.reset();
   this->account->EndBody();
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -56,6 +56,7 @@
   void Write(std::string bytes) override;
   void Finish(bool keep_open) override;
   void Abort(bool reset) override;
+  [[nodiscard]] bool MayHold(const std::string& customer) override;
   [[nodiscard]] std::size_t unsent_bytes() const override {
     return this->outgoing.size() + this->sending.size() - this->sent;
   }
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -55,6 +55,8 @@
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
 // Retry-After of an instance that is shutting down, while others are ready.
 constexpr Duration kDrainingRetryAfter = std::chrono::milliseconds(100);
+// Retry-After of an instance that has no memory left for a request.
+constexpr Duration kNoMemoryRetryAfter = std::chrono::seconds(1);
 // Retry-After of a resumed stream of unknown origin: another instance may be
 // about to tell the origin.
 constexpr Duration kUnknownSoftwareRetryAfter = std::chrono::milliseconds(500);
@@ -194,7 +196,12 @@
 }
 
 std::size_t Exchange::HeldBytes() const {
-  return this->body->size() + this->current.buffered.size() +
+  // The parts of the prompt and the ids of those that are shared.
+  const std::size_t part_bytes =
+      this->query.parts.capacity() * sizeof(PromptPart) +
+      this->suspects.parts.capacity() * sizeof(std::uint64_t);
+  return sizeof(*this) + this->request.HeldBytes() + part_bytes +
+         this->body->size() + this->current.buffered.size() +
          this->splitter.partial_event().size();
 }
 
@@ -226,6 +233,7 @@
     return;
   }
   this->request_info = this->context.dialect.ReadRequest(this->request);
+  this->query.parts = std::move(this->request_info.prompt_parts);
   if (this->relayed_from && !this->relayed_from->last_event_id.empty()) {
     this->request_info.last_event_id = this->relayed_from->last_event_id;
   }
@@ -246,6 +254,10 @@
     return;
   }
   this->SetSuspects();
+  if (!this->sink.MayHold(this->customer)) {
+    this->RejectAsNotExecuted(EndCause::kNoMemory, kNoMemoryRetryAfter);
+    return;
+  }
   if (!this->RequireStreamSoftware()) {
     return;
   }
@@ -261,7 +273,7 @@
     return;
   }
   // Without the body, so that callers may change other parts of it.
-  const std::span<const PromptPart> parts = this->request_info.prompt_parts;
+  const std::span<const PromptPart> parts = this->query.parts;
   const std::uint64_t identity =
       parts.empty()
           ? this->suspects.request_hash
@@ -363,9 +375,10 @@
                    .host = this->request.fields.Find("host").value_or(""),
                    .caller = this->customer,
                    .body = *this->body});
-  const std::vector<PromptPart>& parts = this->request_info.prompt_parts;
+  const std::vector<PromptPart>& parts = this->query.parts;
   this->suspects = {.content_hash = content_hash,
                     .request_hash = RequestHash(content_hash, parts)};
+  this->suspects.parts.reserve(parts.size());
   for (const PromptPart& part : SharedParts(parts)) {
     this->suspects.parts.push_back(part.id);
   }
@@ -397,7 +410,6 @@
         this->service_name, this->arrival);
   }
   this->query.service = this->configuration->FindService(this->service_name);
-  this->query.parts = this->request_info.prompt_parts;
   this->query.prompt_tokens = this->request_info.prompt_tokens;
   this->query.body_bytes = this->body->size();
   this->query.expected_output_tokens =
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -27,6 +27,9 @@
   // resets the connection, since an orderly close would mark the end of the
   // response.
   virtual void Abort(bool reset) = 0;
+  // Returns whether there is memory for the request, now that its customer is
+  // known.
+  [[nodiscard]] virtual bool MayHold(const std::string& customer) = 0;
   // The number of bytes passed to Write and not yet sent to the caller.
   [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
 };
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -26,7 +26,8 @@
 }  // namespace
 
 bool TokensEqual(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [](unsigned char x, unsigned char y) {
                       return std::tolower(x) == std::tolower(y);
                     });
@@ -46,15 +47,45 @@
   return false;
 }
 
+void HeaderFields::Reserve(std::size_t count, std::size_t text_bytes) {
+  this->ends.reserve(count);
+  this->text.reserve(text_bytes);
+}
+
+void HeaderFields::Add(std::string_view name, std::string_view value) {
+  this->text.append(name);
+  const auto name_end = static_cast<std::uint32_t>(this->text.size());
+  this->text.append(value);
+  this->ends.push_back(
+      {.name = name_end,
+       .value = static_cast<std::uint32_t>(this->text.size())});
+}
+
+HeaderFieldView HeaderFields::At(std::size_t index) const {
+  const std::size_t begin = index == 0 ? 0 : this->ends[index - 1].value;
+  const Ends& field = this->ends[index];
+  const std::string_view all = this->text;
+  return {.name = all.substr(begin, field.name - begin),
+          .value = all.substr(field.name, field.value - field.name)};
+}
+
 void HeaderFields::Remove(std::string_view name) {
-  std::erase_if(this->fields, [name](const HeaderField& field) {
-    return TokensEqual(field.name, name);
-  });
+  if (!this->Find(name)) {
+    return;
+  }
+  HeaderFields kept;
+  kept.Reserve(this->ends.size(), this->text.size());
+  for (const HeaderFieldView field : *this) {
+    if (!TokensEqual(field.name, name)) {
+      kept.Add(field.name, field.value);
+    }
+  }
+  *this = std::move(kept);
 }
 
 std::optional<std::string_view> HeaderFields::Find(
     std::string_view name) const {
-  for (const HeaderField& field : this->fields) {
+  for (const HeaderFieldView field : *this) {
     if (TokensEqual(field.name, name)) {
       return field.value;
     }
@@ -63,9 +94,15 @@
 }
 
 int HeaderFields::Count(std::string_view name) const {
-  return static_cast<int>(std::count_if(
-      this->fields.begin(), this->fields.end(),
-      [&](const HeaderField& field) { return TokensEqual(field.name, name); }));
+  int count = 0;
+  for (const HeaderFieldView field : *this) {
+    count += TokensEqual(field.name, name) ? 1 : 0;
+  }
+  return count;
+}
+
+std::size_t HeaderFields::HeldBytes() const {
+  return this->text.capacity() + this->ends.capacity() * sizeof(Ends);
 }
 
 bool HeaderFields::IsHopByHop(std::string_view name) const {
@@ -74,11 +111,13 @@
           [&](std::string_view hop) { return TokensEqual(hop, name); })) {
     return true;
   }
-  return std::any_of(this->fields.begin(), this->fields.end(),
-                     [&](const HeaderField& field) {
-                       return TokensEqual(field.name, "connection") &&
-                              ListContainsToken(field.value, name);
-                     });
+  for (const HeaderFieldView field : *this) {
+    if (TokensEqual(field.name, "connection") &&
+        ListContainsToken(field.value, name)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 std::string_view RequestHead::Path() const {
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -9,39 +9,78 @@
 
 namespace rosemarycove {
 
-// A header field; the name keeps its case.
+// A header field to be written.
 struct HeaderField {
   std::string name;
   std::string value;
 };
 
+// A header field of a message; valid as long as the message's fields are not
+// changed. The name keeps its case.
+struct HeaderFieldView {
+  std::string_view name;
+  std::string_view value;
+};
+
 // Returns whether two field names or tokens are equal, ignoring case.
 bool TokensEqual(std::string_view a, std::string_view b);
 // Returns whether a comma-separated list contains the token, ignoring case.
 bool ListContainsToken(std::string_view list, std::string_view token);
 
-// The header fields of a message, in the order received.
+// The header fields of a message, in the order received. Callers choose how
+// many there are, so the fields are kept in one text, with their positions in
+// it.
 class HeaderFields {
  public:
-  void Add(std::string name, std::string value) {
-    this->fields.push_back({std::move(name), std::move(value)});
-  }
+  // Iterates over the fields.
+  class Iterator {
+   public:
+    Iterator(const HeaderFields& fields, std::size_t index)
+        : fields(&fields), index(index) {}
+    HeaderFieldView operator*() const { return this->fields->At(this->index); }
+    Iterator& operator++() {
+      ++this->index;
+      return *this;
+    }
+    bool operator==(const Iterator&) const = default;
+
+   private:
+    const HeaderFields* fields;
+    std::size_t index;
+  };
+
+  // Allocates memory for this many fields, whose names and values have this
+  // many bytes together.
+  void Reserve(std::size_t count, std::size_t text_bytes);
+  void Add(std::string_view name, std::string_view value);
   // Removes all fields of this name.
   void Remove(std::string_view name);
   // Returns the value of the first field of this name, or nullopt.
   [[nodiscard]] std::optional<std::string_view> Find(
       std::string_view name) const;
   [[nodiscard]] int Count(std::string_view name) const;
-  [[nodiscard]] const std::vector<HeaderField>& all() const {
-    return this->fields;
-  }
+  [[nodiscard]] std::size_t size() const { return this->ends.size(); }
+  [[nodiscard]] Iterator begin() const { return {*this, 0}; }
+  [[nodiscard]] Iterator end() const { return {*this, this->size()}; }
+  // Returns the size of the memory that is allocated.
+  [[nodiscard]] std::size_t HeldBytes() const;
 
   // Returns whether the field applies to one connection only and must not be
   // forwarded. That includes the fields listed in `Connection`.
   [[nodiscard]] bool IsHopByHop(std::string_view name) const;
 
  private:
-  std::vector<HeaderField> fields;
+  // Where a field ends in the text. It begins where the one before it ends.
+  struct Ends {
+    std::uint32_t name = 0;
+    std::uint32_t value = 0;
+  };
+
+  [[nodiscard]] HeaderFieldView At(std::size_t index) const;
+
+  // The names and values, without anything between them.
+  std::string text;
+  std::vector<Ends> ends;
 };
 
 // The parts common to the heads of requests and responses.
@@ -64,6 +103,11 @@
 
   // Returns the target without its query.
   [[nodiscard]] std::string_view Path() const;
+  // Returns the size of the memory that the head holds.
+  [[nodiscard]] std::size_t HeldBytes() const {
+    return this->method.capacity() + this->target.capacity() +
+           this->fields.HeldBytes();
+  }
 };
 
 // How the end of a response's body is marked.
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -77,12 +77,15 @@
 // broke off in the reason or in a field's value. The rest of the head is then
 // the other one's.
 bool ContainsResponse(const MessageParser<false>& parser) {
-  const std::vector<HeaderField>& fields = parser.fields.all();
-  return ContainsStatusLine(parser.reason) ||
-         std::any_of(fields.begin(), fields.end(),
-                     [](const HeaderField& field) {
-                       return ContainsStatusLine(field.value);
-                     });
+  if (ContainsStatusLine(parser.reason)) {
+    return true;
+  }
+  for (const HeaderFieldView field : parser.fields) {
+    if (ContainsStatusLine(field.value)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 // Returns whether the body has a transfer coding other than chunked. The
@@ -153,10 +156,14 @@
   if (end > this->limits.max_header_bytes) {
     return this->Reject(http_status::kHeadersTooLarge);
   }
-  if (const int status = this->CheckRawHead(
-          std::string_view(bytes).substr(0, end + kHeadEnd.size()))) {
+  const std::string_view head(bytes.data(), end + kHeadEnd.size());
+  if (const int status = this->CheckRawHead(head)) {
     return this->Reject(status);
   }
+  // Each field has a line.
+  this->parser.fields.Reserve(
+      static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n')),
+      head.size());
   this->parser.eager(true);
   this->parser.header_limit(std::numeric_limits<std::uint32_t>::max());
   this->parser.body_limit(this->limits.max_body_bytes);
@@ -166,10 +173,10 @@
   }
   this->head_received = true;
   this->parser.expected_body_bytes = this->MaxBodyBytes();
-  this->request.method = this->parser.method;
-  this->request.target = this->parser.target;
+  this->request.method = std::move(this->parser.method);
+  this->request.target = std::move(this->parser.target);
   this->request.is_http_1_0 = this->parser.version < 11;
-  this->request.fields = this->parser.fields;
+  this->request.fields = std::move(this->parser.fields);
   if (const int status = this->CheckHead()) {
     return this->Reject(status);
   }
@@ -234,9 +241,9 @@
 void ResponseReader::StoreHead() {
   this->head_received = true;
   this->response.status = this->parser->status;
-  this->response.reason = this->parser->reason;
+  this->response.reason = std::move(this->parser->reason);
   this->response.is_http_1_0 = this->parser->version < 11;
-  this->response.fields = this->parser->fields;
+  this->response.fields = std::move(this->parser->fields);
   if (const auto length = this->parser->content_length()) {
     this->response.length = *length;
     this->response.framing = BodyFraming::kLength;
--- a/src/proxy/http_reader.h
+++ b/src/proxy/http_reader.h
@@ -53,7 +53,7 @@
   void on_field_impl(Field, View name, View value, Error&) override {
     // Trailer fields are dropped.
     if (!this->has_head) {
-      this->fields.Add(std::string(name), std::string(value));
+      this->fields.Add(name, value);
     }
   }
   void on_header_impl(Error&) override { this->has_head = true; }
@@ -104,11 +104,14 @@
 
   // Valid after Feed returned kHead or kComplete.
   [[nodiscard]] const RequestHead& head() const { return this->request; }
+  // Moves the head out; called once, after kComplete, instead of head().
+  RequestHead TakeHead() { return std::move(this->request); }
   // Moves the body out; called once, after kComplete.
   std::string TakeBody() { return std::move(this->parser.body); }
-  // The size of the part of the body that was read.
-  [[nodiscard]] std::size_t body_bytes() const {
-    return this->parser.body.size();
+  // Returns the size of the head, once it is complete, and of the part of the
+  // body that was read.
+  [[nodiscard]] std::size_t HeldBytes() const {
+    return this->request.HeldBytes() + this->parser.body.size();
   }
   // Returns the size of the whole body, or the maximum size if the head does
   // not tell it. Valid once has_head() returns true.
--- a/src/proxy/message_writer.cc
+++ b/src/proxy/message_writer.cc
@@ -20,7 +20,7 @@
   text.reserve(1024);
   text.append(head.method).append(" ").append(head.target);
   text.append(" HTTP/1.1\r\n");
-  for (const HeaderField& field : head.fields.all()) {
+  for (const HeaderFieldView field : head.fields) {
     if (TokensEqual(field.name, "content-length") ||
         !dialect.Forwards(field.name)) {
       continue;
@@ -49,7 +49,7 @@
   std::string text;
   text.reserve(512);
   text.append(fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason));
-  for (const HeaderField& field : head.fields.all()) {
+  for (const HeaderFieldView field : head.fields) {
     if (TokensEqual(field.name, "content-length") ||
         head.fields.IsHopByHop(field.name)) {
       continue;
--- a/src/proxy/relay_fields.cc
+++ b/src/proxy/relay_fields.cc
@@ -102,7 +102,7 @@
   text.reserve(1024);
   text.append(head.method).append(" ").append(head.target);
   text.append(" HTTP/1.1\r\n");
-  for (const HeaderField& field : head.fields.all()) {
+  for (const HeaderFieldView field : head.fields) {
     // The other instance reads the fields that servers don't get.
     const bool is_for_instances =
         dialect.AlwaysForwards(field.name) || !dialect.Forwards(field.name);
@@ -142,7 +142,7 @@
 
 void SetRelayedServer(ResponseHead& head, const std::string& server) {
   RemoveRelayFields(head.fields);
-  head.fields.Add(std::string(field::kServer), server);
+  head.fields.Add(field::kServer, server);
 }
 
 std::vector<HeaderField> RelayedEndingFields(
--- a/tests/test_body_budget.cc
+++ b/tests/test_body_budget.cc
@@ -258,3 +258,41 @@
   });
   CHECK(holds);
 }
+
+// Requests that are small, but of one customer and many.
+TEST(BodyBudget, SmallRequestsOfOneCustomerLeaveRoom) {
+  constexpr std::size_t kHeld = std::size_t{48} << 10U;
+  BodyBudget budget(kBudget);
+  const TimePoint now{};
+  std::vector<std::unique_ptr<Sender>> all;
+  const auto starts = [&](const std::string& customer) {
+    all.push_back(std::make_unique<Sender>(budget, customer, now));
+    all.back()->account.EndBody();
+    all.back()->account.SetHeld(kHeld);
+    const bool starts = all.back()->account.MayStart(customer);
+    if (!starts) {
+      all.back()->account.SetHeld(0);
+    }
+    return starts;
+  };
+  for (std::size_t i = 0; i < kBudget / kHeld; ++i) {
+    starts("one");
+  }
+  CHECK_FALSE(starts("one"));
+  CHECK_TRUE(starts("other"));
+  CHECK_COMPARE(budget.stopped_count(BudgetCause::kExhausted), >, 0U);
+}
+
+TEST(BodyBudget, HeadsAreRefusedWithoutMemory) {
+  BodyBudget budget(kBudget);
+  const TimePoint now{};
+  Sender holder(budget, "one", now);
+  holder.account.EndBody();
+  Sender other(budget, "other", now);
+  CHECK_TRUE(other.account.MayReadHead());
+  holder.account.SetHeld(kBudget);
+  CHECK_FALSE(other.account.MayReadHead());
+  CHECK_EQUAL(1U, budget.stopped_count(BudgetCause::kExhausted));
+  holder.account.SetHeld(0);
+  CHECK_TRUE(other.account.MayReadHead());
+}
--- a/tests/test_client_memory.cc
+++ b/tests/test_client_memory.cc
@@ -127,3 +127,57 @@
                          .body = std::string(kMaxBodyBytes, 'x'),
                          .all_whole = true});
 }
+
+namespace {
+
+// As in the users' configurations.
+constexpr std::size_t kMaxHeaderBytes = 16 * kKilobyte;
+// The rest of a head without the fields of a crowd.
+constexpr std::size_t kPlainHeadBytes = 400;
+
+// Returns the text as often as it fits into the fields of a head.
+std::string FillHead(const std::string& begin, const std::string& repeated,
+                     const std::string& end) {
+  std::string fields = begin;
+  while (fields.size() + repeated.size() + end.size() <
+         kMaxHeaderBytes - kPlainHeadBytes) {
+    fields += repeated;
+  }
+  return fields + end;
+}
+
+}  // namespace
+
+// Each field was held as two strings, twice, and heads were not counted.
+TEST(ClientMemory, HeadsOfManyFields) {
+  LimitedGateway gateway(AnswerRequests, {.max_header_bytes = kMaxHeaderBytes});
+  gateway.CheckSurvives({.fields = FillHead(LengthField(10), "a:\r\n", ""),
+                         .body = "0123456789",
+                         .clients = 2 * kClients});
+}
+
+// The same for requests that a server works on.
+TEST(ClientMemory, HeadsOfManyFieldsAtServers) {
+  std::atomic<bool> has_ended = false;
+  LimitedGateway gateway(AnswerWhen(has_ended),
+                         {.max_header_bytes = kMaxHeaderBytes});
+  const FlagOnExit end(has_ended);
+  gateway.CheckSurvives({.fields = FillHead(LengthField(1), "a:\r\n", ""),
+                         .body = "x",
+                         .clients = 2 * kClients,
+                         .all_whole = true});
+}
+
+// The parts of prompts are read into tables.
+TEST(ClientMemory, PromptsOfManyParts) {
+  std::atomic<bool> has_ended = false;
+  LimitedGateway gateway(AnswerWhen(has_ended),
+                         {.max_header_bytes = kMaxHeaderBytes});
+  const FlagOnExit end(has_ended);
+  gateway.CheckSurvives(
+      {.fields = FillHead(LengthField(1) + "Rosemarycove-Prefix-Hash: ", "1,",
+                          "1\r\n"),
+       .body = "x",
+       .clients = 2 * kClients,
+       .all_whole = true});
+}
--- a/tests/test_relay_fields.cc
+++ b/tests/test_relay_fields.cc
@@ -102,7 +102,7 @@
   CHECK(response->ending->not_executed);
   CHECK_EQUAL(2, response->ending->sent_attempts);
   CHECK(response->ending->retry_after == std::chrono::milliseconds(150));
-  CHECK(head.fields.all().empty());
+  CHECK_EQUAL(0U, head.fields.size());
 }
 
 // Guards against a server whose response has such fields, by which it could
