Handle no further pipelined request while its caller does not read

The next request of a connection is now parsed only while at most 256 KiB of responses wait for the caller, 32 KiB while memory is short, and what is read ahead of it stays bounded as before. The requests that wait were not started, so nothing is run that nobody reads.

tests/test_client_memory.cc, PipelinedRequestsOfCallersThatDoNotRead: failed before (666 of 64 MB), passes now with a peak of 30 MB.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -26,6 +26,11 @@
 // while memory is short.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} << 10U;
 constexpr std::size_t kMaxPipelinedBytesWhenShort = std::size_t{4} << 10U;
+// No further pipelined request is handled while more than this many bytes of
+// responses wait for the caller; fewer while memory is short.
+constexpr std::size_t kMaxPipelinedResponseBytes = std::size_t{256} << 10U;
+constexpr std::size_t kMaxPipelinedResponseBytesWhenShort = std::size_t{32}
+                                                            << 10U;
 // Emptied strings with a larger capacity are released.
 constexpr std::size_t kMaxSpareBytes = std::size_t{16} << 10U;
 // A caller's connection fails if response bytes stay unacknowledged for this
@@ -99,8 +104,9 @@
   const std::size_t max_pipelined = this->context.body_budget.is_calm()
                                         ? kMaxPipelinedBytes
                                         : kMaxPipelinedBytesWhenShort;
+  const bool is_held_up = this->exchange || this->AwaitsCaller();
   if (this->reading || this->closed ||
-      (this->exchange && this->received.size() > max_pipelined) ||
+      (is_held_up && this->received.size() > max_pipelined) ||
       !this->MayReadBody()) {
     return;
   }
@@ -117,6 +123,13 @@
       });
 }
 
+bool CallerConnection::AwaitsCaller() const {
+  return !this->reader &&
+         this->unsent_bytes() > (this->context.body_budget.is_calm()
+                                     ? kMaxPipelinedResponseBytes
+                                     : kMaxPipelinedResponseBytesWhenShort);
+}
+
 void CallerConnection::ReadAvailable(error_code failure) {
   std::array<char, kReadBufferBytes> buffer;  // NOLINT: not initialised.
   std::size_t count = 0;
@@ -255,7 +268,7 @@
 
 void CallerConnection::ParseReceived() {
   if (this->exchange || this->closing || this->closed ||
-      this->received.empty()) {
+      this->received.empty() || this->AwaitsCaller()) {
     return;
   }
   if (!this->reader) {
@@ -391,6 +404,11 @@
   if (this->closing && this->unsent_bytes() == 0) {
     this->EndSending();
   }
+  if (!this->exchange && !this->reader && !this->closing) {
+    // Pipelined requests may have waited for the caller to read.
+    this->ParseReceived();
+    this->Read();
+  }
 }
 
 void CallerConnection::Finish(bool keep_open) {
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -72,6 +72,9 @@
   void ReadAvailable(boost::system::error_code failure);
   void OnBytesRead(std::string_view bytes);
   void ParseReceived();
+  // Returns whether the next request waits until the caller has read more of
+  // the responses to those before it.
+  [[nodiscard]] bool AwaitsCaller() const;
   // Handles a complete head whose body is still to be read.
   void OnHeadRead();
   // Returns whether the budget allows to read the body further. Refuses the
--- a/tests/test_client_memory.cc
+++ b/tests/test_client_memory.cc
@@ -181,3 +181,26 @@
        .clients = 2 * kClients,
        .all_whole = true});
 }
+
+// The responses to pipelined requests piled up.
+TEST(ClientMemory, PipelinedRequestsOfCallersThatDoNotRead) {
+  constexpr std::size_t kResponseBytes = 60 * kKilobyte;
+  constexpr int kRequests = 200;
+  LimitedGateway gateway([](RawConnection& connection) {
+    const std::string body(kResponseBytes, 'x');
+    while (const auto request = connection.ReadMessage()) {
+      connection.Send(EngineResponse(*request, body));
+    }
+  });
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += fmt::format(
+        "GET /upload/ HTTP/1.1\r\nHost: site.example\r\n"
+        "Rosemarycove-Request-Id: pipelined-{}\r\n\r\n",
+        i);
+  }
+  gateway.CheckSurvives({.fields = LengthField(0),
+                         .body = requests,
+                         .all_whole = true,
+                         .slow_readers = true});
+}
