Work out the hop-by-hop fields of a message once

What callers saw: three requests a second, each within the limits, hung a process. Every field of a request was compared with every name in its Connection fields, and with every other field to find these, anew for each attempt: a head of 16 KB with 2,000 fields and 4,000 names took 194 ms of processor time, one of 4,000 fields alone 15.5 ms (an ordinary head of 16 KB 0.5 ms).

Fields are now marked once, when the head is complete: the names in Connection are sorted and each field is looked up among them. Writing a head reads the mark.

--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -111,8 +111,7 @@
     this->checked +=
         fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason);
     for (const HeaderFieldView field : head.fields) {
-      if (!head.fields.IsHopByHop(field.name) &&
-          !TokensEqual(field.name, "content-length")) {
+      if (!field.is_hop_by_hop && !TokensEqual(field.name, "content-length")) {
         this->checked += fmt::format("{}: {}\r\n", field.name, field.value);
       }
     }
--- a/src/proxy/http_head.cc
+++ b/src/proxy/http_head.cc
@@ -15,6 +15,21 @@
     "te",         "trailer",    "transfer-encoding",
     "upgrade",    "expect",     "proxy-authorization"};
 
+// Returns whether the field applies to one connection only in any message.
+bool IsAlwaysHopByHop(std::string_view name) {
+  return std::any_of(
+      kHopByHop.begin(), kHopByHop.end(),
+      [name](std::string_view hop) { return TokensEqual(hop, name); });
+}
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  std::transform(
+      lower.begin(), lower.end(), lower.begin(),
+      [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
 std::string_view Trim(std::string_view text) {
   const std::size_t first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) {
@@ -56,9 +71,9 @@
   this->text.append(name);
   const auto name_end = static_cast<std::uint32_t>(this->text.size());
   this->text.append(value);
-  this->ends.push_back(
-      {.name = name_end,
-       .value = static_cast<std::uint32_t>(this->text.size())});
+  this->ends.push_back({.name = name_end,
+                        .value = static_cast<std::uint32_t>(this->text.size()),
+                        .is_hop_by_hop = IsAlwaysHopByHop(name) ? 1U : 0U});
 }
 
 HeaderFieldView HeaderFields::At(std::size_t index) const {
@@ -66,7 +81,8 @@
   const Ends& field = this->ends[index];
   const std::string_view all = this->text;
   return {.name = all.substr(begin, field.name - begin),
-          .value = all.substr(field.name, field.value - field.name)};
+          .value = all.substr(field.name, field.value - field.name),
+          .is_hop_by_hop = field.is_hop_by_hop != 0};
 }
 
 void HeaderFields::Remove(std::string_view name) {
@@ -78,6 +94,7 @@
   for (const HeaderFieldView field : *this) {
     if (!TokensEqual(field.name, name)) {
       kept.Add(field.name, field.value);
+      kept.ends.back().is_hop_by_hop = field.is_hop_by_hop ? 1U : 0U;
     }
   }
   *this = std::move(kept);
@@ -105,19 +122,30 @@
   return this->text.capacity() + this->ends.capacity() * sizeof(Ends);
 }
 
-bool HeaderFields::IsHopByHop(std::string_view name) const {
-  if (std::any_of(
-          kHopByHop.begin(), kHopByHop.end(),
-          [&](std::string_view hop) { return TokensEqual(hop, name); })) {
-    return true;
-  }
+void HeaderFields::MarkConnectionFields() {
+  std::string lists;
   for (const HeaderFieldView field : *this) {
-    if (TokensEqual(field.name, "connection") &&
-        ListContainsToken(field.value, name)) {
-      return true;
+    if (TokensEqual(field.name, "connection")) {
+      lists.append(ToLower(field.value)).push_back(',');
+    }
+  }
+  if (lists.empty()) {
+    return;
+  }
+  std::vector<std::string_view> names;
+  for (std::string_view rest = lists; !rest.empty();) {
+    const std::size_t comma = rest.find(',');
+    names.push_back(Trim(rest.substr(0, comma)));
+    rest.remove_prefix(comma + 1);
+  }
+  // Callers choose how many fields and names there are.
+  std::sort(names.begin(), names.end());
+  for (std::size_t i = 0; i < this->size(); ++i) {
+    if (std::binary_search(names.begin(), names.end(),
+                           std::string_view(ToLower(this->At(i).name)))) {
+      this->ends[i].is_hop_by_hop = 1;
     }
   }
-  return false;
 }
 
 std::string_view RequestHead::Path() const {
--- a/src/proxy/http_head.h
+++ b/src/proxy/http_head.h
@@ -20,6 +20,8 @@
 struct HeaderFieldView {
   std::string_view name;
   std::string_view value;
+  // The field applies to one connection only and must not be forwarded.
+  bool is_hop_by_hop = false;
 };
 
 // Returns whether two field names or tokens are equal, ignoring case.
@@ -65,15 +67,16 @@
   // Returns the size of the memory that is allocated.
   [[nodiscard]] std::size_t HeldBytes() const;
 
-  // Returns whether the field applies to one connection only and must not be
-  // forwarded. That includes the fields listed in `Connection`.
-  [[nodiscard]] bool IsHopByHop(std::string_view name) const;
+  // Marks the fields that are listed in `Connection` as hop-by-hop, besides
+  // those that always are. To be called once all fields of a message are added.
+  void MarkConnectionFields();
 
  private:
   // Where a field ends in the text. It begins where the one before it ends.
   struct Ends {
     std::uint32_t name = 0;
-    std::uint32_t value = 0;
+    std::uint32_t value : 31 = 0;
+    std::uint32_t is_hop_by_hop : 1 = 0;
   };
 
   [[nodiscard]] HeaderFieldView At(std::size_t index) const;
--- a/src/proxy/http_reader.cc
+++ b/src/proxy/http_reader.cc
@@ -177,6 +177,7 @@
   this->request.target = std::move(this->parser.target);
   this->request.is_http_1_0 = this->parser.version < 11;
   this->request.fields = std::move(this->parser.fields);
+  this->request.fields.MarkConnectionFields();
   if (const int status = this->CheckHead()) {
     return this->Reject(status);
   }
@@ -244,6 +245,7 @@
   this->response.reason = std::move(this->parser->reason);
   this->response.is_http_1_0 = this->parser->version < 11;
   this->response.fields = std::move(this->parser->fields);
+  this->response.fields.MarkConnectionFields();
   if (const auto length = this->parser->content_length()) {
     this->response.length = *length;
     this->response.framing = BodyFraming::kLength;
--- a/src/proxy/message_writer.cc
+++ b/src/proxy/message_writer.cc
@@ -25,8 +25,7 @@
         !dialect.Forwards(field.name)) {
       continue;
     }
-    if (head.fields.IsHopByHop(field.name) &&
-        !dialect.AlwaysForwards(field.name)) {
+    if (field.is_hop_by_hop && !dialect.AlwaysForwards(field.name)) {
       continue;
     }
     AddField(text, field.name, field.value);
@@ -50,8 +49,7 @@
   text.reserve(512);
   text.append(fmt::format("HTTP/1.1 {} {}\r\n", head.status, head.reason));
   for (const HeaderFieldView field : head.fields) {
-    if (TokensEqual(field.name, "content-length") ||
-        head.fields.IsHopByHop(field.name)) {
+    if (TokensEqual(field.name, "content-length") || field.is_hop_by_hop) {
       continue;
     }
     AddField(text, field.name, field.value);
--- a/src/proxy/relay_fields.cc
+++ b/src/proxy/relay_fields.cc
@@ -107,7 +107,7 @@
     const bool is_for_instances =
         dialect.AlwaysForwards(field.name) || !dialect.Forwards(field.name);
     if (TokensEqual(field.name, "content-length") || IsRelayField(field.name) ||
-        (head.fields.IsHopByHop(field.name) && !is_for_instances)) {
+        (field.is_hop_by_hop && !is_for_instances)) {
       continue;
     }
     AddField(text, field.name, field.value);
--- a/tests/test_relay_fields.cc
+++ b/tests/test_relay_fields.cc
@@ -119,3 +119,18 @@
   CHECK(response->server == "s-1");
   CHECK(!response->ending);
 }
+
+TEST(RelayFields, RemovalKeepsTheMarksOfOthers) {
+  HeaderFields fields;
+  fields.Add("X-Removed", "1");
+  fields.Add("X-Listed", "2");
+  fields.Add("Connection", "keep-alive, x-listed");
+  fields.Add("X-Forwarded", "3");
+  fields.MarkConnectionFields();
+  fields.Remove("x-removed");
+  std::string hop_by_hop;
+  for (const HeaderFieldView field : fields) {
+    hop_by_hop += field.is_hop_by_hop ? '1' : '0';
+  }
+  STRCMP_EQUAL("110", hop_by_hop.c_str());
+}
