Hash the ids that callers choose with a seed of the process

What callers saw: requests whose prompt parts have ids that are multiples of 10,273 hung a process. The table of survivals had the id itself as its hash, so all of its 8,192 entries fell into one bucket, and each insertion and eviction walked it: 85 ms of processor time a request, 1.4 ms with random ids.

SeededHash is used by all tables with such keys: survivals, promises of admission control, sent parts, origins of streams and, for serve, prefixes. All have a maximum size already. Keys that are sent to other instances stay as they were.

tests/test_client_work.cc, ChosenPartIds: failed before (85 ms, 11.5 are allowed), passes now (1.8 ms). ManyPartsWithoutTokens passed before, too.

--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -15,6 +15,7 @@
 #include "core/admission_report.h"
 #include "core/kept_room.h"
 #include "core/routing_configuration.h"
+#include "core/seeded_hash.h"
 #include "core/types.h"
 #include "core/urgency.h"
 
@@ -239,7 +240,7 @@
   std::map<SideKey, Traffic> traffic;
   std::map<TierKey, TierDemand> tiers;
   // By identity.
-  std::unordered_map<std::uint64_t, Promise> promises;
+  std::unordered_map<std::uint64_t, Promise, SeededHash> promises;
   std::vector<std::uint64_t> new_promises;
   std::map<std::string, PeerDemands> peer_demands;
   AdmissionCounts admission_counts;
--- a/src/core/prompt_cache_map.h
+++ b/src/core/prompt_cache_map.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/seeded_hash.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -61,7 +62,7 @@
   [[nodiscard]] bool IsCached(CachedPart part, TimePoint now) const;
   void Insert(CachedPart part, TimePoint now);
 
-  std::unordered_map<CachedPart, TimePoint> last_sent;
+  std::unordered_map<CachedPart, TimePoint, SeededHash> last_sent;
   // Every time that a part was sent, oldest first, for eviction.
   std::deque<std::pair<TimePoint, CachedPart>> send_history;
   std::vector<CachedPart> new_parts;
--- a/src/core/request_quarantine.h
+++ b/src/core/request_quarantine.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/seeded_hash.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -205,7 +206,7 @@
   // By suspect id.
   std::map<std::uint64_t, Suspect> suspects;
   // When a server last survived each suspect, by id.
-  std::unordered_map<std::uint64_t, TimePoint> survivals;
+  std::unordered_map<std::uint64_t, TimePoint, SeededHash> survivals;
   // The ids in `survivals`, for eviction of the oldest.
   std::deque<std::uint64_t> survival_order;
   std::optional<int> trial_rank;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -18,6 +18,7 @@
 #include "core/backend_state.h"
 #include "core/length_predictor.h"
 #include "core/resources.h"
+#include "core/seeded_hash.h"
 #include "core/tiered_queue.h"
 #include "core/types.h"
 
@@ -240,7 +241,7 @@
   std::unordered_map<RequestId, WaitingRequest> waiting_requests;
   LengthPredictor predictor;
   // The last server that got a prompt with the prefix, by its hash.
-  std::unordered_map<std::uint64_t, BackendIndex> backend_by_prefix;
+  std::unordered_map<std::uint64_t, BackendIndex, SeededHash> backend_by_prefix;
   // Prefix hashes in order of insertion, for eviction.
   std::deque<std::uint64_t> prefix_insertion_order;
   TimePoint next_speed_check;
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/seeded_hash.h"
 #include "core/types.h"
 
 namespace rosemarycove {
@@ -67,7 +68,7 @@
               TimePoint now);
 
   // By StreamHash.
-  std::unordered_map<std::uint64_t, Stream> streams;
+  std::unordered_map<std::uint64_t, Stream, SeededHash> streams;
   // The streams in the order in which they were added; a stream may occur
   // several times.
   std::deque<std::pair<TimePoint, std::uint64_t>> order;
--- a/tests/test_client_work.cc
+++ b/tests/test_client_work.cc
@@ -3,9 +3,11 @@
 // result does not depend on the speed of the machine.
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <cstdlib>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "tests/limited_gateway.h"
@@ -45,6 +47,14 @@
   });
 }
 
+// Returns a part list whose ids come from the function.
+std::string PromptField(const std::function<std::uint64_t()>& next_id) {
+  std::string parts =
+      Fill(kFieldBytes, [&](int) { return fmt::format("{:x}:1,", next_id()); });
+  parts.back() = '\r';
+  return "Rosemarycove-Prefix-Hash: " + parts + "\n";
+}
+
 // Returns the milliseconds of processor time that one of the requests takes.
 // All are answered.
 double Cost(LimitedGateway& gateway, int requests, const Fields& fields) {
@@ -109,3 +119,31 @@
       },
       OrdinaryFields);
 }
+
+// The ids of prompt parts were their own hashes.
+TEST(ClientWork, ChosenPartIds) {
+  // All fall into one bucket of a table with so many buckets, which has the
+  // size of the quarantine's table of survivals once that is full.
+  constexpr std::uint64_t kBuckets = 10273;
+  std::uint64_t chosen = 0;
+  std::mt19937_64 random(1);
+  CheckCost(
+      [&chosen](int) {
+        return PromptField([&chosen] { return chosen += kBuckets; });
+      },
+      [&random](int) {
+        return PromptField([&random] { return random() >> 32U; });
+      });
+}
+
+TEST(ClientWork, ManyPartsWithoutTokens) {
+  std::mt19937_64 random(1);
+  CheckCost(
+      [](int) {
+        return "Rosemarycove-Prefix-Hash: " +
+               Fill(kFieldBytes, [](int) { return "1,"; }) + "1\r\n";
+      },
+      [&random](int) {
+        return PromptField([&random] { return random() >> 32U; });
+      });
+}
