Close idle connections while others wait to be accepted

What callers saw: one client that opened more connections than the process accepts and sent nothing kept all others out until the idle timeout, while the instance said that it was ready. Idle connections hold no bytes, so nothing ended them.

At the limit, the instance waits for a connection to arrive and then closes one in 32 of the connections, as far as they are idle: first those from the address that has most, of these the ones that had no request for a second after they were opened, then those that have been idle for longest. Bytes that have arrived make a connection busy, so a closed one had no request read. If none is idle for a second, the instance is not ready. Event 2005, at most once a second, and rosemarycove_connections_closed_for_room_total.

tests/test_client_connections.cc, 300 clients where 250 fit: IdleOnes and IdleOnesOfInstances failed before (no answer in 40 tries), pass now.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -25,6 +25,7 @@
     {LogEvent::kCallEnded, "call_ended", LogLevel::kInfo},
     {LogEvent::kRequestUnanswered, "request_unanswered", LogLevel::kWarning},
     {LogEvent::kRequestStopped, "request_stopped", LogLevel::kWarning},
+    {LogEvent::kConnectionsClosed, "connections_closed", LogLevel::kWarning},
     {LogEvent::kPlaced, "placed", LogLevel::kInfo},
     {LogEvent::kAttemptBroken, "attempt_broken", LogLevel::kWarning},
     {LogEvent::kSlotTaken, "slot_taken", LogLevel::kInfo},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -34,6 +34,7 @@
   kCallEnded = 2002,
   kRequestUnanswered = 2003,
   kRequestStopped = 2004,
+  kConnectionsClosed = 2005,
   kPlaced = 3001,
   kAttemptBroken = 3002,
   kSlotTaken = 3003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -247,7 +247,8 @@
 bool Gateway::ready() const {
   return this->context.configuration != nullptr &&
          this->directory.revision() != 0 &&
-         !this->context.shutdown.has_started();
+         !this->context.shutdown.has_started() &&
+         this->proxy_server.HasRoom(MonotonicNow());
 }
 
 void Gateway::WaitForSignal() {
@@ -989,6 +990,8 @@
   add("rosemarycove_requests_ended_total", this->request_counts().ended);
   add("rosemarycove_requests_unanswered_total",
       this->request_counts().unanswered);
+  add("rosemarycove_connections_closed_for_room_total",
+      this->request_counts().connections_closed);
   const BodyBudget& budget = this->context.body_budget;
   add("rosemarycove_held_bytes", budget.held_bytes());
   add("rosemarycove_requests_waiting_for_memory", budget.waiting_count());
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -203,6 +203,13 @@
                    {"waiting", record.waiting}});
 }
 
+void GatewayObserver::OnConnectionsClosed(
+    const ConnectionsClosedRecord& record) {
+  this->request_counts.connections_closed += record.closed;
+  this->log.Write(LogEvent::kConnectionsClosed,
+                  {{"closed", record.closed}, {"open", record.open}});
+}
+
 void GatewayObserver::OnEjected(const EjectedRecord& record) {
   this->log.Write(LogEvent::kServerEjected,
                   {{"server", record.server},
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -14,8 +14,8 @@
 namespace rosemarycove {
 
 // How many requests the gateway has read as a whole, how many of them have an
-// outcome, and how many OnUnanswered reported; and how often requests were
-// relayed.
+// outcome, and how many OnUnanswered reported; how often requests were relayed;
+// and how many idle connections were closed since others waited.
 struct RequestCounts {
   std::uint64_t read = 0;
   std::uint64_t ended = 0;
@@ -23,6 +23,7 @@
   // Relayed to other instances, and for other instances.
   std::uint64_t relayed_out = 0;
   std::uint64_t relayed_in = 0;
+  std::uint64_t connections_closed = 0;
 };
 
 // The attempts at servers in other data centres that ended, by reason.
@@ -52,6 +53,7 @@
   }
   void OnUnanswered(const UnansweredRecord& record) override;
   void OnStopped(const StoppedRecord& record) override;
+  void OnConnectionsClosed(const ConnectionsClosedRecord& record) override;
   void OnPlaced(const PlacedRecord& record) override;
   void OnRelayed(const RelayedRecord& record) override;
   void OnLeft(const LeftRecord& record) override;
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -85,6 +85,7 @@
   LimitKernelBuffers(this->socket);
   error_code ignored;
   this->socket.non_blocking(true, ignored);
+  this->remote_address = this->socket.remote_endpoint(ignored).address();
 }
 
 CallerLimits CallerConnection::Limits() const {
@@ -516,10 +517,23 @@
   this->unwritten = now_unwritten;
 }
 
+std::optional<TimePoint> CallerConnection::IdleSince() const {
+  const bool is_idle = !this->exchange && !this->reader && !this->closing &&
+                       !this->closed && this->received.empty() &&
+                       this->unsent_bytes() == 0;
+  return is_idle ? std::optional(this->last_read) : std::nullopt;
+}
+
 bool CallerConnection::IsIdle() {
-  return !this->exchange && !this->reader && !this->closing && !this->closed &&
-         this->received.empty() && this->unsent_bytes() == 0 &&
-         !this->HasUnreadBytes();
+  return this->IdleSince() && !this->HasUnreadBytes();
+}
+
+bool CallerConnection::CloseForRoom() {
+  if (!this->IsIdle()) {
+    return false;
+  }
+  this->Close(CloseCause::kRoomNeeded);
+  return true;
 }
 
 bool CallerConnection::HasUnreadBytes() {
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -48,6 +48,18 @@
   // Closes the connection and drops its request at once, without a response.
   // Must not be called from within the request's own functions.
   void Terminate();
+  // Returns since when the connection has been idle, as far as that is known
+  // without a look at the socket; nullopt if it isn't.
+  [[nodiscard]] std::optional<TimePoint> IdleSince() const;
+  // Closes the connection if it is idle, to make room for others. Returns
+  // whether it was.
+  bool CloseForRoom();
+  // Returns whether a request was read as a whole.
+  [[nodiscard]] bool was_used() const { return this->had_request; }
+  // Returns the address of the caller; unspecified if it had disconnected.
+  [[nodiscard]] const boost::asio::ip::address& origin() const {
+    return this->remote_address;
+  }
   [[nodiscard]] bool is_closed() const { return this->closed; }
   // Returns whether a request is being handled.
   [[nodiscard]] bool is_busy() const { return this->exchange != nullptr; }
@@ -117,6 +129,7 @@
   boost::asio::ip::tcp::socket socket;
   CallerKind kind;
   ProxyContext& context;
+  boost::asio::ip::address remote_address;
   // Nullopt once the connection is closed.
   std::optional<BudgetAccount> account;
   std::string received;
--- a/src/proxy/proxy_observer.cc
+++ b/src/proxy/proxy_observer.cc
@@ -6,9 +6,9 @@
 namespace {
 
 // Indexed by CloseCause.
-constexpr std::array<std::string_view, 7> kCloseCauseNames = {
+constexpr std::array<std::string_view, 8> kCloseCauseNames = {
     "caller_closed",    "caller_not_reading", "idle_timeout", "response_sent",
-    "idle_at_shutdown", "process_ends",       "no_progress"};
+    "idle_at_shutdown", "process_ends",       "no_progress",  "room_needed"};
 
 }  // namespace
 
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -158,6 +158,7 @@
   kIdleAtShutdown,    // It was idle while the instance shut down.
   kProcessEnds,       // The process was about to exit.
   kNoProgress,        // The caller did not read while memory was short.
+  kRoomNeeded,        // It was idle while other connections waited.
 };
 std::string_view ToString(CloseCause cause);
 
@@ -187,6 +188,13 @@
   std::size_t waiting = 0;
 };
 
+// Idle connections were closed since others waited to be accepted.
+struct ConnectionsClosedRecord {
+  // Since the last record, and how many remain open.
+  std::size_t closed = 0;
+  std::size_t open = 0;
+};
+
 // A server was ejected after failures, for this duration.
 struct EjectedRecord {
   std::string server;
@@ -250,6 +258,7 @@
   virtual void OnRequestRan(const std::string& customer) = 0;
   virtual void OnUnanswered(const UnansweredRecord& record) = 0;
   virtual void OnStopped(const StoppedRecord& record) = 0;
+  virtual void OnConnectionsClosed(const ConnectionsClosedRecord& record) = 0;
   virtual void OnPlaced(const PlacedRecord& record) = 0;
   virtual void OnRelayed(const RelayedRecord& record) = 0;
   virtual void OnLeft(const LeftRecord& record) = 0;
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "proxy/caller_connection.h"
@@ -53,6 +54,9 @@
   // Checks timeouts and removes closed connections; called periodically.
   void Tick(TimePoint now);
 
+  // Returns whether new connections are accepted, or could be: false once they
+  // have waited for some time without room.
+  [[nodiscard]] bool HasRoom(TimePoint now) const;
   // The number of open connections.
   [[nodiscard]] std::size_t connection_count() const;
   // The number of requests that are being handled.
@@ -70,6 +74,14 @@
   };
 
   void Accept(Entrance& entrance);
+  // Waits for a connection while there is no room, and makes some for it.
+  void AwaitConnection(Entrance& entrance);
+  [[nodiscard]] bool IsFull() const;
+  // Closes idle connections. Returns whether there is room then.
+  bool MakeRoom(TimePoint now);
+  void RemoveClosed();
+  // Reports the connections that were closed to make room.
+  void ReportClosed(TimePoint now);
   // Stops accepting connections at the entrance.
   void Close(Entrance& entrance);
   void Add(boost::asio::ip::tcp::socket socket, CallerKind kind);
@@ -80,6 +92,13 @@
   Entrance relay_entrance;
   std::list<std::shared_ptr<CallerConnection>> callers;
   bool accepting = false;
+  // Since when connections have waited without room, and when one was last seen
+  // to wait; nullopt if there is room.
+  std::optional<TimePoint> blocked_since;
+  TimePoint blocked_at;
+  // Connections closed to make room since the last report.
+  std::size_t closed_for_room = 0;
+  TimePoint reported_at;
 };
 
 }  // namespace rosemarycove
