Drop requests whose callers left before they were handled

What callers saw: requests that waited in the listen queue or for memory were sent to servers up to ten seconds after their callers had left.

Before a request is handled, and while it waits for memory, the instance looks whether its caller has closed the connection or its sending side, which counts as leaving as before. The time spent waiting for memory counts towards the deadline and the route's timeout, and a request past its deadline is refused without having been sent. rosemarycove_requests_not_handled_caller_gone_total.

--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -990,6 +990,8 @@
   add("rosemarycove_requests_ended_total", this->request_counts().ended);
   add("rosemarycove_requests_unanswered_total",
       this->request_counts().unanswered);
+  add("rosemarycove_requests_not_handled_caller_gone_total",
+      this->request_counts().callers_gone);
   add("rosemarycove_connections_closed_for_room_total",
       this->request_counts().connections_closed);
   const BodyBudget& budget = this->context.body_budget;
--- a/src/app/gateway_observer.h
+++ b/src/app/gateway_observer.h
@@ -15,7 +15,8 @@
 
 // How many requests the gateway has read as a whole, how many of them have an
 // outcome, and how many OnUnanswered reported; how often requests were relayed;
-// and how many idle connections were closed since others waited.
+// how many idle connections were closed since others waited; and how many
+// requests were not handled since their callers had left.
 struct RequestCounts {
   std::uint64_t read = 0;
   std::uint64_t ended = 0;
@@ -24,6 +25,7 @@
   std::uint64_t relayed_out = 0;
   std::uint64_t relayed_in = 0;
   std::uint64_t connections_closed = 0;
+  std::uint64_t callers_gone = 0;
 };
 
 // The attempts at servers in other data centres that ended, by reason.
@@ -46,6 +48,7 @@
       : log(log), metrics(metrics) {}
 
   void OnRequestRead() override { ++this->request_counts.read; }
+  void OnCallerGone() override { ++this->request_counts.callers_gone; }
   void OnRequestRan(const std::string& customer) override {
     if (this->run_counter) {
       this->run_counter(customer);
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "proxy/caller_connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -207,6 +208,7 @@
   }
   switch (this->account->MayRead(MonotonicNow())) {
     case ReadDecision::kWait:
+      this->memory_wait_since = MonotonicNow();
       return false;
     case ReadDecision::kRefuse:
       this->OnStopped(BudgetCause::kTooManyWaiting);
@@ -228,7 +230,10 @@
 void CallerConnection::OnRoomAvailable() {
   // The caller was not idle but not read.
   this->last_read = MonotonicNow();
-  this->Read();
+  this->memory_wait += this->last_read - this->memory_wait_since;
+  if (!this->CloseIfCallerLeft()) {
+    this->Read();
+  }
 }
 
 void CallerConnection::OnStopped(BudgetCause cause) {
@@ -313,6 +318,9 @@
 }
 
 void CallerConnection::StartExchange() {
+  if (this->CloseIfCallerLeft()) {
+    return;
+  }
   this->had_request = true;
   this->write_timeout = this->Limits().idle_timeout;
   this->context.observer.OnRequestRead();
@@ -321,7 +329,8 @@
   this->reader.reset();
   this->account->EndBody();
   this->exchange = std::make_unique<Exchange>(
-      this->context, std::move(head), std::move(body), *this, MonotonicNow(),
+      this->context, std::move(head), std::move(body), *this,
+      MonotonicNow() - std::exchange(this->memory_wait, {}),
       this->kind == CallerKind::kInstance);
   this->exchange->Start();
 }
@@ -490,6 +499,7 @@
   }
   // The budget limits how long a request waits for memory.
   if (this->account->is_waiting()) {
+    this->CloseIfCallerLeft();
     return;
   }
   const CallerLimits limits = this->Limits();
@@ -536,6 +546,20 @@
   return true;
 }
 
+bool CallerConnection::HasCallerLeft() {
+  pollfd state{.fd = this->socket.native_handle(), .events = POLLRDHUP};
+  return ::poll(&state, 1, 0) > 0;
+}
+
+bool CallerConnection::CloseIfCallerLeft() {
+  if (!this->HasCallerLeft()) {
+    return false;
+  }
+  this->context.observer.OnCallerGone();
+  this->Close(CloseCause::kCallerClosed);
+  return true;
+}
+
 bool CallerConnection::HasUnreadBytes() {
   char byte = 0;
   return ::recv(this->socket.native_handle(), &byte, 1,
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -109,6 +109,12 @@
   // Returns whether no request is being read or handled and no response is
   // being sent.
   [[nodiscard]] bool IsIdle();
+  // Returns whether the caller has closed or reset the connection, or ended it
+  // towards this instance, even if bytes before that were not read yet.
+  [[nodiscard]] bool HasCallerLeft();
+  // Closes the connection if the caller has left while its request waited to be
+  // read. Returns whether it had.
+  bool CloseIfCallerLeft();
   // Returns whether bytes have arrived that were not read yet; they may be a
   // request.
   [[nodiscard]] bool HasUnreadBytes();
@@ -142,6 +148,9 @@
   std::size_t sent = 0;
   // Bytes of the request that its server had not taken at the last tick.
   std::size_t unwritten = 0;
+  // When the request began to wait for memory, and how long it did so before.
+  TimePoint memory_wait_since;
+  Duration memory_wait{};
   // The caller waits for 100 Continue before it sends the body.
   bool continue_is_due = false;
   bool reading = false;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -249,6 +249,11 @@
   if (!this->ResolveRoute()) {
     return;
   }
+  // The request may have waited until there was memory to read it.
+  if (MonotonicNow() >= this->deadline) {
+    this->GiveUp(EndCause::kMaxWait);
+    return;
+  }
   if (!this->context.shutdown.AcceptsAt(this->received_at)) {
     this->RejectAsNotExecuted(EndCause::kDraining, kDrainingRetryAfter);
     return;
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -252,6 +252,9 @@
   virtual ~ProxyObserver() = default;
   // A whole request was read. Its outcome is reported by OnEnded.
   virtual void OnRequestRead() = 0;
+  // A request was not handled, since its caller had left while it waited to be
+  // read.
+  virtual void OnCallerGone() = 0;
   // A request of the customer began to run at a server, or may have. Reported
   // once per request, by the instance that sent it to the server: for a stream
   // at its first event, otherwise at the response or the end.
