Cut long texts and lists in log lines

What callers saw: nothing, but a process whose log is read slowly or not at all kept up to 8,192 lines with the whole ids of requests, which may be 16 KB, and three times that where they are not UTF-8. 1,000 requests of 100 clients took 118 MB with memory_mb = 64.

Texts over 256 bytes and lists over 32 items are cut, with "..." at their end.

tests/test_client_memory.cc, LongIdsInUnreadLogs: the log is a pipe that nobody reads; failed before (118 of 64 MB), passes now (34 MB).

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -79,6 +79,27 @@
 // Capacity of the queue, in lines.
 constexpr std::size_t kMaxQueuedLines = 8192;
 
+// Callers choose some texts and lists, such as ids of requests, and lines may
+// wait in the queue for long.
+constexpr std::size_t kMaxTextBytes = 256;
+constexpr std::size_t kMaxListItems = 32;
+constexpr std::string_view kCutMark = "...";
+
+// Cuts texts and lists that exceed their maximum sizes.
+void Shorten(nlohmann::ordered_json& value) {
+  if (value.is_string()) {
+    auto& text = value.get_ref<std::string&>();
+    if (text.size() > kMaxTextBytes) {
+      text.resize(kMaxTextBytes);
+      text.append(kCutMark);
+      text.shrink_to_fit();
+    }
+  } else if (value.is_array() && value.size() > kMaxListItems) {
+    value.erase(value.begin() + kMaxListItems, value.end());
+    value.push_back(kCutMark);
+  }
+}
+
 const LogEventInfo& InfoOf(LogEvent event) {
   return *std::find_if(
       std::begin(kCatalogue), std::end(kCatalogue),
@@ -176,6 +197,9 @@
   LogFields all;
   all["instance"] = this->instance;
   all.update(fields);
+  for (auto& [key, value] : all.items()) {
+    Shorten(value);
+  }
   const std::string line = FormatEvent(event, all, this->format);
   // The logger's pattern writes the opening brace, the time and the level.
   this->logger->log(level, "{}",
--- a/tests/limited_gateway.cc
+++ b/tests/limited_gateway.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/time.h>
 #include <unistd.h>
 
@@ -129,6 +130,12 @@
   std::ofstream(this->folder + "/g1.toml", std::ios::app)
       << fmt::format("[limits]\nmemory_mb = {}\nmax_fds = {}\n",
                      this->options.memory_mb, this->options.max_descriptors);
+  if (this->options.has_unread_log) {
+    const std::string log = this->folder + "/g1.log";
+    ::mkfifo(log.c_str(), 0600);
+    // The process could not open the pipe otherwise.
+    this->unread_log = ::open(log.c_str(), O_RDWR | O_CLOEXEC);
+  }
   this->process.Start();
   for (int i = 0; i < kMaxTries && !this->process.IsReady(); ++i) {
     std::this_thread::sleep_for(kRetryPause);
@@ -140,6 +147,9 @@
 LimitedGateway::~LimitedGateway() {
   this->process.Signal(SIGKILL);
   this->process.Wait(std::chrono::seconds(5));
+  if (this->unread_log >= 0) {
+    ::close(this->unread_log);
+  }
   std::error_code ignored;
   std::filesystem::remove_all(this->folder, ignored);
 }
--- a/tests/limited_gateway.h
+++ b/tests/limited_gateway.h
@@ -71,6 +71,8 @@
   std::size_t max_header_bytes = 8 * kKilobyte;
   std::size_t max_body_bytes = kMegabyte;
   std::chrono::milliseconds idle_timeout{60000};
+  // Nobody reads what the process logs.
+  bool has_unread_log = false;
 };
 
 // A store, a server for the requests of crowds at /upload/, one for those of
@@ -112,6 +114,8 @@
 
   LimitedGatewayOptions options;
   std::string folder;
+  // The pipe that nobody reads; -1 if the log is a file.
+  int unread_log = -1;
   platform::StoreStandin store;
   platform::RawServer uploads;
   platform::RawServer ordinary;
--- a/tests/test_client_memory.cc
+++ b/tests/test_client_memory.cc
@@ -204,3 +204,21 @@
                          .all_whole = true,
                          .slow_readers = true});
 }
+
+// Lines of the log that were not written yet had the whole ids of requests.
+TEST(ClientMemory, LongIdsInUnreadLogs) {
+  constexpr int kRequests = 10;
+  // Bytes that are not UTF-8 take more space in the log.
+  const std::string id(kMaxHeaderBytes - kPlainHeadBytes, '\xff');
+  LimitedGateway gateway(AnswerRequests, {.max_header_bytes = kMaxHeaderBytes,
+                                          .has_unread_log = true});
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += fmt::format(
+        "GET /upload/ HTTP/1.1\r\nHost: site.example\r\n"
+        "Rosemarycove-Request-Id: {}{}\r\n\r\n",
+        i, id);
+  }
+  gateway.CheckSurvives(
+      {.fields = LengthField(0), .body = requests, .all_whole = true});
+}
