--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -44,6 +44,7 @@
     {LogEvent::kChangeAccepted, "change_accepted", LogLevel::kInfo},
     {LogEvent::kConfigurationOverdue, "configuration_overdue",
      LogLevel::kWarning},
+    {LogEvent::kConfigurationSent, "configuration_sent", LogLevel::kInfo},
     {LogEvent::kLoadReportMissing, "load_report_missing", LogLevel::kWarning},
     {LogEvent::kServerChanged, "server_changed", LogLevel::kInfo},
     {LogEvent::kServerEjected, "server_ejected", LogLevel::kWarning},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -50,6 +50,7 @@
   kStoreAvailable = 4004,
   kChangeAccepted = 4005,
   kConfigurationOverdue = 4006,
+  kConfigurationSent = 4007,
   kLoadReportMissing = 5001,
   kServerChanged = 5002,
   kServerEjected = 5003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -147,7 +147,7 @@
       quarantine(std::mt19937_64(std::random_device()())()),
       retry_budget(this->options.retry_budget),
       relays(std::mt19937_64(std::random_device()())),
-      pool(io),
+      pool(io, this->paths),
       context{.io = io,
               .dialect = this->platform.dialect,
               .directory = this->directory,
@@ -816,6 +816,8 @@
     this->configuration_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->ShouldSendConfiguration(peer, now)) {
     report.configuration = this->configuration_document;
+    ++this->round_copies.peers;
+    this->round_copies.bytes += this->configuration_document.value.size();
   }
   if (this->directory.revision() <= peer.directory_revision) {
     this->server_throttle.MarkUpToDate(peer.identity.address);
@@ -878,7 +880,20 @@
   this->links.ScheduleReport();
 }
 
+void Gateway::LogConfigurationCopies() {
+  if (this->round_copies.peers == 0) {
+    return;
+  }
+  this->log.Write(LogEvent::kConfigurationSent,
+                  {{"version", this->configuration_version()},
+                   {"peers", this->round_copies.peers},
+                   {"bytes", this->round_copies.bytes}});
+  this->configuration_bytes_sent += this->round_copies.bytes;
+  this->round_copies = {};
+}
+
 void Gateway::OnRoundSent() {
+  this->LogConfigurationCopies();
   this->placer.rate_limits().RecordReportSent();
   this->placer.brittle_servers().RecordReportSent();
   this->placer.caches().MarkTold();
@@ -1041,6 +1056,8 @@
       this->configuration_feed.call_count() +
           this->directory_feed.call_count());
   add("rosemarycove_peer_bytes_sent_total", this->links.bytes_sent());
+  add("rosemarycove_configuration_bytes_sent_total",
+      this->configuration_bytes_sent);
   add("rosemarycove_suspect_records_sent_total", this->suspect_records_sent);
   add("rosemarycove_known_streams", this->stream_origins.size());
   add("rosemarycove_stream_origins_sent_total", this->stream_origins_sent);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -138,6 +138,8 @@
   void UpdateConfigurationFeed(TimePoint now);
   void OnConfigurationRead(const ReadResult& reading, TimePoint read_at);
   void OnDirectoryRead(TimePoint now);
+  // Logs and counts the configurations sent in this round.
+  void LogConfigurationCopies();
   void OnRoundSent() override;
   void OnReport(const FleetPeer& peer, const FleetReport& report) override;
   void OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) override;
@@ -210,6 +212,7 @@
   StreamOrigins stream_origins;
   FleetRetryBudget retry_budget;
   RelaySelector relays;
+  KernelPathMonitor paths;
   ConnectionPool pool;
   ProxyContext context;
   ProxyServer proxy_server;
@@ -237,6 +240,12 @@
   // Highest revision whose configuration was rejected, so that each is logged
   // once.
   std::uint64_t rejected_revision = 0;
+  // The configurations sent in the current round of reports, and in all.
+  struct {
+    int peers = 0;
+    std::size_t bytes = 0;
+  } round_copies;
+  std::uint64_t configuration_bytes_sent = 0;
   RelayThrottle configuration_throttle;
   RelayThrottle server_throttle;
   // The last change of the quarantine that each peer was sent, by address.
--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -72,7 +72,9 @@
        {"directory_revision", CountOf(record.directory_revision)},
        {"directory_era", EraOf(record.directory_revision)},
        {"configuration", record.configuration_version},
-       {"reused", record.reused_connection}});
+       {"reused", record.reused_connection},
+       {"idle_ms", ToLogMilliseconds(record.connection_idle)},
+       {"unanswered", record.connection_unanswered}});
 }
 
 std::string LeftCounts::ToPrometheus() const {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -10,6 +10,7 @@
 
 #include "core/types.h"
 #include "proxy/http_reader.h"
+#include "proxy/socket_options.h"
 
 namespace rosemarycove {
 
@@ -87,6 +88,11 @@
   // Returns whether the connection is open and idle, so that it can serve
   // another request.
   [[nodiscard]] bool IsReusable() const;
+  // Returns whether the other side has not yet answered what was sent to it,
+  // probes included.
+  [[nodiscard]] bool IsUnanswered(const PathMonitor& paths) const {
+    return paths.IsUnanswered(this->socket);
+  }
   [[nodiscard]] bool is_closed() const { return this->closed; }
   // Records the id of the next request. Returns false if an earlier one had the
   // same id, since their responses could not be told apart.
--- a/src/proxy/connection_pool.cc
+++ b/src/proxy/connection_pool.cc
@@ -29,8 +29,12 @@
     } else if ((*candidate)->ReserveFor(request_id)) {
       std::shared_ptr<BackendConnection> connection = std::move(*candidate);
       idle.erase(candidate);
+      const Duration idle = now - connection->idle_since();
+      const bool is_unanswered = connection->IsUnanswered(this->paths);
       return PooledConnection{.connection = std::move(connection),
-                              .reused = true};
+                              .reused = true,
+                              .idle = idle,
+                              .is_unanswered = is_unanswered};
     }
   }
   const auto endpoint = ParseTcpEndpoint(server.address);
--- a/src/proxy/connection_pool.h
+++ b/src/proxy/connection_pool.h
@@ -17,13 +17,18 @@
   std::shared_ptr<BackendConnection> connection;
   // The connection served a request before.
   bool reused = false;
+  // If it did: the time since then, and whether the other side has not yet
+  // answered a probe.
+  Duration idle{};
+  bool is_unanswered = false;
 };
 
 // Keeps a limited number of idle connections per backend server. Used on the
 // event loop's thread only.
 class ConnectionPool {
  public:
-  explicit ConnectionPool(boost::asio::io_context& io) : io(io) {}
+  ConnectionPool(boost::asio::io_context& io, const PathMonitor& paths)
+      : io(io), paths(paths) {}
 
   // Returns a connection for a request with this id: the most recently used
   // idle one that served no request with the same id, or a new one that is not
@@ -47,6 +52,7 @@
 
  private:
   boost::asio::io_context& io;
+  const PathMonitor& paths;
   // By server id; the most recently used connection is the last.
   std::map<std::string, std::vector<std::shared_ptr<BackendConnection>>>
       idle_by_server;
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -665,7 +665,9 @@
        .directory_age = now - this->context.directory.read_at(),
        .directory_revision = this->context.directory.revision(),
        .configuration_version = this->configuration->version,
-       .reused_connection = this->current.connection_reused});
+       .reused_connection = this->current.connection_reused,
+       .connection_idle = this->current.connection_idle,
+       .connection_unanswered = this->current.connection_unanswered});
   std::string bytes =
       WriteRequestHead(this->request, this->body->size(), this->context.dialect,
                        this->request_info,
@@ -743,6 +745,8 @@
       .connection_target = chosen.server,
       .connection = std::move(acquired.connection),
       .connection_reused = acquired.reused,
+      .connection_idle = acquired.idle,
+      .connection_unanswered = acquired.is_unanswered,
       .stale_time = std::min(kStaleRoundTrips * connect_time + kStaleMargin,
                              kMaxStaleTime),
       .sent_at = now,
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -130,6 +130,9 @@
     RegisteredServer connection_target;
     std::shared_ptr<BackendConnection> connection;
     bool connection_reused = false;
+    // See PooledConnection.
+    Duration connection_idle{};
+    bool connection_unanswered = false;
     // The connection had been closed before if it is reused and ends within
     // this time.
     Duration stale_time{};
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -35,7 +35,10 @@
   Duration directory_age{};
   std::uint64_t directory_revision = 0;
   std::uint64_t configuration_version = 0;
+  // See PooledConnection.
   bool reused_connection = false;
+  Duration connection_idle{};
+  bool connection_unanswered = false;
 };
 
 // A request was relayed to another instance, since this one can't reach the
--- a/src/proxy/socket_options.cc
+++ b/src/proxy/socket_options.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/detail/socket_option.hpp>
+#include <optional>
 
 namespace rosemarycove {
 namespace {
@@ -51,18 +52,35 @@
       ignored);
 }
 
-// Returns whether the other side has acknowledged all bytes that were sent and
-// answers probes.
-bool IsAcknowledging(boost::asio::ip::tcp::socket& socket) {
+// Returns what the kernel knows of a connection; nullopt if it is broken.
+std::optional<tcp_info> ReadTcpInfo(
+    const boost::asio::ip::tcp::socket& socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
-  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
-                      &size) == 0 &&
-         info.tcpi_unacked == 0 && info.tcpi_probes <= kMaxUnansweredProbes;
+  const int descriptor =
+      const_cast<boost::asio::ip::tcp::socket&>(socket).native_handle();
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return info;
+}
+
+// Returns whether the other side has acknowledged all bytes that were sent and
+// answers probes.
+bool IsAcknowledging(const boost::asio::ip::tcp::socket& socket) {
+  const std::optional<tcp_info> info = ReadTcpInfo(socket);
+  return info && info->tcpi_unacked == 0 &&
+         info->tcpi_probes <= kMaxUnansweredProbes;
 }
 
 }  // namespace
 
+bool KernelPathMonitor::IsUnanswered(
+    const boost::asio::ip::tcp::socket& socket) const {
+  const std::optional<tcp_info> info = ReadTcpInfo(socket);
+  return info && (info->tcpi_unacked > 0 || info->tcpi_probes > 0);
+}
+
 void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
                         Duration user_timeout) {
   SetUserTimeout(socket, user_timeout);
--- a/src/proxy/socket_options.h
+++ b/src/proxy/socket_options.h
@@ -16,6 +16,23 @@
 void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
                         Duration user_timeout);
 
+// Tells what the kernel knows of the path to the other side of a connection.
+class PathMonitor {
+ public:
+  virtual ~PathMonitor() = default;
+  // Returns whether bytes or probes that were sent on this connection have had
+  // no answer yet.
+  [[nodiscard]] virtual bool IsUnanswered(
+      const boost::asio::ip::tcp::socket& socket) const = 0;
+};
+
+// Asks the kernel.
+class KernelPathMonitor : public PathMonitor {
+ public:
+  [[nodiscard]] bool IsUnanswered(
+      const boost::asio::ip::tcp::socket& socket) const override;
+};
+
 // Limits the bytes that wait in the kernel on a new connection: those to be
 // sent, and those that have arrived and are not read.
 void LimitKernelBuffers(boost::asio::ip::tcp::socket& socket);
