--- a/tests/gateway_fixture.cc
+++ b/tests/gateway_fixture.cc
@@ -7,7 +7,9 @@
 #include <cstdlib>
 #include <future>
 #include <iostream>
+#include <random>
 
+#include "platform/store_protocol.h"
 #include "proxy/endpoint.h"
 
 namespace rosemarycove {
@@ -203,29 +205,44 @@
 void PlatformFixture::PutConfiguration(int version, bool revoked,
                                        const std::string& once_timeout_ms) {
   const std::string keys = revoked ? "[]" : R"(["key-1"])";
-  this->store.Put(
-      "op/config",
-      fmt::format(
-          R"({{"version":{},"routes":[)"
-          R"({{"name":"stream","hostname":"site.example",)"
-          R"("path_prefix":"/stream/","type":"streaming","timeout_ms":5000,)"
-          R"("slo_ms":500,"priority":1,"service":"model","attempts":2,)"
-          R"("public":false,"resumable":true,"gap_target_ms":200}},)"
-          R"({{"name":"once","hostname":"site.example","path_prefix":"/once/",)"
-          R"("type":"unsafe","timeout_ms":{},"slo_ms":100,"priority":2,)"
-          R"("service":"orders","attempts":1,"public":false}},)"
-          R"({{"name":"again","hostname":"site.example",)"
-          R"("path_prefix":"/again/","type":"safe","timeout_ms":2000,)"
-          R"("slo_ms":500,"priority":2,"service":"stock","attempts":2,)"
-          R"("public":false}}],"services":[)"
-          R"({{"name":"model","max_conns":64,"engine":{{"slots":8,)"
-          R"("kv_tokens":100000,"stride":4}}}},)"
-          R"({{"name":"orders","max_conns":64}},)"
-          R"({{"name":"stock","max_conns":64}}],)"
-          R"("limits":{{"max_header_bytes":4096,"max_body_bytes":65536,)"
-          R"("header_timeout_ms":3000,"idle_timeout_ms":15000}},)"
-          R"("tenants":[{{"name":"customer-1","api_keys":{}}}]}})",
-          version, once_timeout_ms, keys));
+  const std::string value = fmt::format(
+      R"({{"version":{},"routes":[)"
+      R"({{"name":"stream","hostname":"site.example",)"
+      R"("path_prefix":"/stream/","type":"streaming","timeout_ms":5000,)"
+      R"("slo_ms":500,"priority":1,"service":"model","attempts":2,)"
+      R"("public":false,"resumable":true,"gap_target_ms":200}},)"
+      R"({{"name":"once","hostname":"site.example","path_prefix":"/once/",)"
+      R"("type":"unsafe","timeout_ms":{},"slo_ms":100,"priority":2,)"
+      R"("service":"orders","attempts":1,"public":false}},)"
+      R"({{"name":"again","hostname":"site.example",)"
+      R"("path_prefix":"/again/","type":"safe","timeout_ms":2000,)"
+      R"("slo_ms":500,"priority":2,"service":"stock","attempts":2,)"
+      R"("public":false}}{}],"services":[)"
+      R"({{"name":"model","max_conns":64,"engine":{{"slots":8,)"
+      R"("kv_tokens":100000,"stride":4}}}},)"
+      R"({{"name":"orders","max_conns":64}},)"
+      R"({{"name":"stock","max_conns":64}}],)"
+      R"("limits":{{"max_header_bytes":4096,"max_body_bytes":65536,)"
+      R"("header_timeout_ms":3000,"idle_timeout_ms":15000}},)"
+      R"("tenants":[{{"name":"customer-1","api_keys":{}}}]}})",
+      version, once_timeout_ms, this->ExtraRoutes(), keys);
+  this->sent_configuration_bytes =
+      static_cast<double>(platform::EncodeBase64(value).size());
+  this->store.Put("op/config", value);
+}
+
+std::string PlatformFixture::ExtraRoutes() const {
+  std::string routes;
+  std::mt19937_64 random(1);
+  for (int index = 0; index < this->extra_routes; ++index) {
+    routes += fmt::format(
+        R"(,{{"name":"extra-{}","hostname":"site.example",)"
+        R"("path_prefix":"/extra-{}-{:x}/","type":"safe","timeout_ms":2000,)"
+        R"("slo_ms":500,"priority":2,"service":"stock","attempts":2,)"
+        R"("public":false}})",
+        index, index, random());
+  }
+  return routes;
 }
 
 std::string PlatformFixture::Request(const std::string& path,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -113,6 +113,13 @@
   // `revoked`.
   void PutConfiguration(int version, bool revoked = false,
                         const std::string& once_timeout_ms = "2000");
+  // Adds routes /extra-N.../ to the configurations that are written from now
+  // on.
+  void AddRoutes(int count) { this->extra_routes += count; }
+  // The size of the last configuration that was written, as the store sends it.
+  [[nodiscard]] double configuration_size() const {
+    return this->sent_configuration_bytes;
+  }
   // Returns a caller's request with this id.
   static std::string Request(const std::string& path, const std::string& id,
                              const std::string& extra_fields = "",
@@ -120,6 +127,12 @@
 
   platform::StoreStandin store;
   platform::RawServer engine;
+
+ private:
+  [[nodiscard]] std::string ExtraRoutes() const;
+
+  int extra_routes = 0;
+  double sent_configuration_bytes = 0;
 };
 
 // Returns an engine's complete response to the request.
