Use no connection on which the other side may not answer any more

What callers saw: a server that had said that it leaves, and whose notice had been acknowledged 2.45 s before, got a request (DRAIN). The caller had long had the response of another server.

Cause: an idle connection to a server behind a partition was used again, though its keep-alive probes had no answer, the server was ejected as silent or its data centre suspected. The connection failed a moment later, and what had been written into it arrived when the path was back.

Change: an idle connection with unanswered probes or bytes is closed instead of used (the kernel tells). A server that is ejected or on trial, or whose data centre is suspected, gets requests over new connections only, so that nothing is written before its side has answered; the idle ones are closed. The same for requests that are relayed to an instance of a suspected data centre.

--- a/src/app/gateway_observer.cc
+++ b/src/app/gateway_observer.cc
@@ -73,8 +73,7 @@
        {"directory_era", EraOf(record.directory_revision)},
        {"configuration", record.configuration_version},
        {"reused", record.reused_connection},
-       {"idle_ms", ToLogMilliseconds(record.connection_idle)},
-       {"unanswered", record.connection_unanswered}});
+       {"idle_ms", ToLogMilliseconds(record.connection_idle)}});
 }
 
 std::string LeftCounts::ToPrometheus() const {
--- a/src/proxy/connection_pool.cc
+++ b/src/proxy/connection_pool.cc
@@ -23,6 +23,7 @@
   while (candidate != idle.begin()) {
     --candidate;
     if (!(*candidate)->IsReusable() ||
+        (*candidate)->IsUnanswered(this->paths) ||
         now - (*candidate)->idle_since() >= (*candidate)->idle_timeout()) {
       (*candidate)->Abort();
       candidate = idle.erase(candidate);
@@ -30,13 +31,21 @@
       std::shared_ptr<BackendConnection> connection = std::move(*candidate);
       idle.erase(candidate);
       const Duration idle = now - connection->idle_since();
-      const bool is_unanswered = connection->IsUnanswered(this->paths);
-      return PooledConnection{.connection = std::move(connection),
-                              .reused = true,
-                              .idle = idle,
-                              .is_unanswered = is_unanswered};
+      return PooledConnection{
+          .connection = std::move(connection), .reused = true, .idle = idle};
     }
   }
+  return this->Open(server, request_id);
+}
+
+std::optional<PooledConnection> ConnectionPool::AcquireNew(
+    const RegisteredServer& server, const std::string& request_id) {
+  this->CloseIdleTo(server.id);
+  return this->Open(server, request_id);
+}
+
+std::optional<PooledConnection> ConnectionPool::Open(
+    const RegisteredServer& server, const std::string& request_id) {
   const auto endpoint = ParseTcpEndpoint(server.address);
   if (!endpoint) {
     return std::nullopt;
--- a/src/proxy/connection_pool.h
+++ b/src/proxy/connection_pool.h
@@ -17,10 +17,8 @@
   std::shared_ptr<BackendConnection> connection;
   // The connection served a request before.
   bool reused = false;
-  // If it did: the time since then, and whether the other side has not yet
-  // answered a probe.
+  // If it did: the time since then.
   Duration idle{};
-  bool is_unanswered = false;
 };
 
 // Keeps a limited number of idle connections per backend server. Used on the
@@ -33,11 +31,17 @@
   // Returns a connection for a request with this id: the most recently used
   // idle one that served no request with the same id, or a new one that is not
   // connected yet. A request without an id gets a new one, on which a response
-  // without an id can only be its own. Returns nullopt if the server's address
-  // is invalid.
+  // without an id can only be its own. What is written into a connection whose
+  // other side no longer answers may arrive long after the request was given
+  // up, so an idle one with unanswered probes is closed. Returns nullopt if the
+  // server's address is invalid.
   std::optional<PooledConnection> Acquire(const RegisteredServer& server,
                                           const std::string& request_id,
                                           TimePoint now);
+  // Like Acquire, but closes the idle connections to the server and returns a
+  // new one, for a server that may be out of reach.
+  std::optional<PooledConnection> AcquireNew(const RegisteredServer& server,
+                                             const std::string& request_id);
   // Returns a connection to the pool after a complete response. Closes it if
   // the pool already holds the maximum of idle connections to the server.
   void Release(const RegisteredServer& server,
@@ -51,6 +55,10 @@
   [[nodiscard]] std::size_t idle_count() const;
 
  private:
+  // Makes a new connection.
+  std::optional<PooledConnection> Open(const RegisteredServer& server,
+                                       const std::string& request_id);
+
   boost::asio::io_context& io;
   const PathMonitor& paths;
   // By server id; the most recently used connection is the last.
--- a/src/proxy/exchange.cc
+++ b/src/proxy/exchange.cc
@@ -637,8 +637,8 @@
 
 void Exchange::Send(const ServerChoice& chosen) {
   const TimePoint now = MonotonicNow();
-  std::optional<PooledConnection> acquired = this->context.pool.Acquire(
-      chosen.server, this->request_info.request_id, now);
+  std::optional<PooledConnection> acquired = this->AcquireConnection(
+      chosen.server, this->MayBeOutOfReach(chosen.server, now), now);
   if (!acquired) {
     this->query.tried_servers.push_back(chosen.server.id);
     if (this->silent_attempt) {
@@ -666,8 +666,7 @@
        .directory_revision = this->context.directory.revision(),
        .configuration_version = this->configuration->version,
        .reused_connection = this->current.connection_reused,
-       .connection_idle = this->current.connection_idle,
-       .connection_unanswered = this->current.connection_unanswered});
+       .connection_idle = this->current.connection_idle});
   std::string bytes =
       WriteRequestHead(this->request, this->body->size(), this->context.dialect,
                        this->request_info,
@@ -705,8 +704,8 @@
                                 .service = this->service_name,
                                 .address = peer->address,
                                 .data_centre = peer->data_centre};
-  std::optional<PooledConnection> acquired =
-      this->context.pool.Acquire(target, this->request_info.request_id, now);
+  std::optional<PooledConnection> acquired = this->AcquireConnection(
+      target, this->IsSuspected(target.data_centre), now);
   if (!acquired) {
     this->tried_instances.push_back(peer->instance);
     this->Relay();
@@ -746,7 +745,6 @@
       .connection = std::move(acquired.connection),
       .connection_reused = acquired.reused,
       .connection_idle = acquired.idle,
-      .connection_unanswered = acquired.is_unanswered,
       .stale_time = std::min(kStaleRoundTrips * connect_time + kStaleMargin,
                              kMaxStaleTime),
       .sent_at = now,
@@ -1689,10 +1687,23 @@
       cause, status);
 }
 
-bool Exchange::IsServerSuspected() const {
-  return this->current.choice &&
-         this->context.placer.suspected_data_centres().contains(
-             this->current.choice->server.data_centre);
+std::optional<PooledConnection> Exchange::AcquireConnection(
+    const RegisteredServer& target, bool may_be_out_of_reach, TimePoint now) {
+  ConnectionPool& pool = this->context.pool;
+  const std::string& id = this->request_info.request_id;
+  return may_be_out_of_reach ? pool.AcquireNew(target, id)
+                             : pool.Acquire(target, id, now);
+}
+
+bool Exchange::MayBeOutOfReach(const RegisteredServer& server,
+                               TimePoint now) const {
+  return this->IsSuspected(server.data_centre) ||
+         this->context.placer.health().StatusOf(server.id, now) !=
+             ServerHealthStatus::kHealthy;
+}
+
+bool Exchange::IsSuspected(const std::string& data_centre) const {
+  return this->context.placer.suspected_data_centres().contains(data_centre);
 }
 
 void Exchange::Tick(TimePoint now) {
@@ -1806,7 +1817,7 @@
          kPatienceGaps * route.gap_target.value_or(Duration{}), kMinPatience});
     timeout = std::max(timeout, patience - kSwitchTime);
   }
-  if (this->IsServerSuspected()) {
+  if (this->IsSuspected(this->current.choice->server.data_centre)) {
     timeout =
         std::min(timeout, kSuspectedSilenceTimeout +
                               this->current.choice->predicted_first_event);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -132,7 +132,6 @@
     bool connection_reused = false;
     // See PooledConnection.
     Duration connection_idle{};
-    bool connection_unanswered = false;
     // The connection had been closed before if it is reused and ends within
     // this time.
     Duration stale_time{};
@@ -367,9 +366,15 @@
   // as the head of the response announces it. Returns whether it is closed.
   bool DecideClose();
   [[nodiscard]] Duration Remaining(TimePoint now) const;
-  // Returns whether the data centre of the attempt's server appears to be
-  // unreachable.
-  [[nodiscard]] bool IsServerSuspected() const;
+  // Returns whether the data centre appears to be unreachable.
+  [[nodiscard]] bool IsSuspected(const std::string& data_centre) const;
+  // Returns whether this instance may have lost the path to the server.
+  [[nodiscard]] bool MayBeOutOfReach(const RegisteredServer& server,
+                                     TimePoint now) const;
+  // Returns a connection for this request, a new one if the path to the target
+  // may be lost.
+  std::optional<PooledConnection> AcquireConnection(
+      const RegisteredServer& target, bool may_be_out_of_reach, TimePoint now);
 
   ProxyContext& context;
   RequestHead request;
--- a/src/proxy/proxy_observer.h
+++ b/src/proxy/proxy_observer.h
@@ -38,7 +38,6 @@
   // See PooledConnection.
   bool reused_connection = false;
   Duration connection_idle{};
-  bool connection_unanswered = false;
 };
 
 // A request was relayed to another instance, since this one can't reach the
--- a/tests/test_connection_pool.cc
+++ b/tests/test_connection_pool.cc
@@ -145,3 +145,15 @@
   CHECK(this->RunUntil([&] { return has_ended.load(); }));
   CHECK_EQUAL(0, requests.load());
 }
+
+TEST(ConnectionPool, ServerThatMayBeOutOfReachGetsANewConnection) {
+  RawServer server([](RawConnection& connection) {
+    while (connection.ReadMessage()) {
+      connection.Send(kAnswer);
+    }
+  });
+  const RegisteredServer target{.id = "s", .address = server.address()};
+  this->Complete(target, "r1");
+  CHECK(!this->pool.AcquireNew(target, "r2")->reused);
+  CHECK_EQUAL(0, this->pool.idle_count());
+}
