Reset connections whose request is given up

What callers saw: nothing.

Change: while a request is under way, its connection is reset instead of closed, so that the kernel drops what the server has not acknowledged. Idle connections are closed as before.

--- a/src/proxy/backend_connection.cc
+++ b/src/proxy/backend_connection.cc
@@ -363,7 +363,10 @@
 }
 
 void BackendConnection::Abort() {
-  this->listener = nullptr;
+  if (std::exchange(this->listener, nullptr) != nullptr && this->connected) {
+    error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
   this->Close();
 }
 
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -73,7 +73,8 @@
       this->listener = &new_listener;
     }
   }
-  // Closes the connection without a further call to the listener.
+  // Closes the connection without a further call to the listener. Resets it
+  // while a request is under way, so that the kernel sends nothing more of it.
   void Abort();
   // Stop and resume reading, so that a slow caller slows down the server.
   void PauseReading();
