Send configurations as differences, from few instances with fast links

Cause: each change went whole to each instance, above 32 KB from the store, else from two instances of each data centre that were chosen by a hash, whatever their link. Once a link is full, its data centre lags, and relays by others add copies.

Change: an update is the difference from what the receiver last reported, compressed by Zstandard with the earlier value as its prefix, with hashes of both. Two readers in each data centre, those with the fastest links, push it; who is behind for 300 ms asks one instance that has it. Versions only rise, as before; instances of earlier releases get whole documents as before.

--- a/src/app/event_log.cc
+++ b/src/app/event_log.cc
@@ -45,6 +45,8 @@
     {LogEvent::kConfigurationOverdue, "configuration_overdue",
      LogLevel::kWarning},
     {LogEvent::kConfigurationSent, "configuration_sent", LogLevel::kInfo},
+    {LogEvent::kConfigurationUpdateRefused, "configuration_update_refused",
+     LogLevel::kWarning},
     {LogEvent::kLoadReportMissing, "load_report_missing", LogLevel::kWarning},
     {LogEvent::kServerChanged, "server_changed", LogLevel::kInfo},
     {LogEvent::kServerEjected, "server_ejected", LogLevel::kWarning},
--- a/src/app/event_log.h
+++ b/src/app/event_log.h
@@ -51,6 +51,7 @@
   kChangeAccepted = 4005,
   kConfigurationOverdue = 4006,
   kConfigurationSent = 4007,
+  kConfigurationUpdateRefused = 4008,
   kLoadReportMissing = 5001,
   kServerChanged = 5002,
   kServerEjected = 5003,
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -45,20 +45,9 @@
 // force; a response that is overdue by the margin counts as lost.
 constexpr Duration kReaderConfigurationWait = std::chrono::milliseconds(1000);
 constexpr Duration kLostResponseMargin = std::chrono::milliseconds(400);
-// The instances of each data centre that wait for changes of the configuration;
-// the others get them from these. Two, since one of them may have lost the
-// store.
-constexpr int kWatchersPerDataCentre = 2;
-// Time from a new configuration to the report that brings it to the others:
-// longer than RelayThrottle's first delay, within which the instances learn who
-// has it.
-constexpr Duration kConfigurationRelayDelay = std::chrono::milliseconds(300);
 // The other instances read the configuration this long after the last time, in
 // case that no watcher reaches them.
 constexpr Duration kUnwatchedReadInterval = std::chrono::seconds(60);
-// A larger configuration is read from the store by all instances, since few
-// could not send it to all others in time.
-constexpr std::size_t kMaxRelayedConfigurationBytes = std::size_t{32} << 10U;
 // How long callers may still be routed to an instance that is no longer ready.
 constexpr Duration kUnreadyDelay = std::chrono::milliseconds(2600);
 // End of the shutdown grace that is reserved for an orderly exit.
@@ -90,12 +79,14 @@
     this->gateway.OnConfigurationRead(reading, read_at);
   }
   void OnStoreUnavailable(const std::string& why) override {
-    this->gateway.LogStoreLost("configuration", why,
-                               this->gateway.configuration_document.revision);
+    this->gateway.LogStoreLost(
+        "configuration", why,
+        this->gateway.configuration_exchange.document().revision);
   }
   void OnStoreAvailable(Duration outage) override {
     this->gateway.LogStoreRegained(
-        "configuration", outage, this->gateway.configuration_document.revision);
+        "configuration", outage,
+        this->gateway.configuration_exchange.document().revision);
   }
 
  private:
@@ -170,9 +161,12 @@
       links(io,
             {.self = {.instance = this->options.instance,
                       .address = this->options.peer_listen_address,
-                      .data_centre = this->options.data_centre},
+                      .data_centre = this->options.data_centre,
+                      .link_bytes_per_second =
+                          this->options.link_bytes_per_second},
              .seeds = this->options.seeds},
             *this),
+      configuration_exchange(this->links, log),
       configuration_listener(std::make_unique<ConfigurationListener>(*this)),
       directory_listener(std::make_unique<DirectoryListener>(*this)),
       configuration_feed({.max_wait = kConfigurationWait},
@@ -325,7 +319,7 @@
   this->UpdateConfigurationFeed(now);
   this->directory_feed.Tick(
       now, now - this->directory.read_at(),
-      kReaderRankDelay * std::min(this->links.Rank(), kMaxDelayedRank));
+      kReaderRankDelay * std::min(this->links.ReaderRank(), kMaxDelayedRank));
   this->HandleDirectoryChanges(this->directory.Tick(now), "grace");
   this->UpdateRateLimits(now);
   this->UpdateBrittleServers(now);
@@ -334,15 +328,13 @@
     this->UpdateSoftware(now);
   }
   this->UpdateAvailability(now);
-  if (this->configuration_relay_at && now >= *this->configuration_relay_at) {
-    this->configuration_relay_at.reset();
-    this->links.ScheduleReport();
-  }
   this->UpdateReach(now);
   if (this->duties) {
     this->duties->Tick(this->links, this->directory_feed.era(), now);
   }
   this->links.Tick(now);
+  this->configuration_exchange.Tick(this->configuration_freshness.Age(now),
+                                    now);
   this->UpdateRelayPeers(now);
   this->placer.SetFleet(1 + this->links.live_peer_count(),
                         this->links.ReportInterval());
@@ -361,7 +353,8 @@
   this->LogDroppedLines(now);
   if (!this->ready_logged && this->ready()) {
     this->ready_logged = true;
-    const SharedDocument& configuration = this->configuration_document;
+    const SharedDocument& configuration =
+        this->configuration_exchange.document();
     this->log.Write(LogEvent::kReady,
                     {{"revision", CountOf(configuration.revision)},
                      {"era", EraOf(configuration.revision)}});
@@ -431,13 +424,11 @@
   if (this->context.configuration && decoded->version <= old_version) {
     return;
   }
-  this->configuration_document = document;
   this->context.configuration =
       std::make_shared<const RoutingConfiguration>(std::move(*decoded));
-  this->links.ScheduleReport();
-  if (from == kFromStore) {
-    this->configuration_relay_at = MonotonicNow() + kConfigurationRelayDelay;
-  }
+  this->configuration_exchange.SetInForce(document,
+                                          this->configuration_version(),
+                                          from == kFromStore, MonotonicNow());
   this->log.Write(LogEvent::kConfigurationInForce,
                   {{"revision", CountOf(document.revision)},
                    {"era", EraOf(document.revision)},
@@ -707,23 +698,6 @@
   return now - this->own_directory_read_at <= kReaderTerm;
 }
 
-bool Gateway::WatchesConfiguration(const InstanceIdentity& instance) const {
-  return this->links.RankInDataCentre(instance) < kWatchersPerDataCentre ||
-         this->configuration_document.value.size() >
-             kMaxRelayedConfigurationBytes;
-}
-
-bool Gateway::ShouldSendConfiguration(const FleetPeer& peer, TimePoint now) {
-  const bool relies_on_this =
-      peer.identity.data_centre == this->options.data_centre &&
-      this->WatchesConfiguration(this->links.self()) &&
-      !this->WatchesConfiguration(peer.identity);
-  const bool is_turn = this->IsTurnToSend(this->configuration_throttle, peer,
-                                          &FleetPeer::configuration_version,
-                                          this->configuration_version(), now);
-  return relies_on_this || is_turn;
-}
-
 bool Gateway::ShouldSendServers(const FleetPeer& peer, TimePoint now) {
   // A peer without a directory has just started, perhaps together with all
   // others, and is about to read the store itself.
@@ -734,26 +708,15 @@
   if (!is_new && now - peer.directory_read_at <= kDirectoryLagLimit) {
     return false;
   }
-  return this->IsTurnToSend(this->server_throttle, peer,
-                            &FleetPeer::directory_revision,
-                            this->directory.revision(), now);
-}
-
-bool Gateway::LacksConfiguration(const FleetPeer& peer) const {
-  if (peer.configuration_version != 0) {
-    return peer.configuration_version < this->configuration_version();
-  }
-  return peer.configuration_revision < this->configuration_document.revision;
+  return this->IsTurnToSendServers(peer, now);
 }
 
-bool Gateway::IsTurnToSend(RelayThrottle& throttle, const FleetPeer& peer,
-                           std::uint64_t FleetPeer::*peer_revision,
-                           std::uint64_t revision, TimePoint now) const {
-  const int rank = this->links.SenderRank(peer, [&](const FleetPeer& other) {
-    return other.*peer_revision >= revision;
+bool Gateway::IsTurnToSendServers(const FleetPeer& peer, TimePoint now) {
+  const int rank = this->links.SenderRank(peer, [this](const FleetPeer& other) {
+    return other.directory_revision >= this->directory.revision();
   });
-  return throttle.MaySend(peer.identity.address, peer.*peer_revision, rank,
-                          now);
+  return this->server_throttle.MaySend(peer.identity.address,
+                                       peer.directory_revision, rank, now);
 }
 
 FleetReport Gateway::MakeReport() {
@@ -763,24 +726,25 @@
        this->placer.reach().ServicesOutOfReach(now)) {
     unreachable_services.push_back(IdHash(service));
   }
-  return {.is_draining = this->context.is_draining,
-          .configuration_revision = this->configuration_document.revision,
-          .configuration_version = this->configuration_version(),
-          .configuration_age = this->configuration_freshness.Age(now),
-          .directory_revision = this->directory.revision(),
-          .directory_age = now - this->directory.read_at(),
-          .directory_read_id = this->directory.last_read_id(),
-          .server_loads = this->placer.ledger().OwnLoads(),
-          .partitions = this->placer.Partitions(now),
-          .rate_limits = this->placer.rate_limits().Reports(false, now),
-          .cached_parts = this->placer.caches().untold(),
-          .unreachable_services = std::move(unreachable_services),
-          .brittle_servers = this->placer.brittle_servers().Reports(false, now),
-          .admission = this->context.admission.Report(now),
-          .speed_samples = this->placer.engine_speed().Untold(),
-          // Without documents, the update only renews the age of a directory
-          // that is complete up to this revision.
-          .directory_update = {.base_revision = this->directory.revision()}};
+  FleetReport report{
+      .is_draining = this->context.is_draining,
+      .configuration_age = this->configuration_freshness.Age(now),
+      .directory_revision = this->directory.revision(),
+      .directory_age = now - this->directory.read_at(),
+      .directory_read_id = this->directory.last_read_id(),
+      .server_loads = this->placer.ledger().OwnLoads(),
+      .partitions = this->placer.Partitions(now),
+      .rate_limits = this->placer.rate_limits().Reports(false, now),
+      .cached_parts = this->placer.caches().untold(),
+      .unreachable_services = std::move(unreachable_services),
+      .brittle_servers = this->placer.brittle_servers().Reports(false, now),
+      .admission = this->context.admission.Report(now),
+      .speed_samples = this->placer.engine_speed().Untold(),
+      // Without documents, the update only renews the age of a directory
+      // that is complete up to this revision.
+      .directory_update = {.base_revision = this->directory.revision()}};
+  this->configuration_exchange.AddState(report);
+  return report;
 }
 
 void Gateway::AddMissingDocuments(const FleetPeer& peer, FleetReport& report) {
@@ -812,13 +776,7 @@
   if (this->engine_orders && this->duties->NeedsHolderData(peer, now)) {
     report.engine_demand = MeasureDemand(this->context, now);
   }
-  if (!this->LacksConfiguration(peer)) {
-    this->configuration_throttle.MarkUpToDate(peer.identity.address);
-  } else if (this->ShouldSendConfiguration(peer, now)) {
-    report.configuration = this->configuration_document;
-    ++this->round_copies.peers;
-    this->round_copies.bytes += this->configuration_document.value.size();
-  }
+  this->configuration_exchange.AddDocument(peer, report, now);
   if (this->directory.revision() <= peer.directory_revision) {
     this->server_throttle.MarkUpToDate(peer.identity.address);
   } else if (this->ShouldSendServers(peer, now)) {
@@ -828,7 +786,7 @@
 }
 
 void Gateway::UpdateConfigurationFeed(TimePoint now) {
-  const int rank = this->links.Rank();
+  const int rank = this->links.ReaderRank();
   const bool is_overdue = this->configuration_freshness.MustRead(rank, now);
   if (is_overdue != this->is_configuration_overdue) {
     this->is_configuration_overdue = is_overdue;
@@ -852,7 +810,8 @@
       this->own_directory_read_at - this->former_directory_read_at <=
           kReaderTerm;
   const bool waits_for_changes =
-      reads_for_fleet || this->WatchesConfiguration(this->links.self());
+      reads_for_fleet ||
+      this->configuration_exchange.WaitsAtStore(this->links.self());
   this->configuration_feed.Tick(
       now, now - this->configuration_read_at,
       waits_for_changes ? Duration{} : kUnwatchedReadInterval);
@@ -865,8 +824,8 @@
     this->ApplyConfiguration(document, kFromStore);
   }
   this->configuration_freshness.RecordRead(
-      read_at,
-      this->rejected_revision <= this->configuration_document.revision);
+      read_at, this->rejected_revision <=
+                   this->configuration_exchange.document().revision);
   if (this->is_configuration_overdue) {
     this->links.ScheduleReport();
   }
@@ -880,20 +839,7 @@
   this->links.ScheduleReport();
 }
 
-void Gateway::LogConfigurationCopies() {
-  if (this->round_copies.peers == 0) {
-    return;
-  }
-  this->log.Write(LogEvent::kConfigurationSent,
-                  {{"version", this->configuration_version()},
-                   {"peers", this->round_copies.peers},
-                   {"bytes", this->round_copies.bytes}});
-  this->configuration_bytes_sent += this->round_copies.bytes;
-  this->round_copies = {};
-}
-
 void Gateway::OnRoundSent() {
-  this->LogConfigurationCopies();
   this->placer.rate_limits().RecordReportSent();
   this->placer.brittle_servers().RecordReportSent();
   this->placer.caches().MarkTold();
@@ -903,6 +849,17 @@
 
 void Gateway::OnReport(const FleetPeer& peer, const FleetReport& report) {
   const TimePoint now = MonotonicNow();
+  if (const auto document =
+          this->configuration_exchange.Receive(peer, report)) {
+    this->ApplyConfiguration(*document, peer.identity.instance);
+  }
+  this->configuration_freshness.RecordReport(
+      {.version = report.configuration_version,
+       .age = report.configuration_age},
+      this->configuration_version(), now);
+  if (report.is_configuration_only) {
+    return;
+  }
   this->placer.ledger().SetPeerLoads(peer.identity.instance,
                                      report.server_loads, now);
   this->placer.SetPeerWork(peer.identity.instance, report.partitions, now);
@@ -930,13 +887,6 @@
   if (this->links.RanksFirst(peer.identity.instance)) {
     this->placer.FollowPartitions(report.partitions);
   }
-  if (report.configuration) {
-    this->ApplyConfiguration(*report.configuration, peer.identity.instance);
-  }
-  this->configuration_freshness.RecordReport(
-      {.version = report.configuration_version,
-       .age = report.configuration_age},
-      this->configuration_version(), now);
   this->HandleDirectoryChanges(
       this->directory.ApplyUpdate(
           report.directory_update, report.directory_revision,
@@ -1057,7 +1007,7 @@
           this->directory_feed.call_count());
   add("rosemarycove_peer_bytes_sent_total", this->links.bytes_sent());
   add("rosemarycove_configuration_bytes_sent_total",
-      this->configuration_bytes_sent);
+      this->configuration_exchange.sent_bytes());
   add("rosemarycove_suspect_records_sent_total", this->suspect_records_sent);
   add("rosemarycove_known_streams", this->stream_origins.size());
   add("rosemarycove_stream_origins_sent_total", this->stream_origins_sent);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "app/configuration_exchange.h"
 #include "app/engine_orders.h"
 #include "app/event_log.h"
 #include "app/fleet_duties.h"
@@ -57,6 +58,8 @@
   // Time after SIGTERM at which the platform kills the process.
   Duration shutdown_grace = std::chrono::seconds(8);
   std::size_t max_connections = 1000;
+  // Capacity of the machine's network link; 0 if it is unknown.
+  std::uint64_t link_bytes_per_second = 0;
   // Budget for what callers and servers make the process hold.
   std::size_t max_body_bytes = std::size_t{64} << 20U;
 };
@@ -111,35 +114,18 @@
   // True while this instance is one of those that read the directory from the
   // store for the fleet.
   [[nodiscard]] bool IsDirectoryReader(TimePoint now) const;
-  // Returns whether the instance is one of those of its data centre that wait
-  // for changes of the configuration at the store and send them to the others.
-  [[nodiscard]] bool WatchesConfiguration(
-      const InstanceIdentity& instance) const;
-  // Decides whether the report to this peer, which lacks the configuration,
-  // includes it.
-  [[nodiscard]] bool ShouldSendConfiguration(const FleetPeer& peer,
-                                             TimePoint now);
   // Decides whether the report to this peer includes the servers that the peer
   // doesn't have yet. Directory readers send them to all but new peers;
   // otherwise, instances take turns in sending them to new and lagging peers.
   [[nodiscard]] bool ShouldSendServers(const FleetPeer& peer, TimePoint now);
-  // Returns whether the peer's configuration is older than the one in force.
-  [[nodiscard]] bool LacksConfiguration(const FleetPeer& peer) const;
-  // Decides whether it is this instance's turn to send the peer the documents
-  // up to `revision`. `peer_revision` is the field with the revision up to
-  // which a peer has them.
-  [[nodiscard]] bool IsTurnToSend(RelayThrottle& throttle,
-                                  const FleetPeer& peer,
-                                  std::uint64_t FleetPeer::*peer_revision,
-                                  std::uint64_t revision, TimePoint now) const;
+  // Decides whether it is this instance's turn to send the peer the servers.
+  [[nodiscard]] bool IsTurnToSendServers(const FleetPeer& peer, TimePoint now);
   // Reads the configuration if this instance is one of those that wait for
   // changes, reads the directory for the fleet, or can't tell otherwise whether
   // its configuration is the latest one.
   void UpdateConfigurationFeed(TimePoint now);
   void OnConfigurationRead(const ReadResult& reading, TimePoint read_at);
   void OnDirectoryRead(TimePoint now);
-  // Logs and counts the configurations sent in this round.
-  void LogConfigurationCopies();
   void OnRoundSent() override;
   void OnReport(const FleetPeer& peer, const FleetReport& report) override;
   void OnPeerStatusChange(const FleetPeer& peer, PeerStatus status) override;
@@ -218,6 +204,7 @@
   ProxyServer proxy_server;
   StatusServer status_server;
   FleetLinks links;
+  ConfigurationExchange configuration_exchange;
   // Null if the instance has no duties.
   std::unique_ptr<FleetDuties> duties;
   // Null unless the instance may order engines.
@@ -225,9 +212,6 @@
   std::unique_ptr<ConfigurationListener> configuration_listener;
   std::unique_ptr<DirectoryListener> directory_listener;
   DocumentFeed configuration_feed;
-  // When the next report is due that brings a new configuration to the
-  // instances that don't wait for it.
-  std::optional<TimePoint> configuration_relay_at;
   // When this instance last read the configuration from the store.
   TimePoint configuration_read_at;
   ConfigurationFreshness configuration_freshness;
@@ -235,18 +219,9 @@
   DocumentFeed directory_feed;
   boost::asio::steady_timer timer;
   boost::asio::signal_set signals;
-  // The configuration in force as stored, to be sent to other instances.
-  SharedDocument configuration_document;
   // Highest revision whose configuration was rejected, so that each is logged
   // once.
   std::uint64_t rejected_revision = 0;
-  // The configurations sent in the current round of reports, and in all.
-  struct {
-    int peers = 0;
-    std::size_t bytes = 0;
-  } round_copies;
-  std::uint64_t configuration_bytes_sent = 0;
-  RelayThrottle configuration_throttle;
   RelayThrottle server_throttle;
   // The last change of the quarantine that each peer was sent, by address.
   std::map<std::string, std::uint64_t> told_suspects;
--- a/src/core/fleet_report.h
+++ b/src/core/fleet_report.h
@@ -9,6 +9,7 @@
 #include "core/admission_report.h"
 #include "core/backend_directory.h"
 #include "core/brittle_servers.h"
+#include "core/configuration_history.h"
 #include "core/engine_demand.h"
 #include "core/engine_speed.h"
 #include "core/load_ledger.h"
@@ -32,6 +33,9 @@
   // IP address and port where the instance accepts relayed requests; empty if
   // it accepts none, or runs a release that doesn't send it.
   std::string relay_address;
+  // Capacity of its network link; 0 if it is unknown, or if the instance runs a
+  // release that doesn't send it.
+  std::uint64_t link_bytes_per_second = 0;
 
   bool operator==(const InstanceIdentity&) const = default;
 };
@@ -63,6 +67,17 @@
   // one; nullopt if that is unknown, or if the sender runs a release that
   // doesn't send it. Whole milliseconds are sent.
   std::optional<Duration> configuration_age;
+  // Its DocumentHash; 0 if there is none, or if the sender needs the next one
+  // as a whole.
+  std::uint64_t configuration_hash = 0;
+  // False if the sender runs a release that doesn't know the fields for
+  // updates.
+  bool takes_configuration_updates = false;
+  // The sender asks for a later configuration.
+  bool wants_configuration = false;
+  // Only the configuration is reported; the receiver keeps all else from the
+  // reports before.
+  bool is_configuration_only = false;
   // The revision up to which the sender's directory is complete, the age of the
   // latest read of the store that it knows, and the id of that read.
   std::uint64_t directory_revision = 0;
@@ -96,6 +111,8 @@
   // Addresses of other instances that the sender knows.
   std::vector<std::string> peer_addresses;
   // Sent only to a receiver whose configuration is older; nullopt otherwise.
+  std::optional<ConfigurationUpdate> configuration_update;
+  // The same for a receiver that takes no updates.
   std::optional<SharedDocument> configuration;
   // Makes the receiver's directory complete up to `directory_revision`. Without
   // documents, it only reports the age of the sender's directory.
--- a/src/net/fleet_links.cc
+++ b/src/net/fleet_links.cc
@@ -52,6 +52,14 @@
   return RendezvousScore(0, instance);
 }
 
+bool PrecedesAsReader(const InstanceIdentity& first,
+                      const InstanceIdentity& second) {
+  if (first.link_bytes_per_second != second.link_bytes_per_second) {
+    return first.link_bytes_per_second > second.link_bytes_per_second;
+  }
+  return RankHash(first.instance) < RankHash(second.instance);
+}
+
 std::string_view ToString(PeerStatus status) {
   switch (status) {
     case PeerStatus::kUp:
@@ -407,6 +415,18 @@
   this->RemoveExpired(now);
 }
 
+bool FleetLinks::SendTo(const std::string& address, const FleetReport& report) {
+  const auto found = this->senders.find(address);
+  if (found == this->senders.end() || !found->second->CanSend() ||
+      found->second->is_first_report()) {
+    return false;
+  }
+  std::string frame = EncodeFleetFrame(report);
+  this->sent_bytes += frame.size();
+  found->second->Send(std::move(frame));
+  return true;
+}
+
 void FleetLinks::HandleReport(const InstanceIdentity& sender,
                               const FleetReport& report) {
   if (sender.instance == this->options.self.instance) {
@@ -415,13 +435,17 @@
   FleetPeer& peer = this->peers_by_name[sender.instance];
   peer.identity = sender;
   peer.last_report_at = MonotonicNow();
-  peer.is_draining = report.is_draining;
   peer.configuration_revision = report.configuration_revision;
   peer.configuration_version = report.configuration_version;
-  peer.directory_revision = report.directory_revision;
-  peer.known_peer_count = report.known_peer_count;
-  peer.unreachable_services = report.unreachable_services;
-  peer.directory_read_at = peer.last_report_at - report.directory_age;
+  peer.configuration_hash = report.configuration_hash;
+  peer.takes_configuration_updates = report.takes_configuration_updates;
+  if (!report.is_configuration_only) {
+    peer.is_draining = report.is_draining;
+    peer.directory_revision = report.directory_revision;
+    peer.known_peer_count = report.known_peer_count;
+    peer.unreachable_services = report.unreachable_services;
+    peer.directory_read_at = peer.last_report_at - report.directory_age;
+  }
   const bool is_known_address = this->senders.contains(sender.address);
   this->AddAddress(sender.address);
   for (const std::string& address : report.peer_addresses) {
@@ -509,15 +533,21 @@
   return this->CountRankedBelow(RankHash(this->options.self.instance));
 }
 
-int FleetLinks::RankInDataCentre(const InstanceIdentity& instance) const {
-  const std::uint64_t rank_hash = RankHash(instance.instance);
+int FleetLinks::ReaderRank() const {
+  return this->CountLive([this](const FleetPeer& peer) {
+    return !peer.is_draining &&
+           PrecedesAsReader(peer.identity, this->options.self);
+  });
+}
+
+int FleetLinks::ReaderRankInDataCentre(const InstanceIdentity& instance) const {
   const InstanceIdentity& self = this->options.self;
   const bool self_precedes = self.data_centre == instance.data_centre &&
-                             RankHash(self.instance) < rank_hash;
+                             PrecedesAsReader(self, instance);
   return (self_precedes ? 1 : 0) + this->CountLive([&](const FleetPeer& peer) {
     return !peer.is_draining &&
            peer.identity.data_centre == instance.data_centre &&
-           RankHash(peer.identity.instance) < rank_hash;
+           PrecedesAsReader(peer.identity, instance);
   });
 }
 
--- a/src/net/fleet_links.h
+++ b/src/net/fleet_links.h
@@ -38,6 +38,8 @@
   std::uint64_t configuration_version = 0;
   std::uint64_t directory_revision = 0;
   // See FleetReport.
+  std::uint64_t configuration_hash = 0;
+  bool takes_configuration_updates = false;
   std::uint32_t known_peer_count = 0;
   std::vector<std::uint64_t> unreachable_services;
   // When the peer's copy of the directory was read from the store.
@@ -63,6 +65,11 @@
 // data centre, which tend to fail together, are not adjacent in the order.
 std::uint64_t RankHash(const std::string& instance);
 
+// Returns whether `first` precedes `second` among those that read from the
+// store what all need.
+bool PrecedesAsReader(const InstanceIdentity& first,
+                      const InstanceIdentity& second);
+
 // Makes the reports that are sent, and handles received reports and changes of
 // the peers' status. Called on the event loop's thread only.
 class FleetReportHandler {
@@ -109,6 +116,9 @@
   // Makes the next tick send a report to all peers, even before the interval
   // has passed.
   void ScheduleReport() { this->report_scheduled = true; }
+  // Sends this report now, beside the regular ones. Returns false if it can't
+  // be sent to that address yet.
+  bool SendTo(const std::string& address, const FleetReport& report);
 
   // Returns the number of peers that are neither gone nor silent.
   [[nodiscard]] int live_peer_count() const;
@@ -122,9 +132,14 @@
   // Returns this instance's rank among the live instances, in the order of the
   // hashes of their names; 0 is the first. Draining peers are not ranked.
   [[nodiscard]] int Rank() const;
-  // Returns an instance's rank among the live instances of its data centre, in
-  // the same order.
-  [[nodiscard]] int RankInDataCentre(const InstanceIdentity& instance) const;
+  // Returns this instance's rank among the live instances for reading from the
+  // store what all need: those with the fastest links come first, then the
+  // order is the same.
+  [[nodiscard]] int ReaderRank() const;
+  // Returns an instance's rank in that order among the live instances of its
+  // data centre.
+  [[nodiscard]] int ReaderRankInDataCentre(
+      const InstanceIdentity& instance) const;
   [[nodiscard]] const InstanceIdentity& self() const {
     return this->options.self;
   }
--- a/src/wire/fleet_codec.cc
+++ b/src/wire/fleet_codec.cc
@@ -67,6 +67,30 @@
                               document.is_removed, value);
 }
 
+Offset<wire::ConfigurationUpdate> EncodeUpdate(
+    FlatBufferBuilder& builder, const ConfigurationUpdate& update) {
+  const auto key = builder.CreateString(update.key);
+  const auto bytes = builder.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(update.bytes.data()),
+      update.bytes.size());
+  return wire::CreateConfigurationUpdate(
+      builder, key, update.revision, update.base_hash, update.hash,
+      static_cast<std::uint32_t>(update.size), bytes);
+}
+
+ConfigurationUpdate DecodeUpdate(const wire::ConfigurationUpdate& update) {
+  ConfigurationUpdate result{.key = ToString(update.key()),
+                             .revision = update.revision(),
+                             .base_hash = update.base_hash(),
+                             .hash = update.hash(),
+                             .size = update.size()};
+  if (update.bytes() != nullptr) {
+    result.bytes.assign(reinterpret_cast<const char*>(update.bytes()->data()),
+                        update.bytes()->size());
+  }
+  return result;
+}
+
 SharedDocument DecodeDocument(const wire::Document& document) {
   SharedDocument result{.key = ToString(document.key()),
                         .revision = document.revision(),
@@ -433,11 +457,12 @@
       .directory_update = {.base_revision = frame.servers_since(),
                            .is_snapshot = frame.servers_whole()}};
   if (const auto* identity = frame.identity()) {
-    report.identity =
-        InstanceIdentity{.instance = ToString(identity->instance()),
-                         .address = ToString(identity->address()),
-                         .data_centre = ToString(identity->data_centre()),
-                         .relay_address = ToString(identity->relay_address())};
+    report.identity = InstanceIdentity{
+        .instance = ToString(identity->instance()),
+        .address = ToString(identity->address()),
+        .data_centre = ToString(identity->data_centre()),
+        .relay_address = ToString(identity->relay_address()),
+        .link_bytes_per_second = identity->link_bytes_per_second()};
   }
   if (frame.shares() != nullptr) {
     for (const wire::ServerShare* share : *frame.shares()) {
@@ -507,6 +532,13 @@
       report.peer_addresses.push_back(ToString(address));
     }
   }
+  report.configuration_hash = frame.configuration_hash();
+  report.takes_configuration_updates = frame.takes_configuration_updates();
+  report.wants_configuration = frame.wants_configuration();
+  report.is_configuration_only = frame.configuration_only();
+  if (frame.configuration_update() != nullptr) {
+    report.configuration_update = DecodeUpdate(*frame.configuration_update());
+  }
   if (frame.configuration() != nullptr) {
     report.configuration = DecodeDocument(*frame.configuration());
   }
@@ -532,7 +564,8 @@
       relay_address = builder.CreateString(report.identity->relay_address);
     }
     identity =
-        wire::CreateIdentity(builder, instance, address, centre, relay_address);
+        wire::CreateIdentity(builder, instance, address, centre, relay_address,
+                             report.identity->link_bytes_per_second);
   }
   std::vector<wire::ServerShare> shares;
   shares.reserve(report.server_loads.size());
@@ -553,6 +586,10 @@
   if (report.configuration) {
     configuration = EncodeDocument(builder, *report.configuration);
   }
+  Offset<wire::ConfigurationUpdate> configuration_update;
+  if (report.configuration_update) {
+    configuration_update = EncodeUpdate(builder, *report.configuration_update);
+  }
   std::vector<Offset<wire::Document>> servers;
   for (const SharedDocument& document : report.directory_update.documents) {
     servers.push_back(EncodeDocument(builder, document));
@@ -631,7 +668,9 @@
       software, origin_vector, report.configuration_version, cached_parts,
       report.known_peer_count, unreachable_services, brittle_vector,
       EncodeOptionalAge(report.configuration_age), duties, demand_vector,
-      admission, speed_samples));
+      admission, speed_samples, report.configuration_hash,
+      report.takes_configuration_updates, report.wants_configuration,
+      configuration_update, report.is_configuration_only));
   return PrependLength(builder.GetBufferPointer(), builder.GetSize());
 }
 
--- a/src/wire/fleet_generated.h
+++ b/src/wire/fleet_generated.h
@@ -50,6 +50,9 @@
 struct Identity;
 struct IdentityBuilder;
 
+struct ConfigurationUpdate;
+struct ConfigurationUpdateBuilder;
+
 struct Document;
 struct DocumentBuilder;
 
@@ -956,7 +959,8 @@
     VT_INSTANCE = 4,
     VT_ADDRESS = 6,
     VT_DATA_CENTRE = 8,
-    VT_RELAY_ADDRESS = 10
+    VT_RELAY_ADDRESS = 10,
+    VT_LINK_BYTES_PER_SECOND = 12
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -970,6 +974,9 @@
   const flatbuffers::String *relay_address() const {
     return GetPointer<const flatbuffers::String *>(VT_RELAY_ADDRESS);
   }
+  uint64_t link_bytes_per_second() const {
+    return GetField<uint64_t>(VT_LINK_BYTES_PER_SECOND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -980,6 +987,7 @@
            verifier.VerifyString(data_centre()) &&
            VerifyOffset(verifier, VT_RELAY_ADDRESS) &&
            verifier.VerifyString(relay_address()) &&
+           VerifyField<uint64_t>(verifier, VT_LINK_BYTES_PER_SECOND, 8) &&
            verifier.EndTable();
   }
 };
@@ -1000,6 +1008,9 @@
   void add_relay_address(flatbuffers::Offset<flatbuffers::String> relay_address) {
     fbb_.AddOffset(Identity::VT_RELAY_ADDRESS, relay_address);
   }
+  void add_link_bytes_per_second(uint64_t link_bytes_per_second) {
+    fbb_.AddElement<uint64_t>(Identity::VT_LINK_BYTES_PER_SECOND, link_bytes_per_second, 0);
+  }
   explicit IdentityBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1016,8 +1027,10 @@
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    flatbuffers::Offset<flatbuffers::String> relay_address = 0) {
+    flatbuffers::Offset<flatbuffers::String> relay_address = 0,
+    uint64_t link_bytes_per_second = 0) {
   IdentityBuilder builder_(_fbb);
+  builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_relay_address(relay_address);
   builder_.add_data_centre(data_centre);
   builder_.add_address(address);
@@ -1030,7 +1043,8 @@
     const char *instance = nullptr,
     const char *address = nullptr,
     const char *data_centre = nullptr,
-    const char *relay_address = nullptr) {
+    const char *relay_address = nullptr,
+    uint64_t link_bytes_per_second = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -1040,7 +1054,121 @@
       instance__,
       address__,
       data_centre__,
-      relay_address__);
+      relay_address__,
+      link_bytes_per_second);
+}
+
+struct ConfigurationUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationUpdateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_REVISION = 6,
+    VT_BASE_HASH = 8,
+    VT_HASH = 10,
+    VT_SIZE = 12,
+    VT_BYTES = 14
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t base_hash() const {
+    return GetField<uint64_t>(VT_BASE_HASH, 0);
+  }
+  uint64_t hash() const {
+    return GetField<uint64_t>(VT_HASH, 0);
+  }
+  uint32_t size() const {
+    return GetField<uint32_t>(VT_SIZE, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_HASH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationUpdateBuilder {
+  typedef ConfigurationUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(ConfigurationUpdate::VT_KEY, key);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(ConfigurationUpdate::VT_REVISION, revision, 0);
+  }
+  void add_base_hash(uint64_t base_hash) {
+    fbb_.AddElement<uint64_t>(ConfigurationUpdate::VT_BASE_HASH, base_hash, 0);
+  }
+  void add_hash(uint64_t hash) {
+    fbb_.AddElement<uint64_t>(ConfigurationUpdate::VT_HASH, hash, 0);
+  }
+  void add_size(uint32_t size) {
+    fbb_.AddElement<uint32_t>(ConfigurationUpdate::VT_SIZE, size, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(ConfigurationUpdate::VT_BYTES, bytes);
+  }
+  explicit ConfigurationUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationUpdate> CreateConfigurationUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint64_t revision = 0,
+    uint64_t base_hash = 0,
+    uint64_t hash = 0,
+    uint32_t size = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  ConfigurationUpdateBuilder builder_(_fbb);
+  builder_.add_hash(hash);
+  builder_.add_base_hash(base_hash);
+  builder_.add_revision(revision);
+  builder_.add_bytes(bytes);
+  builder_.add_size(size);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ConfigurationUpdate> CreateConfigurationUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    uint64_t revision = 0,
+    uint64_t base_hash = 0,
+    uint64_t hash = 0,
+    uint32_t size = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return rosemarycove::wire::CreateConfigurationUpdate(
+      _fbb,
+      key__,
+      revision,
+      base_hash,
+      hash,
+      size,
+      bytes__);
 }
 
 struct Document FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1242,7 +1370,12 @@
     VT_DUTIES = 54,
     VT_ENGINE_DEMAND = 56,
     VT_ADMISSION = 58,
-    VT_SPEED_SAMPLES = 60
+    VT_SPEED_SAMPLES = 60,
+    VT_CONFIGURATION_HASH = 62,
+    VT_TAKES_CONFIGURATION_UPDATES = 64,
+    VT_WANTS_CONFIGURATION = 66,
+    VT_CONFIGURATION_UPDATE = 68,
+    VT_CONFIGURATION_ONLY = 70
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -1331,6 +1464,21 @@
   const flatbuffers::Vector<const rosemarycove::wire::SpeedSample *> *speed_samples() const {
     return GetPointer<const flatbuffers::Vector<const rosemarycove::wire::SpeedSample *> *>(VT_SPEED_SAMPLES);
   }
+  uint64_t configuration_hash() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_HASH, 0);
+  }
+  bool takes_configuration_updates() const {
+    return GetField<uint8_t>(VT_TAKES_CONFIGURATION_UPDATES, 0) != 0;
+  }
+  bool wants_configuration() const {
+    return GetField<uint8_t>(VT_WANTS_CONFIGURATION, 0) != 0;
+  }
+  const rosemarycove::wire::ConfigurationUpdate *configuration_update() const {
+    return GetPointer<const rosemarycove::wire::ConfigurationUpdate *>(VT_CONFIGURATION_UPDATE);
+  }
+  bool configuration_only() const {
+    return GetField<uint8_t>(VT_CONFIGURATION_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -1383,6 +1531,12 @@
            verifier.VerifyTable(admission()) &&
            VerifyOffset(verifier, VT_SPEED_SAMPLES) &&
            verifier.VerifyVector(speed_samples()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_HASH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_TAKES_CONFIGURATION_UPDATES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_CONFIGURATION, 1) &&
+           VerifyOffset(verifier, VT_CONFIGURATION_UPDATE) &&
+           verifier.VerifyTable(configuration_update()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIGURATION_ONLY, 1) &&
            verifier.EndTable();
   }
 };
@@ -1478,6 +1632,21 @@
   void add_speed_samples(flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples) {
     fbb_.AddOffset(FleetReport::VT_SPEED_SAMPLES, speed_samples);
   }
+  void add_configuration_hash(uint64_t configuration_hash) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_CONFIGURATION_HASH, configuration_hash, 0);
+  }
+  void add_takes_configuration_updates(bool takes_configuration_updates) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_TAKES_CONFIGURATION_UPDATES, static_cast<uint8_t>(takes_configuration_updates), 0);
+  }
+  void add_wants_configuration(bool wants_configuration) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_WANTS_CONFIGURATION, static_cast<uint8_t>(wants_configuration), 0);
+  }
+  void add_configuration_update(flatbuffers::Offset<rosemarycove::wire::ConfigurationUpdate> configuration_update) {
+    fbb_.AddOffset(FleetReport::VT_CONFIGURATION_UPDATE, configuration_update);
+  }
+  void add_configuration_only(bool configuration_only) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_CONFIGURATION_ONLY, static_cast<uint8_t>(configuration_only), 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1519,14 +1688,21 @@
     flatbuffers::Offset<rosemarycove::wire::DutyState> duties = 0,
     flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::EngineDemand *>> engine_demand = 0,
     flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const rosemarycove::wire::SpeedSample *>> speed_samples = 0,
+    uint64_t configuration_hash = 0,
+    bool takes_configuration_updates = false,
+    bool wants_configuration = false,
+    flatbuffers::Offset<rosemarycove::wire::ConfigurationUpdate> configuration_update = 0,
+    bool configuration_only = false) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_configuration_hash(configuration_hash);
   builder_.add_configuration_version(configuration_version);
   builder_.add_servers_since(servers_since);
   builder_.add_directory_reading(directory_reading);
   builder_.add_directory_reader(directory_reader);
   builder_.add_directory_revision(directory_revision);
   builder_.add_configuration_revision(configuration_revision);
+  builder_.add_configuration_update(configuration_update);
   builder_.add_speed_samples(speed_samples);
   builder_.add_admission(admission);
   builder_.add_engine_demand(engine_demand);
@@ -1548,6 +1724,9 @@
   builder_.add_directory_age_ms(directory_age_ms);
   builder_.add_identity(identity);
   builder_.add_version(version);
+  builder_.add_configuration_only(configuration_only);
+  builder_.add_wants_configuration(wants_configuration);
+  builder_.add_takes_configuration_updates(takes_configuration_updates);
   builder_.add_servers_whole(servers_whole);
   builder_.add_leaving(leaving);
   return builder_.Finish();
@@ -1583,7 +1762,12 @@
     flatbuffers::Offset<rosemarycove::wire::DutyState> duties = 0,
     const std::vector<rosemarycove::wire::EngineDemand> *engine_demand = nullptr,
     flatbuffers::Offset<rosemarycove::wire::Admission> admission = 0,
-    const std::vector<rosemarycove::wire::SpeedSample> *speed_samples = nullptr) {
+    const std::vector<rosemarycove::wire::SpeedSample> *speed_samples = nullptr,
+    uint64_t configuration_hash = 0,
+    bool takes_configuration_updates = false,
+    bool wants_configuration = false,
+    flatbuffers::Offset<rosemarycove::wire::ConfigurationUpdate> configuration_update = 0,
+    bool configuration_only = false) {
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServerShare>(*shares) : 0;
   auto divisions__ = divisions ? _fbb.CreateVectorOfStructs<rosemarycove::wire::ServiceDivision>(*divisions) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*neighbours) : 0;
@@ -1626,7 +1810,12 @@
       duties,
       engine_demand__,
       admission,
-      speed_samples__);
+      speed_samples__,
+      configuration_hash,
+      takes_configuration_updates,
+      wants_configuration,
+      configuration_update,
+      configuration_only);
 }
 
 inline const rosemarycove::wire::FleetReport *GetFleetReport(const void *buf) {
--- a/tests/test_configuration_relay.cc
+++ b/tests/test_configuration_relay.cc
@@ -5,6 +5,8 @@
 #include <thread>
 #include <vector>
 
+#include "net/clock.h"
+#include "net/fleet_links.h"
 #include "tests/gateway_fixture.h"
 
 // Included last, since CppUTest defines macros that break standard headers.
@@ -25,6 +27,7 @@
 // control (docs/CAPACITY.md).
 constexpr milliseconds kChangeInterval(800);
 constexpr double kMaxControlBytes = 12'000 * 0.8;
+constexpr std::chrono::seconds kMaxWait(10);
 // Routes that make the configuration 11 KB and 250 KB large.
 constexpr int kFewRoutes = 60;
 constexpr int kManyRoutes = 1400;
@@ -39,21 +42,11 @@
           "edge-" + std::to_string(index), store_address, seeds));
       seeds = {this->gateways.front()->peers_address()};
     }
-    for (const auto& gateway : this->gateways) {
-      gateway->AwaitReady();
-    }
-    for (const auto& gateway : this->gateways) {
-      CHECK(gateway->AwaitMetric("rosemarycove_peers", kInstances - 1));
-    }
+    CHECK(this->AwaitAll("rosemarycove_peers", kInstances - 1));
   }
 
   [[nodiscard]] bool AwaitVersion(int version) const {
-    bool has_version = true;
-    for (const auto& gateway : this->gateways) {
-      has_version &=
-          gateway->AwaitMetric("rosemarycove_configuration_version", version);
-    }
-    return has_version;
+    return this->AwaitAll("rosemarycove_configuration_version", version);
   }
 
   // The bytes of configurations that the instances sent to each other.
@@ -67,9 +60,75 @@
   }
 
  private:
+  // Waits until the metric has the value at each instance; returns false if it
+  // doesn't in time.
+  [[nodiscard]] bool AwaitAll(const std::string& metric, double value) const {
+    const TimePoint start = MonotonicNow();
+    for (const auto& gateway : this->gateways) {
+      while (gateway->MetricValue(metric) != value) {
+        if (MonotonicNow() - start > kMaxWait) {
+          return false;
+        }
+        std::this_thread::sleep_for(milliseconds(10));
+      }
+    }
+    return true;
+  }
+
   std::vector<std::unique_ptr<RunningGateway>> gateways;
 };
 
+// An instance of the release before configurations were sent as differences. It
+// stays at version 1.
+class EarlierRelease : public FleetReportHandler {
+ public:
+  explicit EarlierRelease(const std::string& seed)
+      : links(this->io,
+              {.self = {.instance = "earlier",
+                        .address = "127.0.0.1:0",
+                        .data_centre = "here"},
+               .seeds = {seed}},
+              *this) {}
+
+  // Runs until it has a later configuration; returns false if it never has.
+  bool AwaitDocument() {
+    CHECK(!this->links.Start());
+    const TimePoint start = MonotonicNow();
+    while (!this->document) {
+      if (MonotonicNow() - start > kMaxWait) {
+        return false;
+      }
+      this->links.Tick(MonotonicNow());
+      this->io.restart();
+      this->io.run_for(milliseconds(20));
+    }
+    return true;
+  }
+
+  FleetReport MakeReport() override {
+    return {.configuration_revision = 1, .configuration_version = 1};
+  }
+  void AddMissingDocuments(const FleetPeer& /*peer*/,
+                           FleetReport& /*report*/) override {}
+  void OnRoundSent() override {}
+  void OnReport(const FleetPeer& /*peer*/, const FleetReport& report) override {
+    this->has_got_update |=
+        report.configuration_update.has_value() || report.is_configuration_only;
+    if (report.configuration) {
+      this->document = report.configuration;
+    }
+  }
+  void OnPeerStatusChange(const FleetPeer& /*peer*/,
+                          PeerStatus /*status*/) override {}
+
+  std::optional<SharedDocument> document;
+  bool has_got_update = false;
+
+ private:
+  boost::asio::io_context io;
+  FleetLinks links;
+};
+
 // The mean cost of a change.
 struct ChangeCost {
   // Bytes that an instance gets from others.
@@ -124,3 +183,15 @@
   CHECK(cost.relayed_bytes <= kMaxControlBytes);
   CHECK(cost.store_reads <= kMaxReaders);
 }
+
+// Two builds run side by side while instances are replaced.
+TEST(ConfigurationRelay, InstanceOfAnEarlierReleaseGetsWholeDocuments) {
+  PlatformFixture platform([](RawConnection& /*connection*/) {});
+  platform.PutConfiguration(2);
+  const RunningGateway gateway("edge-1", platform.store.address());
+  gateway.AwaitReady();
+  EarlierRelease earlier(gateway.peers_address());
+  CHECK(earlier.AwaitDocument());
+  CHECK(earlier.document->value.find(R"("version":2)") != std::string::npos);
+  CHECK(!earlier.has_got_update);
+}
--- a/tests/test_fleet_links.cc
+++ b/tests/test_fleet_links.cc
@@ -107,10 +107,15 @@
 
 TEST(FleetLinks, DecodesEveryEncodedField) {
   const FleetReport report{
-      .identity = InstanceIdentity{"a", "127.0.0.1:1", "north", "127.0.0.1:3"},
+      .identity = InstanceIdentity{"a", "127.0.0.1:1", "north", "127.0.0.1:3",
+                                   1'250'000},
       .is_draining = true,
       .configuration_revision = 5,
       .configuration_version = 6,
+      .configuration_hash = 31,
+      .takes_configuration_updates = true,
+      .wants_configuration = true,
+      .is_configuration_only = true,
       .directory_revision = 9,
       .directory_age = std::chrono::milliseconds(120),
       .server_loads = {{.server_hash = 3,
@@ -148,6 +153,13 @@
                                   .count = 3}}},
       .speed_samples = {{.server = 26, .ratio = 1.25, .weight = 1.5}},
       .peer_addresses = {"127.0.0.1:2"},
+      .configuration_update =
+          ConfigurationUpdate{.key = "c",
+                              .revision = 5,
+                              .base_hash = 32,
+                              .hash = 33,
+                              .size = 34,
+                              .bytes = std::string("\0y", 2)},
       .configuration =
           SharedDocument{
               .key = "c", .revision = 5, .value = std::string("\0x", 2)},
@@ -162,6 +174,11 @@
   CHECK(decoded.is_draining);
   CHECK_EQUAL(5U, decoded.configuration_revision);
   CHECK_EQUAL(6U, decoded.configuration_version);
+  CHECK_EQUAL(31U, decoded.configuration_hash);
+  CHECK(decoded.takes_configuration_updates);
+  CHECK(decoded.wants_configuration);
+  CHECK(decoded.is_configuration_only);
+  CHECK(*decoded.configuration_update == *report.configuration_update);
   CHECK_EQUAL(9U, decoded.directory_revision);
   CHECK(decoded.directory_age == report.directory_age);
   CHECK(decoded.server_loads.at(0).load == report.server_loads.at(0).load);
@@ -206,6 +223,21 @@
   STRCMP_EQUAL("rest", bytes.c_str());
 }
 
+// Guards against the instances with the slowest links reading from the store
+// for all others, and sending them what they read.
+TEST(FleetLinks, InstancesWithFastLinksReadForTheOthers) {
+  const InstanceIdentity fast{.instance = "f", .link_bytes_per_second = 1000};
+  const InstanceIdentity fast_too{.instance = "g",
+                                  .link_bytes_per_second = 1000};
+  const InstanceIdentity slow{.instance = "s", .link_bytes_per_second = 10};
+  const InstanceIdentity unknown{.instance = "u"};
+  CHECK(PrecedesAsReader(fast, slow));
+  CHECK(!PrecedesAsReader(slow, fast));
+  CHECK(PrecedesAsReader(slow, unknown));
+  CHECK(PrecedesAsReader(fast, fast_too) != PrecedesAsReader(fast_too, fast));
+  CHECK(!PrecedesAsReader(fast, fast));
+}
+
 TEST(FleetLinks, OlderReportNamesNoRelayAddress) {
   std::string bytes = FromHex(kOlderReport);
   const auto frame = DecodeFleetFrame(bytes);
