--- a/tests/test_placement_fleet.cc
+++ b/tests/test_placement_fleet.cc
@@ -107,6 +107,10 @@
     }
   }
 
+  // Changes how many requests of a kind arrive.
+  void SetRate(std::size_t index, double rate) {
+    this->kinds[index].rate = rate;
+  }
   [[nodiscard]] const Traffic& kind(std::size_t index) const {
     return this->kinds[index];
   }
@@ -253,6 +257,27 @@
 
 TEST_GROUP(PlacementFleet){};
 
+// Guards against urgent requests that are refused while engines stay reserved
+// for long, less urgent ones: in a burst of short ones the engines suffice for
+// these and for a part of the long ones.
+TEST(PlacementFleet, BurstOfUrgentRequestsIsServedBeforeLongOnes) {
+  // The part of a route's requests that may get nothing while less urgent ones
+  // begin.
+  constexpr double kMaxRefused = 1.0 / 12;
+  constexpr double kUsualShort = 400;
+  // With the usual long requests, the burst needs 1.1 times all slots.
+  PlacementFleet fleet({}, {ShortRequests(kUsualShort), LongRequests(160)});
+  fleet.Run(seconds(7), milliseconds(100));
+  const int sent = fleet.kind(0).sent;
+  const int refused = fleet.kind(0).refused;
+  fleet.SetRate(0, 3.5 * kUsualShort);
+  fleet.Run(Duration{}, seconds(5));
+  const double burst_sent = fleet.kind(0).sent - sent;
+  const double burst_refused = fleet.kind(0).refused - refused;
+  CHECK(fleet.kind(1).sent > 0);
+  CHECK(burst_refused <= kMaxRefused * (burst_sent + burst_refused));
+}
+
 // Guards against all instances sending to the same few engines that looked free
 // in the last reports, in an overload of a large fleet.
 TEST(PlacementFleet, OverloadIsSpreadOverAllEngines) {
